--- /dev/null
+++ b/cmd/arbutusspan/gateway.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/arbutusspan/arbutusspan/internal/eventlog"
+	"github.com/arbutusspan/arbutusspan/internal/gateway"
+	"github.com/arbutusspan/arbutusspan/platform"
+)
+
+// logCloseWait bounds the writing of queued log lines at the end.
+const logCloseWait = 200 * time.Millisecond
+
+func gatewayCommand(settings *cli.StringFlag) *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run one entry host on the users' platform",
+		Flags: []cli.Flag{settings},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runGateway(ctx, c.String("settings"))
+		},
+	}
+}
+
+func runGateway(ctx context.Context, path string) error {
+	settings, err := gateway.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	logger := eventlog.New(os.Stdout, settings.Level(), "host", settings.Host)
+	defer logger.Close(logCloseWait)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			if _, err := gateway.LoadSettings(path); err != nil {
+				logger.Warn("reload", "outcome", "refused", "error", err)
+				continue
+			}
+			logger.Info("reload", "outcome", "kept", "detail", "settings of a running host do not change; restart it for new ones")
+		}
+	}()
+	if err := gateway.New(settings, platform.New(settings.StoreAddress), logger).Run(ctx); err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	return nil
+}
--- a/cmd/arbutusspan/main.go
+++ b/cmd/arbutusspan/main.go
@@ -14,14 +14,22 @@
 	"github.com/arbutusspan/arbutusspan/internal/host"
 )
 
+// settingsVariable names the settings file where a deployment does not use the flag.
+const settingsVariable = "ARBUTUSSPAN_NODE_FILE"
+
 func main() {
+	settings := &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "JSON settings `FILE`", Sources: cli.EnvVars(settingsVariable)}
 	cmd := &cli.Command{
 		Name:  "arbutusspan",
 		Usage: "run one entry host",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "JSON settings `FILE`", Required: true}},
+		Flags: []cli.Flag{settings},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.String("settings") == "" {
+				return fmt.Errorf("name the settings file with --settings or %s", settingsVariable)
+			}
 			return run(ctx, c.String("settings"))
 		},
+		Commands: []*cli.Command{gatewayCommand(settings)},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "arbutusspan:", err)
--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -33,6 +33,7 @@
 	Deadline  time.Time
 	Copy      keys.Copy // as stated by the caller; a number above 0 is a repeat
 	Key       string    // idempotency key, or empty
+	Host      string    // Host header; empty means the endpoint's address
 	// RetainBody is called before Body is handed to a connection, and the function that it returns once the connection no
 	// longer reads it, which can be after the call has ended. Nil if Body is never reused.
 	RetainBody func() (release func())
@@ -46,9 +47,12 @@
 	Length   int64         // -1 if the upstream did not state it
 	Refused  bool          // the upstream's protocol says that it did not run the request
 	Leaving  bool          // the upstream says that it is leaving
+	Damaged  bool          // the headers show that this cannot be the endpoint's whole answer
 	Replaced bool          // another incarnation than the granted one answered
 	InFlight int           // load report; valid if Slots > 0
 	Slots    int
+	Waiting  int     // the part of InFlight that waits in the endpoint's queue, if it says so
+	Slowness float64 // how many times as long as usual work takes there now; 0 if not told
 }
 
 // SendError tells how a request failed at one endpoint.
--- /dev/null
+++ b/internal/coordination/forward/forward.go
@@ -0,0 +1,461 @@
+// Package forward runs one request of a route: it asks endpoints for their load, sends the request to the one that is expected to
+// answer first, and sends it again where that is safe, paid by the repeat budget and still useful.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/registry"
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+)
+
+// Asker asks an endpoint for its load.
+type Asker interface {
+	Ask(ctx context.Context, e endpoints.Endpoint, path string) (placement.Load, error)
+}
+
+// Config of a Forwarder.
+type Config struct {
+	Sender    executor.Sender
+	Asker     Asker
+	Board     *placement.Board
+	Repeats   *placement.Repeats
+	Endpoints func() *registry.Snapshot
+	Random    func(n int) int // nil means placement.Random
+}
+
+// Forwarder runs requests. It is safe for concurrent use.
+type Forwarder struct {
+	cfg  Config
+	work workTimes
+}
+
+// New returns a forwarder.
+func New(cfg Config) *Forwarder {
+	if cfg.Random == nil {
+		cfg.Random = placement.Random
+	}
+	return &Forwarder{cfg: cfg}
+}
+
+// Call is one request.
+type Call struct {
+	*executor.Call
+	Route   *routing.Route
+	Service *routing.Service
+	// Due is when the caller or the route stops waiting.
+	Due time.Time
+}
+
+// Outcome tells how a request ended.
+type Outcome string
+
+// Outcomes. Only those that begin with "refused" promise that the request has not run and will not.
+const (
+	Answered          Outcome = "answered"            // an endpoint's answer
+	RefusedNoEndpoint Outcome = "refused_no_endpoint" // no endpoint of the service can be used
+	RefusedTooLate    Outcome = "refused_too_late"    // no endpoint is expected to answer in time
+	RefusedUpstream   Outcome = "refused_upstream"    // endpoints refused it without running it
+	RefusedUnsent     Outcome = "refused_unsent"      // the time passed, or the caller left, before it was sent
+	RefusedConnect    Outcome = "refused_connect"     // no connection could be opened
+	LostAnswer        Outcome = "lost_answer"         // sent, and the connection ended without a whole answer
+	TimedOut          Outcome = "timed_out"           // sent, and no answer came in time
+)
+
+// Promises reports whether the outcome says that the request has not run and will not.
+func (o Outcome) Promises() bool {
+	switch o {
+	case RefusedNoEndpoint, RefusedTooLate, RefusedUpstream, RefusedUnsent, RefusedConnect:
+		return true
+	}
+	return false
+}
+
+// Attempt records one send, for logs.
+type Attempt struct {
+	Endpoint string        `json:"endpoint"`
+	Zone     string        `json:"zone"`
+	After    time.Duration `json:"after"` // from the start of the request
+	Expected time.Duration `json:"expected"`
+	Load     placement.Load
+	LoadAge  time.Duration
+	Hedge    bool
+	Result   string
+	Took     time.Duration
+}
+
+// Result is how a request ended.
+type Result struct {
+	Outcome    Outcome
+	Response   *executor.Response // for Answered
+	Body       []byte             // the whole body, or the part that was read before Rest
+	Rest       io.ReadCloser      // what follows Body in large answers; nil if Body is whole
+	RetryAfter time.Duration      // for refusals: when an endpoint is expected to be usable
+	Attempts   []Attempt
+	Asked      int // endpoints asked for their load
+	Unanswered int // of them, without an answer
+	Candidates int // usable endpoints of the service
+	Detail     string
+}
+
+const (
+	// askTimeout bounds the answer of an endpoint that is asked for its load. In the own zone it takes 1 to 2 ms, in another about 5.
+	askTimeout = 12 * time.Millisecond
+	// enoughWait is how long the other answers of a round are waited for once one is good enough.
+	enoughWait = 3 * time.Millisecond
+	// connectWaits bounds how often another endpoint is tried because no connection to the chosen one could be opened.
+	connectWaits = 4
+	// maxBuffered is the largest answer that is read whole before it is passed on, so that a broken one can be asked for again.
+	maxBuffered = 256 << 10
+	// minRetryAfter and maxRetryAfter bound the stated delay.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = time.Second
+	// idleRetryAfter is stated if nothing is known of when an endpoint will be usable.
+	idleRetryAfter = 250 * time.Millisecond
+)
+
+// run is the state of one request.
+type run struct {
+	f       *Forwarder
+	c       *Call
+	start   time.Time
+	work    time.Duration // usual duration
+	tried   []endpoints.ID
+	result  *Result
+	results chan sendResult
+	running int
+	// possible says that an endpoint may have run the request.
+	possible bool
+	sends    int
+	cancels  []context.CancelFunc
+	last     *sendResult // the newest failure
+	answered bool
+}
+
+type sendResult struct {
+	attempt  int // index in Result.Attempts
+	endpoint registry.Endpoint
+	resp     *executor.Response
+	body     []byte
+	rest     io.ReadCloser
+	err      error
+	written  bool
+}
+
+// Run serves the request. ctx ends when the caller has left.
+func (f *Forwarder) Run(ctx context.Context, c *Call) *Result {
+	now := time.Now()
+	f.cfg.Repeats.Earn(c.Service.Name, now)
+	r := &run{f: f, c: c, start: now, work: f.work.of(c.Route), result: &Result{}, results: make(chan sendResult, 8)}
+	ctx, cancel := context.WithDeadline(ctx, c.Due)
+	r.serve(ctx)
+	if r.result.Rest == nil {
+		cancel()
+	} else {
+		r.result.Rest = &cancelOnClose{r.result.Rest, cancel}
+	}
+	return r.result
+}
+
+// cancelOnClose ends the context of an answer that is passed on piece by piece.
+type cancelOnClose struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (c *cancelOnClose) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
+
+func (r *run) serve(ctx context.Context) {
+	defer r.cancelLosers()
+	if !r.next(ctx, false) {
+		return
+	}
+	check := time.NewTimer(r.firstCheck())
+	defer check.Stop()
+	for {
+		select {
+		case got := <-r.results:
+			r.running--
+			if r.settle(got) {
+				return
+			}
+			if r.running > 0 {
+				continue
+			}
+			if !r.mayRepeat(ctx) || !r.next(ctx, false) {
+				r.fail(ctx)
+				return
+			}
+			check.Reset(r.firstCheck())
+		case <-check.C:
+			if again := r.hedge(ctx); again > 0 {
+				check.Reset(again)
+			}
+		case <-ctx.Done():
+			r.fail(ctx)
+			return
+		}
+	}
+}
+
+// settle takes in the end of a send and reports whether it ends the request.
+func (r *run) settle(got sendResult) bool {
+	a := &r.result.Attempts[got.attempt]
+	a.Took = time.Since(r.start) - a.After
+	switch {
+	case got.err != nil && !got.written:
+		a.Result = "not sent: " + got.err.Error()
+		r.sends--
+	case got.err != nil:
+		a.Result = "lost: " + got.err.Error()
+		r.possible = true
+	case got.resp.Refused:
+		a.Result = "refused"
+	case got.resp.Status >= http.StatusInternalServerError && r.c.Route.Idempotent && r.canRepeat():
+		a.Result = "failed"
+		r.possible = true
+	default:
+		a.Result = "answered"
+		r.answer(got)
+		return true
+	}
+	if r.last == nil || r.last.resp == nil || got.resp != nil {
+		r.last = &got
+	}
+	return false
+}
+
+func (r *run) answer(got sendResult) {
+	r.answered = true
+	r.result.Outcome, r.result.Response, r.result.Body, r.result.Rest = Answered, got.resp, got.body, got.rest
+	r.cancels[got.attempt] = nil
+}
+
+// canRepeat reports whether the route and the time allow another send.
+func (r *run) canRepeat() bool {
+	return r.sends < r.c.Route.MaxAttempts && time.Until(r.c.Due) > r.work/2
+}
+
+// mayRepeat decides whether the request is sent again after all sends have failed.
+func (r *run) mayRepeat(ctx context.Context) bool {
+	if ctx.Err() != nil || (r.possible && !r.c.Route.Idempotent) || !r.canRepeat() || len(r.tried) > connectWaits {
+		return false
+	}
+	if r.sends == 0 {
+		return true // nothing arrived anywhere
+	}
+	if !r.f.cfg.Repeats.Take(r.c.Service.Name, time.Now()) {
+		r.result.Detail = "the repeat budget is used up"
+		return false
+	}
+	return true
+}
+
+// fail decides the outcome of a request that no endpoint answered.
+func (r *run) fail(ctx context.Context) {
+	res := r.result
+	possible := r.possible || r.running > 0
+	switch {
+	case r.last != nil && r.last.resp != nil && !r.last.resp.Refused:
+		r.answer(*r.last) // the endpoint's own failure
+	case possible && ctx.Err() != nil:
+		res.Outcome = TimedOut
+	case possible:
+		res.Outcome = LostAnswer
+	case r.last != nil && r.last.resp != nil:
+		res.Outcome, res.RetryAfter = RefusedUpstream, idleRetryAfter
+	case r.last != nil:
+		res.Outcome, res.RetryAfter = RefusedConnect, idleRetryAfter
+	case ctx.Err() != nil:
+		res.Outcome, res.RetryAfter = RefusedUnsent, minRetryAfter
+	}
+	if r.last != nil && r.last.err != nil && res.Detail == "" {
+		res.Detail = r.last.err.Error()
+	}
+}
+
+// next chooses an endpoint and sends. It reports whether a send was started.
+func (r *run) next(ctx context.Context, hedge bool) bool {
+	view, expected, ok := r.choose(ctx)
+	if !ok {
+		if r.result.Outcome == "" && !hedge && r.last == nil {
+			r.result.Outcome, r.result.RetryAfter = RefusedNoEndpoint, idleRetryAfter
+		}
+		return false
+	}
+	left := time.Until(r.c.Due)
+	if expected > left && r.last == nil && !hedge {
+		r.result.Outcome = RefusedTooLate
+		r.result.RetryAfter = min(max(expected-left, minRetryAfter), maxRetryAfter)
+		return false
+	}
+	if ctx.Err() != nil {
+		if r.last == nil && !hedge {
+			r.result.Outcome = RefusedUnsent
+		}
+		return false
+	}
+	r.send(ctx, view, expected, hedge)
+	return true
+}
+
+func (r *run) send(ctx context.Context, v placement.View, expected time.Duration, hedge bool) {
+	n := len(r.result.Attempts)
+	r.result.Attempts = append(r.result.Attempts, Attempt{Endpoint: v.Name, Zone: v.Zone, After: time.Since(r.start),
+		Expected: expected, Load: v.Load, LoadAge: v.LoadAge, Hedge: hedge})
+	r.tried = append(r.tried, v.ID)
+	r.sends++
+	r.running++
+	sendCtx, cancel := context.WithCancel(ctx)
+	r.cancels = append(r.cancels, cancel)
+	call := *r.c.Call
+	call.Deadline = r.c.Due
+	go func() {
+		got := r.f.sendOnce(sendCtx, v, &call, r.c.Route)
+		got.attempt = n
+		r.results <- got
+	}()
+}
+
+func (r *run) cancelLosers() {
+	for _, cancel := range r.cancels {
+		if cancel != nil {
+			cancel()
+		}
+	}
+	if r.running > 0 {
+		// Answers that come after the decision are closed, so that their connections are not left open.
+		go func(n int) {
+			for range n {
+				if got := <-r.results; got.rest != nil {
+					got.rest.Close()
+				}
+			}
+		}(r.running)
+	}
+}
+
+// sendOnce sends the request to one endpoint and reads the answer.
+func (f *Forwarder) sendOnce(ctx context.Context, v placement.View, c *executor.Call, route *routing.Route) sendResult {
+	start := time.Now()
+	f.cfg.Board.Sent(v.ID, start)
+	got := sendResult{endpoint: v.Endpoint, written: true}
+	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
+	if got.err == nil {
+		got.body, got.rest, got.err = readAnswer(got.resp)
+	}
+	now := time.Now()
+	var se *executor.SendError
+	switch {
+	case errors.As(got.err, &se):
+		got.written = se.Written
+	}
+	switch {
+	case got.err != nil && ctx.Err() != nil:
+		f.cfg.Board.Withdrawn(v.ID, now)
+	case got.err != nil && !got.written:
+		f.cfg.Board.Withdrawn(v.ID, now)
+		f.cfg.Board.Unreachable(v.ID, now)
+	case got.err != nil:
+		got.resp = nil
+		f.cfg.Board.Ended(v.ID, true, now)
+	default:
+		f.cfg.Board.Ended(v.ID, got.resp.Refused || got.resp.Status >= http.StatusInternalServerError, now)
+		if got.resp.Slots > 0 {
+			f.cfg.Board.Reported(v.Endpoint.Endpoint, LoadOf(got.resp), now)
+		}
+		if got.resp.Replaced {
+			f.cfg.Board.Unreachable(v.ID, now)
+		}
+		if !got.resp.Refused && got.resp.Status < http.StatusInternalServerError {
+			f.work.observe(route, now.Sub(start), v.Load)
+		}
+	}
+	if got.err != nil {
+		got.resp = nil
+	}
+	return got
+}
+
+// readAnswer reads an answer up to maxBuffered bytes. rest holds what follows.
+func readAnswer(resp *executor.Response) (body []byte, rest io.ReadCloser, err error) {
+	if resp.Length > maxBuffered {
+		return nil, resp.Body, nil
+	}
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	if err == nil && len(body) > maxBuffered {
+		return body, resp.Body, nil
+	}
+	resp.Body.Close()
+	return body, nil, err
+}
+
+// LoadOf returns the load that an answer tells, with Slots 0 if it tells none.
+func LoadOf(r *executor.Response) placement.Load {
+	l := placement.Load{Running: r.InFlight - r.Waiting, Waiting: r.Waiting, Slots: r.Slots, Slowness: r.Slowness}
+	if l.Slowness <= 0 {
+		l.Slowness = 1
+	}
+	return l
+}
+
+// workTimes estimates the usual duration of a route's requests.
+type workTimes struct{ routes sync.Map } // name -> *workTime
+
+type workTime struct {
+	mu   sync.Mutex
+	mean time.Duration
+}
+
+const (
+	// workShare of a route's target latency is taken for its usual duration until requests have shown it.
+	workShare = 3
+	// fallbackWork is taken for routes without a target.
+	fallbackWork = 100 * time.Millisecond
+	// workGain weighs one observation.
+	workGain = 0.05
+)
+
+func (w *workTimes) entry(route *routing.Route) *workTime {
+	if e, ok := w.routes.Load(route.Name); ok {
+		return e.(*workTime)
+	}
+	first := &workTime{mean: route.TargetLatency / workShare}
+	if first.mean == 0 {
+		first.mean = fallbackWork
+	}
+	e, _ := w.routes.LoadOrStore(route.Name, first)
+	return e.(*workTime)
+}
+
+func (w *workTimes) of(route *routing.Route) time.Duration {
+	e := w.entry(route)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mean
+}
+
+// observe learns from a request that started at an endpoint with the given load. Requests that started on a slow or busy one say
+// little about the usual duration.
+func (w *workTimes) observe(route *routing.Route, took time.Duration, l placement.Load) {
+	if l.Slots == 0 || l.Slowness > 1.2 || l.Running >= l.Slots {
+		return
+	}
+	e := w.entry(route)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// One slowed request must not count for many usual ones.
+	took = min(took, 2*e.mean)
+	e.mean += time.Duration(workGain * float64(took-e.mean))
+}
--- /dev/null
+++ b/internal/coordination/peers/peers.go
@@ -0,0 +1,241 @@
+// Package peers keeps what a host knows of the other entry hosts: who they are, which of them live and take callers, and how they rank
+// for reading the store. Hosts of one availability zone greet each other all the time; of other zones a host knows what the store says.
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/rendezvous"
+)
+
+// Host describes one process of an entry host. It is kept in the store and told in greetings.
+type Host struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Zone    string `cbor:"2,keyasint" json:"zone"`
+	Started int64  `cbor:"3,keyasint" json:"started"` // Unix milliseconds; a later start replaces an earlier one
+	Callers string `cbor:"4,keyasint" json:"callers"` // IP:port for callers
+	Peers   string `cbor:"5,keyasint" json:"peers"`   // IP:port for messages between hosts, over UDP
+	State   string `cbor:"6,keyasint" json:"state"`   // IP:port that serves the host's state to starting hosts, over TCP
+}
+
+// Status is what a host says of itself in a greeting.
+type Status struct {
+	Ready   bool `cbor:"1,keyasint"`
+	Leaving bool `cbor:"2,keyasint"`
+}
+
+// Config of a Table.
+type Config struct {
+	Self Host
+	// Greet is the time between greetings; it grows with the number of hosts in the zone.
+	Greet time.Duration
+	// GreetPerHost is added to Greet for each host in the zone, so that the greetings a host receives do not grow with the zone.
+	GreetPerHost time.Duration
+	// Missed is the number of greetings that may be missed before a host counts as gone.
+	Missed int
+	// AgeFirst is how old the knowledge of the first-ranked host becomes before it reads the store; each further zone waits AgePerZone
+	// longer, and each further host of a zone AgePerHost.
+	AgeFirst, AgePerZone, AgePerHost time.Duration
+	// AgeLongest bounds the sum, so that also the last host meets the deadlines for leaving endpoints and configurations.
+	AgeLongest time.Duration
+}
+
+// DefaultConfig returns the figures used in production. A leaving endpoint has to be known within 2 s: the first host reads each 0.65 s,
+// and the third in rank would notice after 1.15 s that the first two do not.
+func DefaultConfig(self Host) Config {
+	return Config{Self: self, Greet: 200 * time.Millisecond, GreetPerHost: 10 * time.Millisecond, Missed: 4,
+		AgeFirst: 650 * time.Millisecond, AgePerZone: 150 * time.Millisecond, AgePerHost: 250 * time.Millisecond, AgeLongest: 1300 * time.Millisecond}
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	cfg Config
+
+	mu     sync.Mutex
+	hosts  map[string]*peer
+	status Status
+}
+
+type peer struct {
+	Host
+	Status
+	heard time.Time // last greeting; zero if only the store names the host
+}
+
+// NewTable returns a table that knows no other host.
+func NewTable(cfg Config) *Table {
+	return &Table{cfg: cfg, hosts: map[string]*peer{}}
+}
+
+// SetStatus changes what this host says of itself.
+func (t *Table) SetStatus(s Status) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.status = s
+}
+
+// Self returns what this host says of itself.
+func (t *Table) Self() (Host, Status) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cfg.Self, t.status
+}
+
+// Put takes in a host that the store names. It reports whether that is news.
+func (t *Table) Put(h Host) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.hosts[h.Name]
+	if h.Name == t.cfg.Self.Name || (old != nil && old.Started >= h.Started) {
+		return false
+	}
+	t.hosts[h.Name] = &peer{Host: h}
+	return true
+}
+
+// Greeted takes in a greeting. It reports whether the host is new or has changed its status.
+func (t *Table) Greeted(h Host, s Status, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.hosts[h.Name]
+	if h.Name == t.cfg.Self.Name || (old != nil && old.Started > h.Started) {
+		return false
+	}
+	changed := old == nil || old.Host != h || old.Status != s || !t.live(old, now)
+	t.hosts[h.Name] = &peer{Host: h, Status: s, heard: now}
+	return changed
+}
+
+func (t *Table) live(p *peer, now time.Time) bool {
+	return !p.heard.IsZero() && now.Sub(p.heard) <= time.Duration(t.cfg.Missed)*t.greetLocked()
+}
+
+func (t *Table) greetLocked() time.Duration {
+	n := 0
+	for _, p := range t.hosts {
+		if p.Zone == t.cfg.Self.Zone {
+			n++
+		}
+	}
+	return t.cfg.Greet + time.Duration(n)*t.cfg.GreetPerHost
+}
+
+// Greet returns the time until the next greeting.
+func (t *Table) Greet() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.greetLocked()
+}
+
+// Neighbours returns the other hosts of the zone. Hosts that have not been heard are among them, because they may have just started.
+func (t *Table) Neighbours() []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Host
+	for _, p := range t.hosts {
+		if p.Zone == t.cfg.Self.Zone {
+			list = append(list, p.Host)
+		}
+	}
+	return list
+}
+
+// Known returns the number of hosts, this one included.
+func (t *Table) Known() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.hosts) + 1
+}
+
+// Live returns the names of the neighbours that were heard recently, ordered.
+func (t *Table) Live(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.liveNames(now)
+}
+
+func (t *Table) liveNames(now time.Time) []string {
+	var names []string
+	for _, p := range t.hosts {
+		if p.Zone == t.cfg.Self.Zone && t.live(p, now) {
+			names = append(names, p.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// readerKey orders zones and hosts for reading the store.
+const readerKey = "store reader"
+
+// MaxAge returns how old this host lets its knowledge of the store become.
+func (t *Table) MaxAge(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	zone := slices.Index(rendezvous.Rank(readerKey, t.zones()), t.cfg.Self.Zone)
+	host := slices.Index(rendezvous.Rank(readerKey, append(t.liveNames(now), t.cfg.Self.Name)), t.cfg.Self.Name)
+	age := t.cfg.AgeFirst + time.Duration(zone)*t.cfg.AgePerZone + time.Duration(host)*t.cfg.AgePerHost
+	return min(age, t.cfg.AgeLongest+time.Duration(host)*10*time.Millisecond)
+}
+
+func (t *Table) zones() []string {
+	zones := []string{t.cfg.Self.Zone}
+	for _, p := range t.hosts {
+		if !slices.Contains(zones, p.Zone) {
+			zones = append(zones, p.Zone)
+		}
+	}
+	return zones
+}
+
+// relaysPerZone is the number of hosts of another zone that are told directly; they tell their neighbours. With two of them, one that
+// has failed delays nothing.
+const relaysPerZone = 2
+
+// Relays returns the hosts of other zones that are told what this host has read.
+func (t *Table) Relays() []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Host
+	for _, zone := range t.zones()[1:] {
+		var names []string
+		for _, p := range t.hosts {
+			if p.Zone == zone {
+				names = append(names, p.Name)
+			}
+		}
+		ranked := rendezvous.Rank(readerKey, names)
+		for _, name := range ranked[:min(relaysPerZone, len(ranked))] {
+			list = append(list, t.hosts[name].Host)
+		}
+	}
+	return list
+}
+
+// Addresses returns the addresses for callers, those that are best for the zone first: hosts of this zone that are ready, this host
+// among them; if there are none, the hosts of other zones that the store names.
+func (t *Table) Addresses(now time.Time, most int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	if t.status.Ready && !t.status.Leaving {
+		list = append(list, t.cfg.Self.Callers)
+	}
+	for _, p := range t.hosts {
+		if p.Zone == t.cfg.Self.Zone && t.live(p, now) && p.Ready && !p.Leaving {
+			list = append(list, p.Callers)
+		}
+	}
+	if len(list) == 0 {
+		for _, p := range t.hosts {
+			if p.Zone != t.cfg.Self.Zone {
+				list = append(list, p.Callers)
+			}
+		}
+	}
+	slices.SortFunc(list, cmp.Compare[string])
+	return list[:min(most, len(list))]
+}
--- /dev/null
+++ b/internal/coordination/placement/board.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/registry"
+)
+
+const shardCount = 16
+
+var shardSeed = maphash.MakeSeed()
+
+// Board keeps what this host has learned of endpoints, in shards under their own locks.
+type Board struct {
+	cfg    Config
+	shards [shardCount]boardShard
+	silent sync.Map // service name -> time.Time until which it is not asked
+}
+
+type boardShard struct {
+	mu    sync.Mutex
+	stats map[endpoints.ID]*stat
+}
+
+type stat struct {
+	load         Load
+	loadAt       time.Time
+	own          int
+	failing      float64
+	suspectUntil time.Time
+	suspectFor   time.Duration
+	usedAt       time.Time
+}
+
+// NewBoard returns an empty board.
+func NewBoard(cfg Config) *Board {
+	b := &Board{cfg: cfg}
+	for i := range b.shards {
+		b.shards[i].stats = map[endpoints.ID]*stat{}
+	}
+	return b
+}
+
+// Config returns the board's figures.
+func (b *Board) Config() *Config { return &b.cfg }
+
+func (b *Board) update(id endpoints.ID, now time.Time, f func(*stat)) {
+	sh := &b.shards[maphash.String(shardSeed, id.Address)%shardCount]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s := sh.stats[id]
+	if s == nil {
+		s = &stat{}
+		sh.stats[id] = s
+	}
+	s.usedAt = now
+	f(s)
+}
+
+// Views returns what is known of the endpoints.
+func (b *Board) Views(list []registry.Endpoint, now time.Time) []View {
+	views := make([]View, len(list))
+	for i, e := range list {
+		views[i] = b.View(e, now)
+	}
+	return views
+}
+
+// View returns what is known of one endpoint.
+func (b *Board) View(e registry.Endpoint, now time.Time) View {
+	v := View{Endpoint: e, Local: e.Zone == b.cfg.Zone, LoadAge: -1, WarmLeft: max(0, e.WarmUntil.Sub(now))}
+	b.update(e.ID, now, func(s *stat) {
+		if !s.loadAt.IsZero() {
+			v.Load, v.LoadAge = s.load, now.Sub(s.loadAt)
+		}
+		v.Own, v.Failing, v.Suspect = s.own, s.failing, now.Before(s.suspectUntil)
+	})
+	return v
+}
+
+// Reported notes what an endpoint said of its load.
+func (b *Board) Reported(e endpoints.Endpoint, l Load, now time.Time) {
+	if l.Slots == 0 {
+		b.silent.Store(e.Service, now.Add(silentServiceLife))
+		return
+	}
+	b.update(e.ID, now, func(s *stat) {
+		s.load, s.loadAt = l, now
+		s.suspectUntil, s.suspectFor = time.Time{}, 0
+	})
+}
+
+// Silent reports whether the endpoints of a service tell no load, so that asking them is of no use.
+func (b *Board) Silent(service string, now time.Time) bool {
+	until, ok := b.silent.Load(service)
+	return ok && now.Before(until.(time.Time))
+}
+
+// Unreachable notes that an endpoint did not answer a question or could not be connected to.
+func (b *Board) Unreachable(id endpoints.ID, now time.Time) {
+	b.update(id, now, func(s *stat) {
+		s.suspectFor = min(max(suspectFirst, 2*s.suspectFor), suspectLongest)
+		s.suspectUntil = now.Add(s.suspectFor)
+	})
+}
+
+// Sent notes that a request of this host was sent.
+func (b *Board) Sent(id endpoints.ID, now time.Time) {
+	b.update(id, now, func(s *stat) { s.own++ })
+}
+
+// Ended notes the end of a request of this host.
+func (b *Board) Ended(id endpoints.ID, failed bool, now time.Time) {
+	b.update(id, now, func(s *stat) {
+		s.own--
+		sample := 0.0
+		if failed {
+			sample = 1
+		}
+		s.failing += failureMemory * (sample - s.failing)
+	})
+}
+
+// Withdrawn notes the end of a request that says nothing of the endpoint: the caller left, or another endpoint answered first.
+func (b *Board) Withdrawn(id endpoints.ID, now time.Time) {
+	b.update(id, now, func(s *stat) { s.own-- })
+}
+
+// Forget drops what is known of endpoints that were not used for the given time.
+func (b *Board) Forget(unused time.Duration, now time.Time) {
+	for i := range b.shards {
+		sh := &b.shards[i]
+		sh.mu.Lock()
+		for id, s := range sh.stats {
+			if s.own == 0 && now.Sub(s.usedAt) > unused {
+				delete(sh.stats, id)
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/gateway/callers.go
@@ -0,0 +1,203 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
+	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
+	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
+	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/transport/ingress"
+)
+
+// goldenRatio spreads the shares of a split evenly: any run of requests gets nearly the stated weights (Weyl sequence).
+const goldenRatio = 0.6180339887498949
+
+// share returns the next position in a route's sequence of shares.
+func (g *Gateway) share(route string) float64 {
+	g.splitMu.Lock()
+	defer g.splitMu.Unlock()
+	u, ok := g.split[route]
+	if !ok {
+		u = rand.Float64()
+	}
+	_, u = math.Modf(u + goldenRatio)
+	g.split[route] = u
+	return u
+}
+
+// Overlaps implements ingress.Handler.
+func (g *Gateway) Overlaps(r *ingress.Request) bool {
+	t := g.routes.Load()
+	if t == nil {
+		return true
+	}
+	route := t.Match(r.Host, r.Path)
+	return route == nil || route.Idempotent
+}
+
+// defaultPatience is the time of requests that state none, on routes that state none.
+const defaultPatience = 30 * time.Second
+
+// Serve implements ingress.Handler.
+func (g *Gateway) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
+	id := r.Header.Get(g.adapter.Dialect.RequestID)
+	table := g.routes.Load()
+	if table == nil {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostCatchingUp, Ran: refusals.RanNo, RetryAfter: catchUpDelay,
+			Detail: "this host has not learned the configuration in force yet", Remedy: "use another address, or come back after the stated delay"})
+	}
+	route := table.Match(r.Host, r.Path)
+	if route == nil {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RouteUnknown, Ran: refusals.RanNo, Revision: table.Version,
+			Detail: "no route of the configuration in force matches " + r.Host + r.Path, Remedy: "ask the operator for a route"})
+	}
+	patience, known := g.patience(r, route)
+	if known && patience <= 0 {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RequestMalformed, Ran: refusals.RanNo, Revision: table.Version,
+			Detail: "the stated deadline is not a positive number of milliseconds", Remedy: "state the milliseconds that are left"})
+	}
+	service := table.Service(route.Pick(g.share(route.Name)))
+	due := r.ReadAt.Add(patience)
+	call := &forward.Call{Route: route, Service: service, Due: due, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
+		Header: callerapi.EndToEnd(r.Header, nil), Body: r.Body, Deadline: due, Host: r.Host}}
+	res := g.forwarder.Run(ctx, call)
+	g.logRequest(ctx, r, id, table, call, res)
+	if res.Outcome != forward.Answered {
+		return g.refuse(r, id, refusalOf(res, route, table))
+	}
+	return answerOf(res)
+}
+
+// catchUpDelay is how long a starting host takes to learn what it needs.
+const catchUpDelay = 300 * time.Millisecond
+
+// patience returns how long the caller may be kept waiting, and whether the caller stated it.
+func (g *Gateway) patience(r *ingress.Request, route *routing.Route) (time.Duration, bool) {
+	longest := route.Timeout
+	if longest == 0 {
+		longest = defaultPatience
+	}
+	text := r.Header.Get(g.adapter.Dialect.DeadlineMS)
+	if text == "" {
+		return longest, false
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(ms) {
+		return 0, true
+	}
+	if ms >= float64(longest.Milliseconds()) {
+		return longest, true
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
+func answerOf(res *forward.Result) *ingress.Response {
+	out := &ingress.Response{Status: res.Response.Status, Header: callerapi.EndToEnd(res.Response.Header, nil), Body: res.Body, Length: res.Response.Length}
+	if res.Rest != nil {
+		out.Body, out.Stream = nil, struct {
+			io.Reader
+			io.Closer
+		}{io.MultiReader(bytes.NewReader(res.Body), res.Rest), res.Rest}
+	}
+	return out
+}
+
+// refusalOf explains a request that no endpoint answered.
+func refusalOf(res *forward.Result, route *routing.Route, table *routing.Table) *refusals.Refusal {
+	r := &refusals.Refusal{Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version, RetryAfter: res.RetryAfter, Detail: res.Detail,
+		Remedy: "send the request again after the stated delay"}
+	switch res.Outcome {
+	case forward.RefusedTooLate:
+		r.Reason, r.Detail = refusals.DeadlineUnreachable, "no endpoint is expected to answer in the time that is left"
+	case forward.RefusedUnsent:
+		r.Reason, r.Detail = refusals.DeadlineUnreachable, "the time passed before an endpoint was found"
+	case forward.RefusedUpstream:
+		r.Reason, r.Detail = refusals.UpstreamRefused, "endpoints refused the request without running it"
+	case forward.RefusedConnect, forward.RefusedNoEndpoint:
+		r.Reason = refusals.NoUpstream
+		if r.Detail == "" {
+			r.Detail = "no endpoint of the service answers"
+		}
+	case forward.LostAnswer:
+		r.Reason, r.Ran = refusals.UpstreamLost, refusals.RanUnknown
+	default:
+		r.Reason, r.Ran, r.Detail = refusals.DeadlinePassedRunning, refusals.RanUnknown, "no endpoint had answered when the time passed"
+	}
+	if r.Ran == refusals.RanUnknown {
+		r.RetryAfter = 0
+		r.Remedy = "find out at the service whether the request took effect before sending it as a new one"
+		if route.Idempotent {
+			r.Remedy = "send the request again"
+		}
+	}
+	return r
+}
+
+// refuse answers with a refusal and keeps it for explanations.
+func (g *Gateway) refuse(r *ingress.Request, id string, refusal *refusals.Refusal) *ingress.Response {
+	refusal.RequestID, refusal.Host, refusal.At = id, g.settings.Host, time.Now()
+	g.refusals.Add(refusal)
+	g.metrics.Add("refusals_"+string(refusal.Reason)+"_total", 1)
+	doc := problem.New(refusal)
+	body, err := json.Marshal(doc)
+	if err != nil {
+		g.log.Warn("refusal_not_encoded", "id", id, "error", err)
+	}
+	h := http.Header{"Content-Type": {problem.ContentType}}
+	if id != "" {
+		h[g.adapter.Dialect.RequestID] = []string{id}
+	}
+	if refusal.RetryAfter > 0 && doc.Status == http.StatusServiceUnavailable {
+		h["Retry-After"] = []string{g.adapter.RetryAfter(refusal.RetryAfter)}
+	}
+	if refusal.Reason != refusals.DeadlineUnreachable && refusal.Reason != refusals.NoUpstream && refusal.Reason != refusals.UpstreamRefused &&
+		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning {
+		g.log.Info("refused", "id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision)
+	}
+	return &ingress.Response{Status: doc.Status, Header: h, Body: body}
+}
+
+// logRequest writes the line that explains what happened to a request.
+func (g *Gateway) logRequest(ctx context.Context, r *ingress.Request, id string, t *routing.Table, c *forward.Call, res *forward.Result) {
+	took := time.Since(r.ReadAt)
+	g.metrics.Add("requests_"+string(res.Outcome)+"_total", 1)
+	g.metrics.Observe("request_duration", took)
+	g.metrics.Add("endpoints_asked_total", int64(res.Asked))
+	g.metrics.Add("endpoints_asked_unanswered_total", int64(res.Unanswered))
+	g.metrics.Add("sends_total", int64(len(res.Attempts)))
+	age, _ := g.follower.Age(time.Now())
+	fields := []any{"id", id, "outcome", res.Outcome, "route", c.Route.Name, "service", c.Service.Name, "took_ms", ms(took),
+		"left_ms", ms(time.Until(c.Due)), "config", t.Version, "store_age_ms", age.Milliseconds(), "endpoints", res.Candidates,
+		"asked", res.Asked, "unanswered", res.Unanswered}
+	for i := range res.Attempts {
+		a := &res.Attempts[i]
+		fields = append(fields, "to", a.Endpoint, "at_ms", ms(a.After), "ran_ms", ms(a.Took), "expected_ms", ms(a.Expected),
+			"running", a.Load.Running, "waiting", a.Load.Waiting, "slowness", a.Load.Slowness, "hedge", a.Hedge, "result", a.Result)
+	}
+	if res.Response != nil {
+		fields = append(fields, "status", res.Response.Status)
+	}
+	if ctx.Err() != nil {
+		fields = append(fields, "caller", "left")
+	}
+	if res.Detail != "" {
+		fields = append(fields, "detail", res.Detail)
+	}
+	if res.RetryAfter > 0 {
+		fields = append(fields, "retry_after_ms", ms(res.RetryAfter))
+	}
+	g.log.Info("request", fields...)
+}
+
+func ms(d time.Duration) int64 { return d.Milliseconds() }
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,112 @@
+// Package gateway assembles an entry host for callers without credentials: routes, limits and endpoints come from a store, and callers
+// ask the host for addresses.
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+)
+
+// Settings is the JSON settings file of `arbutusspan gateway`.
+type Settings struct {
+	// Host names this entry host.
+	Host string `json:"host"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// Addresses are IP:port.
+	CallerAddress    string `json:"caller_address"`    // callers' requests
+	ReadyAddress     string `json:"ready_address"`     // readiness
+	DirectoryAddress string `json:"directory_address"` // callers' questions where to connect
+	PeerAddress      string `json:"peer_address"`      // messages between hosts, UDP
+	StateAddress     string `json:"state_address"`     // this host's state for starting hosts
+	MetricsAddress   string `json:"metrics_address"`   // metrics and the state dump; empty for none
+	StoreAddress     string `json:"store_address"`     // the platform's store
+	// Seeds are the state addresses of some hosts, which may be down.
+	Seeds []string `json:"seeds"`
+	// RepeatRatio, RepeatBurst and RepeatWindowS bound what all hosts together send beyond the first arrival of each request.
+	RepeatRatio   float64 `json:"repeat_ratio"`
+	RepeatBurst   float64 `json:"repeat_burst"`    // requests
+	RepeatWindowS float64 `json:"repeat_window_s"` // seconds
+	// GraceS is the time between the signal to stop and the kill, in seconds.
+	GraceS float64 `json:"grace_s"`
+	// AddressLifetimeS bounds how long callers keep an address, in seconds.
+	AddressLifetimeS float64 `json:"address_lifetime_s"`
+	// MaxDescriptors is what the process may open.
+	MaxDescriptors int `json:"max_descriptors"`
+	// MemoryMB is what the process may use.
+	MemoryMB float64 `json:"memory_mb"`
+	// LogLevel is debug, info, warn or error. Empty means info.
+	LogLevel string `json:"log_level"`
+
+	level log.Level
+}
+
+// Bounds of settings.
+const (
+	minGraceS  = 1
+	maxGraceS  = 600
+	minMemory  = 64 // MB
+	minFiles   = 256
+	maxPercent = 10 // of RepeatRatio: more than ten repeats for a request is a mistake
+)
+
+// LoadSettings reads and validates a settings file.
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var s Settings
+	if err := dec.Decode(&s); err != nil {
+		return nil, trace.BadParameter("settings %s: %v; see docs/CONFIG.md", path, err)
+	}
+	return &s, trace.Wrap(s.Validate(), "settings %s", path)
+}
+
+// Validate checks all fields.
+func (s *Settings) Validate() error {
+	var errs []error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			errs = append(errs, trace.BadParameter(format, args...))
+		}
+	}
+	check(s.Host != "", "host is empty: name this entry host")
+	check(s.Zone != "", "zone is empty: name the availability zone of this host")
+	for _, a := range []struct{ name, value string }{{"caller_address", s.CallerAddress}, {"ready_address", s.ReadyAddress},
+		{"directory_address", s.DirectoryAddress}, {"peer_address", s.PeerAddress}, {"state_address", s.StateAddress}, {"store_address", s.StoreAddress}} {
+		_, err := netip.ParseAddrPort(a.value)
+		check(err == nil, "%s is %q: use IP:port", a.name, a.value)
+	}
+	if s.MetricsAddress != "" {
+		_, err := netip.ParseAddrPort(s.MetricsAddress)
+		check(err == nil, "metrics_address is %q: use IP:port, or leave it out", s.MetricsAddress)
+	}
+	check(s.RepeatRatio >= 0 && s.RepeatRatio <= maxPercent, "repeat_ratio is %v: use 0 to %d", s.RepeatRatio, maxPercent)
+	check(s.RepeatBurst >= 0, "repeat_burst is %v: use 0 or more requests", s.RepeatBurst)
+	check(s.RepeatWindowS > 0, "repeat_window_s is %v: use more than 0 seconds", s.RepeatWindowS)
+	check(s.GraceS >= minGraceS && s.GraceS <= maxGraceS, "grace_s is %v: use %d to %d seconds", s.GraceS, minGraceS, maxGraceS)
+	check(s.AddressLifetimeS > 0, "address_lifetime_s is %v: use more than 0 seconds", s.AddressLifetimeS)
+	check(s.MaxDescriptors >= minFiles, "max_descriptors is %d: use at least %d", s.MaxDescriptors, minFiles)
+	check(s.MemoryMB >= minMemory, "memory_mb is %v: use at least %d", s.MemoryMB, minMemory)
+	level, err := log.ParseLevel(s.LogLevel)
+	check(s.LogLevel == "" || err == nil, "log_level is %q: use debug, info, warn or error", s.LogLevel)
+	if s.LogLevel != "" {
+		s.level = level
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// Level returns the level of log lines that are written.
+func (s *Settings) Level() log.Level { return s.level }
+
+// grace returns GraceS as a duration.
+func (s *Settings) grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
--- /dev/null
+++ b/internal/gateway/side.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/justinas/alice"
+)
+
+// sideServer is a server beside the callers' one.
+type sideServer struct {
+	address string
+	handler http.Handler
+	idle    time.Duration
+}
+
+// sideIdle keeps connections of callers who ask for addresses again and again.
+const sideIdle = 30 * time.Second
+
+func (g *Gateway) sideServers() []sideServer {
+	lookup := func() ([]string, time.Duration) {
+		return g.peers.Addresses(time.Now(), maxResolved), time.Duration(g.settings.AddressLifetimeS * float64(time.Second))
+	}
+	servers := []sideServer{
+		{g.settings.ReadyAddress, g.adapter.Ready(g.ready), sideIdle},
+		{g.settings.DirectoryAddress, g.adapter.Directory(lookup), sideIdle},
+	}
+	if g.settings.MetricsAddress != "" {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			// A failed write means that the reader is gone.
+			_, _ = w.Write([]byte(g.metrics.String()))
+		})
+		servers = append(servers, sideServer{g.settings.MetricsAddress, alice.New().Then(mux), sideIdle})
+	}
+	return servers
+}
+
+func (g *Gateway) publishGauges() {
+	g.metrics.Gauge("configuration_version", func() any {
+		if t := g.routes.Load(); t != nil {
+			return t.Version
+		}
+		return 0
+	})
+	g.metrics.Gauge("store_age_ms", func() any { age, _ := g.follower.Age(time.Now()); return age.Milliseconds() })
+	g.metrics.Gauge("endpoints", func() any { return g.endpoints.Snapshot().Total })
+	g.metrics.Gauge("hosts_known", func() any { return g.peers.Known() })
+	g.metrics.Gauge("hosts_live", func() any { return len(g.peers.Live(time.Now())) })
+	g.metrics.Gauge("caller_connections", func() any { return g.callers.Connections() })
+	g.metrics.Gauge("active_requests", func() any { return g.callers.Active() })
+	g.metrics.Gauge("log_lines_left_out_total", func() any { return g.log.LeftOut() })
+}
--- a/internal/protocol/problem/problem.go
+++ b/internal/protocol/problem/problem.go
@@ -50,6 +50,7 @@
 	refusals.CredentialsMissing:     {http.StatusUnauthorized, "Credentials missing"},
 	refusals.CredentialsWrong:       {http.StatusUnauthorized, "Credentials wrong"},
 	refusals.CustomerUnknown:        {http.StatusUnauthorized, "Customer unknown"},
+	refusals.RouteUnknown:           {http.StatusNotFound, "Route unknown"},
 	refusals.ServiceNotInContract:   {http.StatusForbidden, "Service not in contract"},
 	refusals.OperationNotInContract: {http.StatusForbidden, "Operation not in contract"},
 	refusals.RequestMalformed:       {http.StatusBadRequest, "Request malformed"},
--- a/internal/state/refusals/refusals.go
+++ b/internal/state/refusals/refusals.go
@@ -15,6 +15,7 @@
 const (
 	CredentialsMissing     Reason = "credentials_missing"
 	CredentialsWrong       Reason = "credentials_wrong"
+	RouteUnknown           Reason = "route_unknown"
 	CustomerUnknown        Reason = "customer_unknown"
 	ServiceNotInContract   Reason = "service_not_in_contract"
 	OperationNotInContract Reason = "operation_not_in_contract"
--- a/internal/transport/frontend/frontend.go
+++ b/internal/transport/frontend/frontend.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -140,12 +141,7 @@
 // sees the cut.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, a *executor.Answer, done func(executor.BodyEnd)) {
 	h := w.Header()
-	dropped := connectionOptions(a.Header)
-	for name, values := range a.Header {
-		if !hopByHop[name] && !dropped[name] && !strings.HasPrefix(name, "Upstream-") && !strings.HasPrefix(name, "Arbutusspan-") {
-			h[name] = values
-		}
-	}
+	maps.Copy(h, callerapi.EndToEnd(a.Header, ownHeader))
 	h[callerapi.HeaderHost] = []string{s.cfg.Host}
 	h[callerapi.HeaderUpstream] = []string{a.Endpoint.Address}
 	h[callerapi.HeaderRan] = ranYes
--- /dev/null
+++ b/internal/transport/ingress/parse.go
@@ -0,0 +1,227 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+)
+
+// parser reads one request. Either request, refusal or gone is set afterwards.
+type parser struct {
+	br             *bufio.Reader
+	limits         routing.Limits
+	server         *Server
+	continueWanted func()
+
+	request   *Request
+	keep      bool      // the connection may carry further requests
+	refusal   *Response // the request was refused; the connection cannot be read further
+	gone      bool      // the caller left, or sent nothing that could be answered
+	bodyBytes int64     // counted in server.bodies
+}
+
+func (p *parser) refuse(status int, detail string) {
+	p.refusal = &Response{Status: status, Body: []byte(detail + "\n"), Close: true, Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}}}
+	if status == http.StatusServiceUnavailable {
+		p.refusal.Header["Retry-After"] = []string{"1"}
+	}
+}
+
+var (
+	errHeaderTooLarge = errors.New("the header is too large")
+	errBareLineFeed   = errors.New("a line of the header does not end with CR LF")
+)
+
+// parse reads a request. bodyStarts is called before the body is read.
+func (p *parser) parse(bodyStarts func()) {
+	head, err := p.readHead()
+	switch {
+	case errors.Is(err, errHeaderTooLarge):
+		p.refuse(http.StatusRequestHeaderFieldsTooLarge, "the header is larger than the limits of the configuration in force allow")
+		return
+	case errors.Is(err, errBareLineFeed):
+		p.refuse(http.StatusBadRequest, err.Error())
+		return
+	case isTimeout(err):
+		p.refuse(http.StatusRequestTimeout, "the header did not arrive within the time that the configuration in force allows")
+		return
+	case err != nil:
+		p.gone = true
+		return
+	}
+	readAt := time.Now()
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil {
+		p.refuse(http.StatusBadRequest, "the header cannot be parsed: "+err.Error())
+		return
+	}
+	if fault := framingFault(head, r); fault != "" {
+		p.refuse(http.StatusBadRequest, fault)
+		return
+	}
+	p.keep = !r.Close && r.ProtoAtLeast(1, 1)
+	p.request = &Request{Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header, ReadAt: readAt}
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		delete(r.Header, "Expect")
+		p.continueWanted()
+	}
+	bodyStarts()
+	p.readBody(r)
+}
+
+// readHead reads up to the empty line behind the header. Empty lines before the request line are skipped (RFC 9112 section 2.2).
+func (p *parser) readHead() ([]byte, error) {
+	var head []byte
+	for {
+		line, err := p.br.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if int64(len(head)+len(line)) > p.limits.MaxHeaderBytes {
+			return nil, errHeaderTooLarge
+		}
+		if len(head) == 0 && string(line) == "\r\n" {
+			continue
+		}
+		head = append(head, line...)
+		if line[len(line)-1] == '\n' && !bytes.HasSuffix(head, []byte("\r\n")) {
+			return nil, errBareLineFeed
+		}
+		if bytes.HasSuffix(head, []byte("\r\n\r\n")) {
+			return head, nil
+		}
+	}
+}
+
+// framingFault finds headers that leave open where the request ends: readers that disagree about it could take a part of the body for
+// a request of its own (RFC 9112 section 6.1).
+func framingFault(head []byte, r *http.Request) string {
+	lengths, codings := 0, 0
+	for line := range bytes.Lines(head) {
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		switch {
+		case !ok:
+		case strings.EqualFold(string(name), "Content-Length"):
+			lengths++
+		case strings.EqualFold(string(name), "Transfer-Encoding"):
+			codings++
+		}
+	}
+	switch {
+	case lengths > 0 && codings > 0:
+		return "the request has both Content-Length and Transfer-Encoding"
+	case lengths > 1 || codings > 1:
+		return "the request states its length more than once"
+	case codings > 0 && !r.ProtoAtLeast(1, 1):
+		return "the request has a Transfer-Encoding, which HTTP/1.0 does not know"
+	case !strings.HasPrefix(r.RequestURI, "/"):
+		return "the request target is not a path"
+	case r.Host == "":
+		return "the Host header is missing"
+	}
+	return ""
+}
+
+// chunkPiece is read at a time from a body whose length is not known.
+const chunkPiece = 16 << 10
+
+func (p *parser) readBody(r *http.Request) {
+	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		return
+	}
+	if r.ContentLength > p.limits.MaxBodyBytes {
+		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the limits of the configuration in force allow")
+		return
+	}
+	var err error
+	if r.ContentLength > 0 {
+		if !p.reserve(r.ContentLength) {
+			return
+		}
+		p.request.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(p.br, p.request.Body)
+	} else {
+		err = p.readChunked()
+	}
+	switch {
+	case p.refusal != nil:
+	case isTimeout(err):
+		p.refuse(http.StatusRequestTimeout, "the body did not arrive in time")
+	case err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !isNetError(err):
+		p.refuse(http.StatusBadRequest, "the body cannot be parsed: "+err.Error())
+	case err != nil:
+		p.gone = true
+	}
+	if p.refusal != nil || p.gone {
+		p.server.bodies.Add(-p.bodyBytes)
+	}
+}
+
+// reserve counts bytes of a body in memory, and refuses the request if there is no room.
+func (p *parser) reserve(n int64) bool {
+	if p.server.bodies.Add(n) > p.server.cfg.MaxBodiesBytes {
+		p.server.bodies.Add(-n)
+		p.refuse(http.StatusServiceUnavailable, "the bodies of other requests fill the memory of this host")
+		return false
+	}
+	p.bodyBytes += n
+	return true
+}
+
+func (p *parser) readChunked() error {
+	cr := httputil.NewChunkedReader(p.br)
+	piece := make([]byte, chunkPiece)
+	for {
+		n, err := cr.Read(piece)
+		if n > 0 {
+			if int64(len(p.request.Body)+n) > p.limits.MaxBodyBytes {
+				p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the limits of the configuration in force allow")
+				return nil
+			}
+			if !p.reserve(int64(n)) {
+				return nil
+			}
+			p.request.Body = append(p.request.Body, piece[:n]...)
+		}
+		if err == io.EOF {
+			return p.skipTrailer()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// skipTrailer reads up to the empty line behind the last chunk.
+func (p *parser) skipTrailer() error {
+	for {
+		line, err := p.br.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+func isNetError(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne)
+}
--- /dev/null
+++ b/internal/transport/ingress/respond.go
@@ -0,0 +1,72 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"time"
+)
+
+// writeResponse writes one answer. After an error the connection must be closed.
+func writeResponse(bw *bufio.Writer, r *Request, resp *Response, last bool) error {
+	length := resp.Length
+	if resp.Stream == nil {
+		length = int64(len(resp.Body))
+	} else {
+		defer resp.Stream.Close()
+	}
+	bodyless := resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
+	fmt.Fprintf(bw, "HTTP/1.1 %03d %s\r\n", resp.Status, http.StatusText(resp.Status))
+	if err := resp.Header.Write(bw); err != nil {
+		return err
+	}
+	if resp.Header.Get("Date") == "" {
+		fmt.Fprintf(bw, "Date: %s\r\n", time.Now().UTC().Format(http.TimeFormat))
+	}
+	switch {
+	case bodyless:
+	case length >= 0:
+		bw.WriteString("Content-Length: " + strconv.FormatInt(length, 10) + "\r\n")
+	default:
+		bw.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	if last {
+		bw.WriteString("Connection: close\r\n")
+	}
+	bw.WriteString("\r\n")
+	if bodyless || (r != nil && r.Method == http.MethodHead) {
+		return bw.Flush()
+	}
+	if resp.Stream == nil {
+		bw.Write(resp.Body) // an error stays in the buffer's writer until Flush
+		return bw.Flush()
+	}
+	return copyStream(bw, resp.Stream, length)
+}
+
+// copyStream sends a body on piece by piece.
+func copyStream(bw *bufio.Writer, body io.Reader, length int64) error {
+	var w io.Writer = bw
+	var chunked io.WriteCloser
+	if length < 0 {
+		chunked = httputil.NewChunkedWriter(bw)
+		w = chunked
+	}
+	sent, err := io.Copy(w, body)
+	if err != nil {
+		return err
+	}
+	if length >= 0 && sent != length {
+		return io.ErrUnexpectedEOF
+	}
+	if chunked != nil {
+		if err := chunked.Close(); err != nil {
+			return err
+		}
+		bw.WriteString("\r\n")
+	}
+	return bw.Flush()
+}
--- /dev/null
+++ b/internal/transport/peerlink/peerlink.go
@@ -0,0 +1,86 @@
+// Package peerlink carries messages between entry hosts over UDP: greetings, and what a host has read from the store. A message that is
+// lost is made good by the next one, or by the receiver's own reading.
+package peerlink
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+)
+
+// Message is one datagram.
+type Message struct {
+	From   peers.Host     `cbor:"1,keyasint"`
+	Status peers.Status   `cbor:"2,keyasint"`
+	Update *follow.Update `cbor:"3,keyasint,omitempty"`
+}
+
+// maxDatagram bounds what is read.
+const maxDatagram = 64 << 10
+
+// Link sends and receives messages.
+type Link struct {
+	conn *net.UDPConn
+}
+
+// Listen opens the socket.
+func Listen(address string) (*Link, error) {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, trace.BadParameter("peer address %q: use IP:port", address)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(ap))
+	if err != nil {
+		return nil, trace.Wrap(err, "listen on %s; stop the process that uses it or change the settings", address)
+	}
+	return &Link{conn: conn}, nil
+}
+
+// Send sends a message to each address. An address that cannot be parsed or reached is passed over: its host greets again.
+func (l *Link) Send(m *Message, to []string) error {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return trace.Wrap(err, "encode a message")
+	}
+	var errs []error
+	for _, address := range to {
+		ap, err := netip.ParseAddrPort(address)
+		if err == nil {
+			_, err = l.conn.WriteToUDPAddrPort(data, ap)
+		}
+		if err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// Receive calls f for each message until the link is closed. malformed is called for datagrams that are no message.
+func (l *Link) Receive(f func(*Message), malformed func(from netip.AddrPort, err error)) error {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			malformed(from, err) // an ICMP error of an earlier send; the socket stays usable
+			continue
+		}
+		var m Message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			malformed(from, err)
+			continue
+		}
+		f(&m)
+	}
+}
+
+// Close ends Receive.
+func (l *Link) Close() error { return l.conn.Close() }
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -17,6 +17,8 @@
 type Config struct {
 	// Host begins the request IDs of probes, so that an upstream can tell who measures it. Empty means no name.
 	Host string
+	// Dialect names the headers that the upstreams understand.
+	Dialect Dialect
 	// IdleTimeout closes a connection that was not used for this long. Longer saves connection set-up, shorter finds
 	// connections that a middlebox has forgotten.
 	IdleTimeout time.Duration
@@ -34,7 +36,7 @@
 
 // DefaultConfig returns the figures used in production.
 func DefaultConfig() Config {
-	return Config{IdleTimeout: 10 * time.Second, ConnectTimeout: 500 * time.Millisecond, WriteStall: 2 * time.Second,
+	return Config{Dialect: ownDialect, IdleTimeout: 10 * time.Second, ConnectTimeout: 500 * time.Millisecond, WriteStall: 2 * time.Second,
 		MaxIdlePerEndpoint: 16, MaxHeaderBytes: 64 << 10, MaxBodyBytes: 1 << 30}
 }
 
--- a/internal/transport/upstreamconn/probe.go
+++ b/internal/transport/upstreamconn/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -11,6 +12,8 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/balancer/prequal"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
@@ -22,6 +25,30 @@
 	probeTimeout = 500 * time.Millisecond
 )
 
+var (
+	errReplaced = errors.New("another endpoint has the address")
+	errLeaving  = errors.New("the endpoint is leaving or unwell")
+)
+
+// Ask implements forward.Asker: it asks an endpoint for its load, over a connection of the pool that a request can use next.
+func (p *Pool) Ask(ctx context.Context, e endpoints.Endpoint, path string) (placement.Load, error) {
+	resp, err := p.Send(ctx, e, &executor.Call{Method: http.MethodGet, Path: path, Header: http.Header{}})
+	if err != nil {
+		return placement.Load{}, err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return placement.Load{}, err
+	}
+	switch {
+	case resp.Replaced:
+		return placement.Load{}, errReplaced
+	case resp.Status != http.StatusOK:
+		return placement.Load{}, errLeaving
+	}
+	return forward.LoadOf(resp), nil
+}
+
 // Probe asks an endpoint whether it works and for its load. It uses the pool, because a connection of its own would cost the
 // upstream more than the request. An answer of another incarnation says nothing about the endpoint.
 func (p *Pool) Probe(ctx context.Context, e endpoints.Endpoint) (prequal.Load, error) {
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -14,19 +15,19 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
-	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
 var (
 	errSwitch   = errors.New("the upstream switched protocols")
 	errCrossed  = errors.New("the answer names another request")
+	errDamaged  = errors.New("the answer lacks what every whole answer of an endpoint has")
 	errTooLarge = errors.New("the answer's body is larger than this host accepts")
 )
 
 // Send implements executor.Sender. The connection goes back to the pool when the response body was read to its end.
 func (p *Pool) Send(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*executor.Response, error) {
-	req, err := newRequest(ctx, e, c)
+	req, err := p.newRequest(ctx, e, c)
 	if err != nil {
 		return nil, &executor.SendError{Err: err}
 	}
@@ -35,25 +36,22 @@
 		return nil, err
 	}
 	// An upstream may name the request that it answers. If it names another one, bytes of an earlier answer came late.
-	if id := resp.Header.Get(callerapi.UpstreamRequestID); id != "" && id != c.RequestID {
+	if id := resp.Header.Get(p.cfg.Dialect.RequestID); id != "" && id != c.RequestID {
 		err = errCrossed
 	} else if resp.StatusCode == http.StatusSwitchingProtocols {
 		err = errSwitch
 	} else if resp.ContentLength > p.cfg.MaxBodyBytes && c.Method != http.MethodHead {
 		err = errTooLarge
 	}
+	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	p.cfg.Dialect.Interpret(e, out)
+	if err == nil && out.Damaged {
+		err = errDamaged
+	}
 	if err != nil {
 		cn.close()
 		return nil, &executor.SendError{Written: true, Err: err}
 	}
-	h := resp.Header
-	out := &executor.Response{Status: resp.StatusCode, Header: h, Length: resp.ContentLength}
-	out.Refused = resp.StatusCode == http.StatusServiceUnavailable && h.Get(callerapi.UpstreamRan) == "no"
-	out.Leaving = h.Get(callerapi.UpstreamState) == callerapi.StateLeaving
-	if incarnation := h.Get(callerapi.UpstreamIncarnation); incarnation != "" && e.Incarnation != "" {
-		out.Replaced = incarnation != e.Incarnation
-	}
-	out.InFlight, out.Slots = parseLoad(h.Get(callerapi.UpstreamLoad))
 	b := &body{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, left: p.cfg.MaxBodyBytes}
 	if resp.Body == http.NoBody {
 		b.complete() // HEAD, 204, 304 or a length of 0: the answer is whole without a read
@@ -88,7 +86,7 @@
 	return cn, resp, nil
 }
 
-func newRequest(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*http.Request, error) {
+func (p *Pool) newRequest(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*http.Request, error) {
 	target, err := url.ParseRequestURI(c.Path)
 	if err != nil {
 		return nil, fmt.Errorf("parse path: %w", err)
@@ -104,10 +102,17 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // net/http would name itself
 	}
-	left := max(1, time.Until(c.Deadline).Milliseconds())
-	header[callerapi.UpstreamDeadlineMS] = []string{strconv.FormatInt(left, 10)}
-	header[callerapi.UpstreamRequestID] = []string{c.RequestID}
-	req := (&http.Request{Method: c.Method, URL: target, Host: e.Address, Header: header, Proto: "HTTP/1.1",
+	d := &p.cfg.Dialect
+	if !c.Deadline.IsZero() {
+		header[d.DeadlineMS] = []string{strconv.FormatInt(max(1, time.Until(c.Deadline).Milliseconds()), 10)}
+	}
+	if c.RequestID != "" {
+		header[d.RequestID] = []string{c.RequestID}
+	}
+	if d.Instance != nil {
+		d.Instance(e, header)
+	}
+	req := (&http.Request{Method: c.Method, URL: target, Host: cmp.Or(c.Host, e.Address), Header: header, Proto: "HTTP/1.1",
 		ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
 	setBody(req, c)
 	return req, nil
@@ -139,20 +144,6 @@
 	return nil
 }
 
-// parseLoad reads "inflight/slots". Anything else counts as no report.
-func parseLoad(s string) (inFlight, slots int) {
-	a, b, ok := strings.Cut(s, "/")
-	if !ok {
-		return 0, 0
-	}
-	inFlight, err1 := strconv.Atoi(a)
-	slots, err2 := strconv.Atoi(b)
-	if err1 != nil || err2 != nil || inFlight < 0 || slots < 0 {
-		return 0, 0
-	}
-	return inFlight, slots
-}
-
 // body offers its connection to the pool after io.EOF and closes it otherwise.
 type body struct {
 	io.ReadCloser
