Queue requests by priority, bound the questions, and offer two hosts a zone

After a restart of all hosts a third of the questions was cut off at 12 ms, with their new connections.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -10,8 +10,72 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
-// choose asks endpoints for their load, a few at a time, until one is good enough.
-func (r *run) choose(ctx context.Context) (placement.View, time.Duration, bool) {
+// place finds an endpoint for the request and waits for room if there is none.
+func (r *run) place(ctx context.Context, hedge bool) (view placement.View, expected time.Duration, ok bool) {
+	queue := r.f.queue(r.c.Service.Name)
+	var waiter *placement.Waiter
+	for {
+		best, expected := r.choose(ctx, waiter != nil)
+		now := time.Now()
+		d := placement.Demand{Work: r.work, Target: r.late.Sub(now), Left: r.c.Due.Sub(now), Waited: now.Sub(r.c.Arrived), Urgent: r.c.Urgent}
+		if hedge || len(r.tried) > 0 {
+			// A repeat has nothing to wait for: it goes out if it can still be answered.
+			return deref(best), expected, best != nil && expected <= d.Left
+		}
+		verdict := r.f.cfg.Board.Config().Admit(best, expected, d)
+		switch {
+		case verdict == placement.Send:
+			if waiter != nil {
+				queue.Leave(waiter)
+			}
+			return *best, expected, true
+		case verdict == placement.Refuse || ctx.Err() != nil:
+			if waiter != nil {
+				queue.Leave(waiter)
+				queue.Released() // the wake-up may have been for another one
+			}
+			r.refuse(best, expected, ctx.Err() != nil)
+			return placement.View{}, 0, false
+		}
+		if waiter == nil {
+			waiter = queue.Join(r.c.Route.Priority, r.late)
+		}
+		r.result.Waits++
+		timer := time.NewTimer(waitAgain)
+		select {
+		case <-waiter.Wake:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// waitAgain is how long a waiting request waits for a wake-up before it looks again: other hosts use the endpoints too.
+const waitAgain = 15 * time.Millisecond
+
+func deref(v *placement.View) placement.View {
+	if v == nil {
+		return placement.View{}
+	}
+	return *v
+}
+
+// refuse notes why no endpoint was found.
+func (r *run) refuse(best *placement.View, expected time.Duration, gone bool) {
+	switch {
+	case gone:
+		r.result.Outcome, r.result.RetryAfter = RefusedUnsent, idleRetryAfter
+	case best == nil:
+		r.result.Outcome, r.result.RetryAfter = RefusedNoEndpoint, idleRetryAfter
+	default:
+		r.result.Outcome, r.result.RetryAfter = RefusedTooLate, placement.RetryAfter(expected, r.work)
+	}
+}
+
+// choose returns the best endpoint. It uses what is known, and asks endpoints for their load, a few at a time, until one is good enough
+// or the budget for questions is used up. A request that waits asks one round each time.
+func (r *run) choose(ctx context.Context, waiting bool) (*placement.View, time.Duration) {
 	now := time.Now()
 	list := r.f.cfg.Endpoints().Services[r.c.Service.Name]
 	r.result.Candidates = len(list)
@@ -22,32 +86,43 @@
 	if r.c.Service.HealthPath == "" || board.Silent(r.c.Service.Name, now) {
 		return r.withoutAsking(cfg, views, avoid)
 	}
-	var answered []int
-	for _, round := range cfg.Rounds(views, avoid, r.f.cfg.Random) {
-		answered = append(answered, r.ask(ctx, views, round)...)
-		best, expected := cfg.Best(views, answered, r.work)
-		if best >= 0 && (cfg.Good(expected, r.work) || ctx.Err() != nil) {
-			return views[best], expected, true
+	var candidates []int
+	for i := range views {
+		if !avoid(views[i].ID) && views[i].Fresh(cfg.ReuseAge) {
+			candidates = append(candidates, i)
 		}
-		if ctx.Err() != nil {
+	}
+	best, expected := cfg.Best(views, candidates, r.work)
+	for n, round := range cfg.Rounds(views, avoid, r.f.cfg.Random) {
+		if (waiting && n > 0) || (best >= 0 && cfg.Good(expected, r.work)) || ctx.Err() != nil {
 			break
 		}
+		allowed := r.f.cfg.Asks.Take(len(round), time.Now())
+		if allowed == 0 {
+			r.result.Unasked++
+			break
+		}
+		candidates = append(candidates, r.ask(ctx, views, round[:allowed])...)
+		best, expected = cfg.Best(views, candidates, r.work)
+	}
+	if best < 0 && r.result.Unasked > 0 {
+		return r.withoutAsking(cfg, views, avoid)
 	}
-	if best, expected := cfg.Best(views, answered, r.work); best >= 0 {
-		return views[best], expected, true
+	if best < 0 {
+		return nil, 0
 	}
-	return placement.View{}, 0, false
+	return &views[best], expected
 }
 
 // withoutAsking takes the better of two random endpoints by what this host knows of them (Mitzenmacher 2001).
-func (r *run) withoutAsking(cfg *placement.Config, views []placement.View, avoid func(endpoints.ID) bool) (placement.View, time.Duration, bool) {
+func (r *run) withoutAsking(cfg *placement.Config, views []placement.View, avoid func(endpoints.ID) bool) (*placement.View, time.Duration) {
 	rounds := cfg.Rounds(views, avoid, r.f.cfg.Random)
 	if len(rounds) == 0 {
-		return placement.View{}, 0, false
+		return nil, 0
 	}
 	candidates := slices.Concat(rounds...)
 	best, expected := cfg.Best(views, candidates[:min(2, len(candidates))], r.work)
-	return views[best], expected, true
+	return &views[best], expected
 }
 
 type askResult struct {
@@ -56,21 +131,27 @@
 	err   error
 }
 
-// ask asks the endpoints of one round at once and returns those that answered, with their views updated. Once an endpoint that is
-// good enough has answered, it waits only a little for the others.
+// ask asks the endpoints of one round at once and returns those that answered in time, with their views updated. Once an endpoint that
+// is good enough has answered, it waits only a little for the others. Late answers still count for later requests.
 func (r *run) ask(ctx context.Context, views []placement.View, round []int) []int {
 	results := make(chan askResult, len(round))
+	asked := 0
 	for _, i := range round {
+		if !r.f.cfg.Board.Asking(views[i].ID, time.Now()) {
+			continue
+		}
+		asked++
 		go func(e registry.Endpoint) {
 			load, err := r.f.askOne(e, r.c.Service.HealthPath)
 			results <- askResult{i, load, err}
 		}(views[i].Endpoint)
 	}
-	r.result.Asked += len(round)
+	r.result.Asked += asked
 	cfg := r.f.cfg.Board.Config()
 	var answered []int
-	var enough <-chan time.Time
-	for range round {
+	patience := time.NewTimer(askPatience)
+	defer patience.Stop()
+	for n := range asked {
 		select {
 		case got := <-results:
 			if got.err != nil {
@@ -78,12 +159,13 @@
 				continue
 			}
 			v := &views[got.index]
-			v.Load, v.LoadAge = got.load, 0
-			answered = append(answered, got.index)
-			if enough == nil && cfg.Good(cfg.Expected(v, r.work), r.work) {
-				enough = time.After(enoughWait)
+			v.Load, v.LoadAge, v.Since = got.load, 0, 0
+			if len(answered) == 0 || cfg.Good(cfg.Expected(v, r.work), r.work) {
+				patience.Reset(othersPatience)
 			}
-		case <-enough:
+			answered = append(answered, got.index)
+		case <-patience.C:
+			r.result.Unanswered += asked - n
 			return answered
 		case <-ctx.Done():
 			return answered
@@ -99,6 +181,7 @@
 	defer cancel()
 	load, err := f.cfg.Asker.Ask(ctx, e.Endpoint, path)
 	now := time.Now()
+	f.cfg.Board.Asked(e.ID, now)
 	if err != nil {
 		f.cfg.Board.Unreachable(e.ID, now)
 		return load, err
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -28,14 +28,16 @@
 	Asker     Asker
 	Board     *placement.Board
 	Repeats   *placement.Repeats
+	Asks      *placement.AskBudget
 	Endpoints func() *registry.Snapshot
 	Random    func(n int) int // nil means placement.Random
 }
 
 // Forwarder runs requests. It is safe for concurrent use.
 type Forwarder struct {
-	cfg  Config
-	work workTimes
+	cfg    Config
+	work   workTimes
+	queues sync.Map // service name -> *placement.Queue
 }
 
 // New returns a forwarder.
@@ -51,8 +53,12 @@
 	*executor.Call
 	Route   *routing.Route
 	Service *routing.Service
+	// Urgent says that no other route of the service is more urgent.
+	Urgent bool
 	// Due is when the caller or the route stops waiting.
 	Due time.Time
+	// Arrived is when the request was read.
+	Arrived time.Time
 }
 
 // Outcome tells how a request ended.
@@ -102,22 +108,26 @@
 	Attempts   []Attempt
 	Asked      int // endpoints asked for their load
 	Unanswered int // of them, without an answer
+	Unasked    int // rounds of questions that the budget did not allow
+	Waits      int // times that the request waited for room
 	Candidates int // usable endpoints of the service
 	Detail     string
 }
 
 const (
-	// askTimeout bounds the answer of an endpoint that is asked for its load. In the own zone it takes 1 to 2 ms, in another about 5.
-	askTimeout = 12 * time.Millisecond
-	// enoughWait is how long the other answers of a round are waited for once one is good enough.
-	enoughWait = 3 * time.Millisecond
+	// askTimeout bounds the answer of an endpoint that is asked for its load, with the set-up of a connection to a busy one.
+	askTimeout = 150 * time.Millisecond
+	// askPatience is how long a request waits for the first answer of a round: 1 to 2 ms are usual in the own zone, 5 in others, and as
+	// much again for a new connection.
+	askPatience = 12 * time.Millisecond
+	// othersPatience is how long it waits for further answers.
+	othersPatience = 3 * time.Millisecond
 	// connectWaits bounds how often another endpoint is tried because no connection to the chosen one could be opened.
 	connectWaits = 4
 	// maxBuffered is the largest answer that is read whole before it is passed on, so that a broken one can be asked for again.
 	maxBuffered = 256 << 10
-	// minRetryAfter and maxRetryAfter bound the stated delay.
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = time.Second
+	// callersDistance is added to the time of an answer: the way to the caller and back is part of what the caller sees.
+	callersDistance = 20 * time.Millisecond
 	// idleRetryAfter is stated if nothing is known of when an endpoint will be usable.
 	idleRetryAfter = 250 * time.Millisecond
 )
@@ -128,6 +138,7 @@
 	c       *Call
 	start   time.Time
 	work    time.Duration // usual duration
+	late    time.Time     // when the answer is late
 	tried   []endpoints.ID
 	result  *Result
 	results chan sendResult
@@ -155,6 +166,10 @@
 	now := time.Now()
 	f.cfg.Repeats.Earn(c.Service.Name, now)
 	r := &run{f: f, c: c, start: now, work: f.work.of(c.Route), result: &Result{}, results: make(chan sendResult, 8)}
+	r.late = c.Due
+	if c.Route.TargetLatency > 0 {
+		r.late = c.Arrived.Add(c.Route.TargetLatency - callersDistance)
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.Due)
 	r.serve(ctx)
 	if r.result.Rest == nil {
@@ -278,31 +293,19 @@
 	case r.last != nil:
 		res.Outcome, res.RetryAfter = RefusedConnect, idleRetryAfter
 	case ctx.Err() != nil:
-		res.Outcome, res.RetryAfter = RefusedUnsent, minRetryAfter
+		res.Outcome, res.RetryAfter = RefusedUnsent, idleRetryAfter
 	}
 	if r.last != nil && r.last.err != nil && res.Detail == "" {
 		res.Detail = r.last.err.Error()
 	}
 }
 
-// next chooses an endpoint and sends. It reports whether a send was started.
+// next finds an endpoint and sends. It reports whether a send was started.
 func (r *run) next(ctx context.Context, hedge bool) bool {
-	view, expected, ok := r.choose(ctx)
-	if !ok {
-		if r.result.Outcome == "" && !hedge && r.last == nil {
-			r.result.Outcome, r.result.RetryAfter = RefusedNoEndpoint, idleRetryAfter
-		}
-		return false
-	}
-	left := time.Until(r.c.Due)
-	if expected > left && r.last == nil && !hedge {
-		r.result.Outcome = RefusedTooLate
-		r.result.RetryAfter = min(max(expected-left, minRetryAfter), maxRetryAfter)
-		return false
-	}
-	if ctx.Err() != nil {
-		if r.last == nil && !hedge {
-			r.result.Outcome = RefusedUnsent
+	view, expected, ok := r.place(ctx, hedge)
+	if !ok || ctx.Err() != nil {
+		if ok && r.last == nil && !hedge {
+			r.result.Outcome, r.result.RetryAfter = RefusedUnsent, idleRetryAfter
 		}
 		return false
 	}
@@ -310,6 +313,15 @@
 	return true
 }
 
+// queue returns the queue of a service.
+func (f *Forwarder) queue(service string) *placement.Queue {
+	if q, ok := f.queues.Load(service); ok {
+		return q.(*placement.Queue)
+	}
+	q, _ := f.queues.LoadOrStore(service, &placement.Queue{})
+	return q.(*placement.Queue)
+}
+
 func (r *run) send(ctx context.Context, v placement.View, expected time.Duration, hedge bool) {
 	n := len(r.result.Attempts)
 	r.result.Attempts = append(r.result.Attempts, Attempt{Endpoint: v.Name, Zone: v.Zone, After: time.Since(r.start),
@@ -385,6 +397,7 @@
 	if got.err != nil {
 		got.resp = nil
 	}
+	f.queue(v.Service).Released()
 	return got
 }
 
--- a/internal/coordination/forward/hedge.go
+++ b/internal/coordination/forward/hedge.go
@@ -54,6 +54,9 @@
 		if e.ID != id {
 			continue
 		}
+		if !r.f.cfg.Board.Asking(e.ID, now) {
+			return false
+		}
 		r.result.Asked++
 		load, err := r.f.askOne(e, r.c.Service.HealthPath)
 		if err != nil {
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -3,7 +3,7 @@
 package peers
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +36,8 @@
 	GreetPerHost time.Duration
 	// Missed is the number of greetings that may be missed before a host counts as gone.
 	Missed int
+	// Offered is the number of hosts of a zone that callers are told of.
+	Offered int
 	// AgeFirst is how old the knowledge of the first-ranked host becomes before it reads the store; each further zone waits AgePerZone
 	// longer, and each further host of a zone AgePerHost.
 	AgeFirst, AgePerZone, AgePerHost time.Duration
@@ -46,7 +48,7 @@
 // DefaultConfig returns the figures used in production. A leaving endpoint has to be known within 2 s: the first host reads each 0.65 s,
 // and the third in rank would notice after 1.15 s that the first two do not.
 func DefaultConfig(self Host) Config {
-	return Config{Self: self, Greet: 200 * time.Millisecond, GreetPerHost: 10 * time.Millisecond, Missed: 4,
+	return Config{Self: self, Greet: 200 * time.Millisecond, GreetPerHost: 10 * time.Millisecond, Missed: 4, Offered: 2,
 		AgeFirst: 650 * time.Millisecond, AgePerZone: 150 * time.Millisecond, AgePerHost: 250 * time.Millisecond, AgeLongest: 1300 * time.Millisecond}
 }
 
@@ -150,6 +152,13 @@
 	return len(t.hosts) + 1
 }
 
+// Serving returns the number of hosts that callers are told of, over all zones.
+func (t *Table) Serving() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return min(len(t.hosts)+1, t.cfg.Offered*len(t.zones()))
+}
+
 // Live returns the names of the neighbours that were heard recently, ordered.
 func (t *Table) Live(now time.Time) []string {
 	t.mu.Lock()
@@ -215,27 +224,36 @@
 	return list
 }
 
-// Addresses returns the addresses for callers, those that are best for the zone first: hosts of this zone that are ready, this host
-// among them; if there are none, the hosts of other zones that the store names.
+// offeredKey orders the hosts of a zone for callers.
+const offeredKey = "callers"
+
+// Addresses returns addresses for callers: the first Offered hosts in rank of those that are ready in this zone. Few hosts that take
+// many requests each know the endpoints' load better than many hosts that take few. If no host of the zone is ready, the hosts of other
+// zones that the store names are offered.
 func (t *Table) Addresses(now time.Time, most int) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []string
+	callers := map[string]string{}
 	if t.status.Ready && !t.status.Leaving {
-		list = append(list, t.cfg.Self.Callers)
+		callers[t.cfg.Self.Name] = t.cfg.Self.Callers
 	}
 	for _, p := range t.hosts {
 		if p.Zone == t.cfg.Self.Zone && t.live(p, now) && p.Ready && !p.Leaving {
-			list = append(list, p.Callers)
+			callers[p.Name] = p.Callers
 		}
 	}
-	if len(list) == 0 {
+	offered := t.cfg.Offered
+	if len(callers) == 0 {
+		offered = most
 		for _, p := range t.hosts {
 			if p.Zone != t.cfg.Self.Zone {
-				list = append(list, p.Callers)
+				callers[p.Name] = p.Callers
 			}
 		}
 	}
-	slices.SortFunc(list, cmp.Compare[string])
-	return list[:min(most, len(list))]
+	var list []string
+	for _, name := range rendezvous.Rank(offeredKey, slices.Collect(maps.Keys(callers))) {
+		list = append(list, callers[name])
+	}
+	return list[:min(most, offered, len(list))]
 }
--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -29,9 +29,11 @@
 	load         Load
 	loadAt       time.Time
 	own          int
+	since        int // sends less ends since the load was told
 	failing      float64
 	suspectUntil time.Time
 	suspectFor   time.Duration
+	askedAt      time.Time // of a question without an answer yet; zero if there is none
 	usedAt       time.Time
 }
 
@@ -76,7 +78,8 @@
 		if !s.loadAt.IsZero() {
 			v.Load, v.LoadAge = s.load, now.Sub(s.loadAt)
 		}
-		v.Own, v.Failing, v.Suspect = s.own, s.failing, now.Before(s.suspectUntil)
+		v.Asked = !s.askedAt.IsZero()
+		v.Own, v.Since, v.Failing, v.Suspect = s.own, s.since, s.failing, now.Before(s.suspectUntil)
 	})
 	return v
 }
@@ -88,7 +91,7 @@
 		return
 	}
 	b.update(e.ID, now, func(s *stat) {
-		s.load, s.loadAt = l, now
+		s.load, s.loadAt, s.since = l, now, 0
 		s.suspectUntil, s.suspectFor = time.Time{}, 0
 	})
 }
@@ -99,6 +102,23 @@
 	return ok && now.Before(until.(time.Time))
 }
 
+// Asking notes a question. It fails if another one is on its way: a second question would learn the same, and an endpoint that does not
+// answer must not collect questions.
+func (b *Board) Asking(id endpoints.ID, now time.Time) bool {
+	free := false
+	b.update(id, now, func(s *stat) {
+		if free = s.askedAt.IsZero(); free {
+			s.askedAt = now
+		}
+	})
+	return free
+}
+
+// Asked notes the end of a question.
+func (b *Board) Asked(id endpoints.ID, now time.Time) {
+	b.update(id, now, func(s *stat) { s.askedAt = time.Time{} })
+}
+
 // Unreachable notes that an endpoint did not answer a question or could not be connected to.
 func (b *Board) Unreachable(id endpoints.ID, now time.Time) {
 	b.update(id, now, func(s *stat) {
@@ -109,13 +129,13 @@
 
 // Sent notes that a request of this host was sent.
 func (b *Board) Sent(id endpoints.ID, now time.Time) {
-	b.update(id, now, func(s *stat) { s.own++ })
+	b.update(id, now, func(s *stat) { s.own, s.since = s.own+1, s.since+1 })
 }
 
 // Ended notes the end of a request of this host.
 func (b *Board) Ended(id endpoints.ID, failed bool, now time.Time) {
 	b.update(id, now, func(s *stat) {
-		s.own--
+		s.own, s.since = s.own-1, s.since-1
 		sample := 0.0
 		if failed {
 			sample = 1
@@ -126,7 +146,7 @@
 
 // Withdrawn notes the end of a request that says nothing of the endpoint: the caller left, or another endpoint answered first.
 func (b *Board) Withdrawn(id endpoints.ID, now time.Time) {
-	b.update(id, now, func(s *stat) { s.own-- })
+	b.update(id, now, func(s *stat) { s.own, s.since = s.own-1, s.since-1 })
 }
 
 // Forget drops what is known of endpoints that were not used for the given time.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -29,6 +29,9 @@
 	NextAsked int
 	// MaxRounds bounds the rounds.
 	MaxRounds int
+	// ReuseAge is how old an endpoint's load may be to be used without asking again. Neighbours change an endpoint's speed every
+	// 100 to 200 ms, so an answer says little after a third of that.
+	ReuseAge time.Duration
 	// GoodEnough ends the asking: an endpoint that needs at most this many times the usual time of the request.
 	GoodEnough float64
 	// RemotePenalty is added to the expected time of endpoints in other availability zones, whose answers cross the network.
@@ -37,7 +40,7 @@
 
 // DefaultConfig returns the figures used in production.
 func DefaultConfig() Config {
-	return Config{FirstAsked: 3, NextAsked: 4, MaxRounds: 3, GoodEnough: 1.25, RemotePenalty: 10 * time.Millisecond}
+	return Config{FirstAsked: 3, NextAsked: 4, MaxRounds: 3, ReuseAge: 25 * time.Millisecond, GoodEnough: 1.25, RemotePenalty: 10 * time.Millisecond}
 }
 
 const (
@@ -65,30 +68,42 @@
 	Load     Load
 	LoadAge  time.Duration // of Load; negative if no load is known
 	Own      int           // requests of this host that it works on
+	Since    int           // requests of this host that were sent since Load was told, less those that ended
 	Failing  float64       // share of recent requests that failed, from 0 to 1
 	Suspect  bool          // could not be reached recently
+	Asked    bool          // a question is on its way
 	WarmLeft time.Duration
 }
 
-// Expected returns how long a request of the given usual duration is expected to take at the endpoint.
-func (c *Config) Expected(v *View, work time.Duration) time.Duration {
-	slow, busy, slots := usualSlowness, float64(v.Own), max(1, v.Slots)
+// busy returns how many requests the endpoint holds, and its slots.
+func (v *View) busy() (requests, slots int) {
+	requests, slots = v.Own, max(1, v.Slots)
 	if v.LoadAge >= 0 && v.LoadAge <= reportLife {
-		slow = v.Load.Slowness
+		requests = max(requests, v.Load.Running+v.Load.Waiting+v.Since)
 		if v.Load.Slots > 0 {
 			slots = v.Load.Slots
 		}
-		busy = max(busy, float64(v.Load.Running+v.Load.Waiting))
+	}
+	return requests, slots
+}
+
+// Expected returns how long a request of the given usual duration is expected to take at the endpoint.
+func (c *Config) Expected(v *View, work time.Duration) time.Duration {
+	busy, slots := v.busy()
+	slow := usualSlowness
+	if v.LoadAge >= 0 && v.LoadAge <= reportLife {
+		slow = v.Load.Slowness
 	}
 	if v.WarmLeft > 0 {
 		slow *= warmUpFactor
 	}
-	if (min(busy, float64(slots))+1)/float64(slots) > nearlyFull {
+	if nearlyFullWith(min(busy, slots)+1, slots) {
 		slow *= nearlyFullFactor
 	}
-	expected := float64(work) * slow
-	if ahead := busy - float64(slots) + 1; ahead > 0 {
-		expected += float64(work) * slow * ahead / float64(slots)
+	turn := float64(work) * slow
+	expected := turn
+	if ahead := busy - slots + 1; ahead > 0 {
+		expected += turn * float64(ahead) / float64(slots)
 	}
 	// A request that fails is sent again, so it costs at least one more turn.
 	expected *= 1 + 2*v.Failing
@@ -98,14 +113,19 @@
 	return time.Duration(expected)
 }
 
-// Rounds orders the endpoints to ask: each round is asked at once, and the next only if no answer was good enough. Suspect endpoints
+func nearlyFullWith(requests, slots int) bool { return float64(requests) > nearlyFull*float64(slots) }
+
+// Fresh reports whether the endpoint's load is young enough to be used without asking.
+func (v *View) Fresh(age time.Duration) bool { return v.LoadAge >= 0 && v.LoadAge <= age && !v.Suspect }
+
+// Rounds orders the endpoints to ask, without those whose load is fresh: each round is asked at once, and the next only if no answer was good enough. Suspect endpoints
 // come last, and only if nothing else is left.
 func (c *Config) Rounds(views []View, avoid func(endpoints.ID) bool, rng func(int) int) [][]int {
 	var local, remote, suspect []int
 	for i := range views {
 		v := &views[i]
 		switch {
-		case avoid(v.ID):
+		case avoid(v.ID) || v.Asked || v.Fresh(c.ReuseAge):
 		case v.Suspect:
 			suspect = append(suspect, i)
 		case v.Local:
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -69,7 +69,7 @@
 	}
 	service := table.Service(route.Pick(g.share(route.Name)))
 	due := r.ReadAt.Add(patience)
-	call := &forward.Call{Route: route, Service: service, Due: due, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
+	call := &forward.Call{Route: route, Service: service, Due: due, Arrived: r.ReadAt, Urgent: table.MostUrgent(route), Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: callerapi.EndToEnd(r.Header, nil), Body: r.Body, Deadline: due, Host: r.Host}}
 	res := g.forwarder.Run(ctx, call)
 	g.logRequest(ctx, r, id, table, call, res)
@@ -179,7 +179,7 @@
 	age, _ := g.follower.Age(time.Now())
 	fields := []any{"id", id, "outcome", res.Outcome, "route", c.Route.Name, "service", c.Service.Name, "took_ms", ms(took),
 		"left_ms", ms(time.Until(c.Due)), "config", t.Version, "store_age_ms", age.Milliseconds(), "endpoints", res.Candidates,
-		"asked", res.Asked, "unanswered", res.Unanswered}
+		"asked", res.Asked, "unanswered", res.Unanswered, "unasked", res.Unasked, "waits", res.Waits}
 	for i := range res.Attempts {
 		a := &res.Attempts[i]
 		fields = append(fields, "to", a.Endpoint, "at_ms", ms(a.After), "ran_ms", ms(a.Took), "expected_ms", ms(a.Expected),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,8 @@
 		Callers: s.CallerAddress, Peers: s.PeerAddress, State: s.StateAddress}))
 	repeats := placement.NewRepeats(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.peers.Known)
-	g.forwarder = forward.New(forward.Config{Sender: g.pool, Asker: g.pool, Board: g.board, Repeats: repeats, Endpoints: g.endpoints.Snapshot})
+	g.forwarder = forward.New(forward.Config{Sender: g.pool, Asker: g.pool, Board: g.board, Repeats: repeats,
+		Asks: placement.NewAskBudget(g.askRate), Endpoints: g.endpoints.Snapshot})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callersShare),
 		MaxBodiesBytes: int64(s.MemoryMB * maxBodiesShare * mebibyte)})
 	g.follower = follow.New(follow.Config{Store: countingStore{a.Store, g.metrics}, Feeds: g.feeds(),
@@ -118,6 +119,14 @@
 	return g
 }
 
+// asksUsed is the part of the allowed questions that is used. What is left covers hosts that callers use though they are not offered.
+const asksUsed = 0.85
+
+// askRate returns this host's part of the questions that the endpoints may be asked, in questions a second.
+func (g *Gateway) askRate() float64 {
+	return asksUsed * g.settings.AsksPerS * float64(g.endpoints.Snapshot().Total) / float64(g.peers.Serving())
+}
+
 func (g *Gateway) limits() routing.Limits {
 	if t := g.routes.Load(); t != nil {
 		return t.Limits
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"os"
@@ -33,6 +34,8 @@
 	RepeatRatio   float64 `json:"repeat_ratio"`
 	RepeatBurst   float64 `json:"repeat_burst"`    // requests
 	RepeatWindowS float64 `json:"repeat_window_s"` // seconds
+	// AsksPerS bounds how often all hosts together ask an endpoint for its load, in questions a second.
+	AsksPerS float64 `json:"asks_per_s"`
 	// GraceS is the time between the signal to stop and the kill, in seconds.
 	GraceS float64 `json:"grace_s"`
 	// AddressLifetimeS bounds how long callers keep an address, in seconds.
@@ -47,8 +50,15 @@
 	level log.Level
 }
 
-// Bounds of settings.
+// Defaults of optional settings, and bounds.
 const (
+	defaultWindowS   = 10 // seconds
+	defaultAsksPerS  = 20 // questions an endpoint and second
+	defaultGraceS    = 6  // seconds
+	defaultLifetimeS = 2  // seconds
+	defaultFiles     = 1024
+	defaultMemory    = 256 // MB
+
 	minGraceS  = 1
 	maxGraceS  = 600
 	minMemory  = 64 // MB
@@ -90,9 +100,16 @@
 		_, err := netip.ParseAddrPort(s.MetricsAddress)
 		check(err == nil, "metrics_address is %q: use IP:port, or leave it out", s.MetricsAddress)
 	}
+	s.RepeatWindowS = cmp.Or(s.RepeatWindowS, defaultWindowS)
+	s.AsksPerS = cmp.Or(s.AsksPerS, defaultAsksPerS)
+	s.GraceS = cmp.Or(s.GraceS, defaultGraceS)
+	s.AddressLifetimeS = cmp.Or(s.AddressLifetimeS, defaultLifetimeS)
+	s.MaxDescriptors = cmp.Or(s.MaxDescriptors, defaultFiles)
+	s.MemoryMB = cmp.Or(s.MemoryMB, defaultMemory)
 	check(s.RepeatRatio >= 0 && s.RepeatRatio <= maxPercent, "repeat_ratio is %v: use 0 to %d", s.RepeatRatio, maxPercent)
 	check(s.RepeatBurst >= 0, "repeat_burst is %v: use 0 or more requests", s.RepeatBurst)
 	check(s.RepeatWindowS > 0, "repeat_window_s is %v: use more than 0 seconds", s.RepeatWindowS)
+	check(s.AsksPerS > 0, "asks_per_s is %v: use more than 0", s.AsksPerS)
 	check(s.GraceS >= minGraceS && s.GraceS <= maxGraceS, "grace_s is %v: use %d to %d seconds", s.GraceS, minGraceS, maxGraceS)
 	check(s.AddressLifetimeS > 0, "address_lifetime_s is %v: use more than 0 seconds", s.AddressLifetimeS)
 	check(s.MaxDescriptors >= minFiles, "max_descriptors is %d: use at least %d", s.MaxDescriptors, minFiles)
