--- a/client/client_test.go
+++ b/client/client_test.go
@@ -282,16 +282,21 @@
 // TestHeaders guards against lost or wrong protocol headers.
 func TestHeaders(t *testing.T) {
 	is := is.New(t)
+	var mu sync.Mutex // the handlers of two hosts may run at the same time
 	var seen []http.Header
 	note := func(next step) step {
 		return func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
 			seen = append(seen, r.Header.Clone())
+			mu.Unlock()
 			next(w, r)
 		}
 	}
 	d := deploy(t, true, []step{note(drop), note(ok)}, nil)
 	resp, failed := d.do(false)
 	is.True(failed == nil)
+	mu.Lock()
+	defer mu.Unlock()
 	for attempt, h := range seen {
 		is.Equal(h.Get(callerapi.HeaderAttempt), strconv.Itoa(attempt))
 		is.Equal(h.Get(callerapi.HeaderNewKey) == "true", attempt == 0)
@@ -307,17 +312,22 @@
 func TestDial(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, false, nil, nil)
+	var mu sync.Mutex
 	var dialled []string
 	c, err := New(Config{Hosts: []string{"host:1"}, Customer: "trentvale", Secret: "s",
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			mu.Lock()
 			dialled = append(dialled, address)
+			mu.Unlock()
 			return (&net.Dialer{}).DialContext(ctx, network, d.b.address())
 		}})
 	is.NoErr(err)
 	defer c.Close()
 	_, err = c.Do(t.Context(), &Request{Service: "lotdesk", Method: "GET", Path: "/lots/1", Idempotent: true})
 	is.NoErr(err)
+	mu.Lock()
+	defer mu.Unlock()
 	is.Equal(dialled, []string{"host:1", d.a.address()})
-	is.Equal(d.b.asked, 1)
-	is.Equal(d.a.asked, 0)
+	is.Equal(d.b.questions(), 1)
+	is.Equal(d.a.questions(), 0)
 }
--- /dev/null
+++ b/internal/coordination/follow/follow_test.go
@@ -0,0 +1,253 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
+)
+
+// fakeStore is a keyed topic in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	log     []Record
+	first   int64 // oldest record that is kept
+	down    error
+	reads   int
+	newests int
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Record{Key: key, Offset: int64(len(s.log))}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	s.log = append(s.log, r)
+}
+
+func (s *fakeStore) Newest(context.Context, string) ([]Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newests++
+	newest := map[string]Record{}
+	for _, r := range s.log {
+		newest[r.Key] = r
+	}
+	var list []Record
+	for _, r := range newest {
+		if r.Value != nil {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b Record) int { return int(a.Offset - b.Offset) })
+	return list, int64(len(s.log)), s.down
+}
+
+func (s *fakeStore) Read(_ context.Context, _ string, from int64) ([]Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down != nil {
+		return nil, 0, s.down
+	}
+	if from < s.first {
+		return nil, 0, ErrTruncated
+	}
+	return slices.Clone(s.log[from:]), int64(len(s.log)), nil
+}
+
+func (s *fakeStore) Append(context.Context, string, string, []byte) error { return nil }
+
+// fakeFold keeps the newest value of each key.
+type fakeFold struct {
+	values    map[string]string
+	disturbed bool
+}
+
+func (f *fakeFold) Apply(r Record, disturbed bool, _ time.Time) bool {
+	f.disturbed = disturbed
+	if r.Value == nil {
+		delete(f.values, r.Key)
+		return true
+	}
+	changed := f.values[r.Key] != string(r.Value)
+	f.values[r.Key] = string(r.Value)
+	return changed
+}
+
+func (f *fakeFold) Complete(keys map[string]bool, _ bool, _ time.Time) {
+	for k := range f.values {
+		if !keys[k] {
+			delete(f.values, k)
+		}
+	}
+}
+
+// host is a follower with its fold and what it told.
+type host struct {
+	*Follower
+	fold *fakeFold
+	told []Update
+	lost int
+	back int
+}
+
+func newHost(s Store, maxAge time.Duration) *host {
+	h := &host{fold: &fakeFold{values: map[string]string{}}}
+	h.Follower = New(Config{Store: s, Feeds: []Feed{{Topic: "t", Fold: h.fold, Every: 1}}, MaxAge: func() time.Duration { return maxAge },
+		Tell: func(u Update) { h.told = append(h.told, u) }, Lost: func(error) { h.lost++ }, Regained: func(time.Duration) { h.back++ }, Failed: func(time.Time) {}})
+	return h
+}
+
+// TestOneReaderForAll guards the number of calls: while the first host reads and tells, the second one makes no call beyond its first.
+func TestOneReaderForAll(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		first, second := newHost(s, 600*time.Millisecond), newHost(s, 900*time.Millisecond)
+		first.cfg.Tell = func(u Update) { second.Heard(u, time.Now()) }
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { first.Run(ctx) })
+		wg.Go(func() { second.Run(ctx) })
+		for i := range 20 {
+			time.Sleep(300 * time.Millisecond)
+			s.put("k", fmt.Sprint(i))
+		}
+		time.Sleep(time.Second)
+		cancel()
+		wg.Wait()
+		is.Equal(second.fold.values["k"], "19")
+		is.Equal(s.newests, 2)
+		is.True(s.reads <= 12) // 7 s at 0.6 s a read
+	})
+}
+
+// TestReadsForItself answers a first host that is cut off from the store or from its peers: the next one in rank notices by itself.
+func TestReadsForItself(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		h := newHost(s, 900*time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { h.Run(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		s.put("k", "new")
+		time.Sleep(900 * time.Millisecond)
+		cancel()
+		wg.Wait()
+		is.Equal(h.fold.values["k"], "new")
+	})
+}
+
+// TestMissedUpdate guards against records that are skipped because a datagram was lost: an update that begins later makes the host read.
+func TestMissedUpdate(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	a, b := newHost(s, time.Second), newHost(s, time.Second)
+	is.NoErr(a.Refresh(t.Context()))
+	is.NoErr(b.Refresh(t.Context()))
+	s.put("x", "1")
+	is.NoErr(a.Refresh(t.Context())) // b does not hear of it
+	s.put("y", "2")
+	is.NoErr(a.Refresh(t.Context()))
+	is.True(b.Heard(a.told[len(a.told)-1], time.Now()))
+	is.True(b.due(time.Now()) <= 0)
+	is.Equal(len(b.fold.values), 0) // nothing is applied out of order
+	is.NoErr(b.Refresh(t.Context()))
+	is.Equal(b.fold.values, map[string]string{"x": "1", "y": "2"})
+}
+
+// TestOldUpdate guards against an update that was delayed: it must not make old knowledge look young, nor undo newer records.
+func TestOldUpdate(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	a, b := newHost(s, time.Second), newHost(s, time.Second)
+	is.NoErr(a.Refresh(t.Context()))
+	s.put("x", "1")
+	is.NoErr(a.Refresh(t.Context()))
+	s.put("x", "2")
+	is.NoErr(b.Refresh(t.Context()))
+	old := a.told[len(a.told)-1]
+	old.AgeMS = 60_000
+	is.True(!b.Heard(old, time.Now()))
+	is.Equal(b.fold.values["x"], "2")
+}
+
+// TestTruncated guards against a store that has dropped the records after our position: everything is read anew, removals included, and
+// peers are told to read for themselves.
+func TestTruncated(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	s.put("gone", "1")
+	h := newHost(s, time.Second)
+	is.NoErr(h.Refresh(t.Context()))
+	s.put("gone", "")
+	s.put("new", "2")
+	s.first = 3
+	is.NoErr(h.Refresh(t.Context()))
+	is.Equal(h.fold.values, map[string]string{"new": "2"})
+	is.True(h.told[len(h.told)-1].Feeds[0].Cut)
+}
+
+// TestLargeChange guards against datagrams that are too large: the update says that records are missing.
+func TestLargeChange(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	a, b := newHost(s, time.Second), newHost(s, time.Second)
+	is.NoErr(a.Refresh(t.Context()))
+	is.NoErr(b.Refresh(t.Context()))
+	s.put("x", string(make([]byte, toldBytes+1)))
+	is.NoErr(a.Refresh(t.Context()))
+	u := a.told[len(a.told)-1]
+	is.Equal(len(u.Feeds[0].Records), 0)
+	b.Heard(u, time.Now())
+	is.True(b.due(time.Now()) <= 0)
+}
+
+// TestStoreAway guards the knowledge during an outage: it stays, its loss and return are told once each, and what is read right after the
+// return is known to be disturbed.
+func TestStoreAway(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	s.put("x", "1")
+	h := newHost(s, time.Second)
+	is.NoErr(h.Refresh(t.Context()))
+	s.down = errors.New("503")
+	is.True(h.Refresh(t.Context()) != nil)
+	is.True(h.Refresh(t.Context()) != nil)
+	is.Equal(h.lost, 1)
+	is.True(h.Down(time.Now().Add(time.Second)) > 0)
+	is.Equal(h.fold.values["x"], "1")
+	s.down = nil
+	s.put("x", "")
+	is.NoErr(h.Refresh(t.Context()))
+	is.Equal(h.back, 1)
+	is.True(h.fold.disturbed)
+	is.True(h.told[len(h.told)-1].Disturbed)
+	is.Equal(h.Down(time.Now()), time.Duration(0))
+}
+
+// TestRetriesSlowDown guards against a storm of calls to a store that refuses them.
+func TestRetriesSlowDown(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{down: errors.New("429")}
+		h := newHost(s, time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		h.Run(ctx)
+		is.True(s.newests <= 14)
+		is.True(s.newests >= 9)
+	})
+}
--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -23,6 +23,9 @@
 			return deref(best), expected, best != nil && expected <= d.Left
 		}
 		verdict := r.f.cfg.Board.Config().Admit(best, expected, d)
+		if r.result.Candidates == 0 {
+			verdict = placement.Refuse // nothing to wait for
+		}
 		switch {
 		case verdict == placement.Send:
 			if waiter != nil {
--- /dev/null
+++ b/internal/coordination/peers/peers_test.go
@@ -0,0 +1,116 @@
+package peers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func host(n int, zone string) Host {
+	name := fmt.Sprintf("%s-%d", zone, n)
+	return Host{Name: name, Zone: zone, Started: 1, Callers: name + ":1", Peers: name + ":2", State: name + ":3"}
+}
+
+// deployment returns the tables of all hosts, each of which has heard its neighbours and read of all others.
+func deployment(zones []string, perZone int) map[string]*Table {
+	tables := map[string]*Table{}
+	for _, z := range zones {
+		for n := range perZone {
+			tables[host(n, z).Name] = NewTable(DefaultConfig(host(n, z)))
+		}
+	}
+	for _, t := range tables {
+		for _, z := range zones {
+			for n := range perZone {
+				t.Put(host(n, z))
+				if z == t.cfg.Self.Zone {
+					t.Greeted(host(n, z), Status{Ready: true}, start)
+				}
+			}
+		}
+		t.SetStatus(Status{Ready: true})
+	}
+	return tables
+}
+
+// TestOneFirstReader guards the calls to the store: one host reads first, and every host reads early enough to meet 2 s for leaving
+// endpoints even if nobody tells it anything.
+func TestOneFirstReader(t *testing.T) {
+	is := is.New(t)
+	var ages []time.Duration
+	for _, table := range deployment([]string{"a", "b", "c"}, 5) {
+		ages = append(ages, table.MaxAge(start))
+	}
+	slices.Sort(ages)
+	cfg := DefaultConfig(Host{})
+	is.Equal(ages[0], cfg.AgeFirst)
+	is.True(ages[1] >= cfg.AgeFirst+cfg.AgePerZone)
+	is.True(ages[len(ages)-1] < 1500*time.Millisecond)
+}
+
+// TestRanksCloseUp guards against a zone that waits for a reader that is gone.
+func TestRanksCloseUp(t *testing.T) {
+	is := is.New(t)
+	tables := deployment([]string{"a"}, 3)
+	silent := start.Add(time.Minute) // nobody was heard for a minute
+	for _, table := range tables {
+		is.Equal(table.MaxAge(silent), DefaultConfig(Host{}).AgeFirst)
+	}
+}
+
+// TestAddresses guards what callers are told: hosts of the zone that live, are ready and stay, the same from all hosts, and never none
+// while another host is known.
+func TestAddresses(t *testing.T) {
+	is := is.New(t)
+	tables := deployment([]string{"a", "b"}, 4)
+	table := tables["a-0"]
+	offered := table.Addresses(start, 64)
+	is.Equal(len(offered), DefaultConfig(Host{}).Offered)
+	for _, other := range []string{"a-1", "a-2", "a-3"} {
+		is.Equal(tables[other].Addresses(start, 64), offered)
+	}
+	for n := range 4 {
+		h := host(n, "a")
+		if h.Callers == offered[0] && h.Name != "a-0" {
+			table.Greeted(h, Status{Ready: true, Leaving: true}, start)
+		}
+	}
+	table.SetStatus(Status{Leaving: true})
+	left := table.Addresses(start, 64)
+	is.True(!slices.Contains(left, "a-0:1"))
+	is.Equal(len(left), 2)
+	far := table.Addresses(start.Add(time.Hour), 64) // all neighbours are silent and this host leaves
+	is.Equal(len(far), 4)
+	for _, a := range far {
+		is.Equal(a[:1], "b")
+	}
+}
+
+// TestRestartedHost guards against greetings of an earlier start that arrive late.
+func TestRestartedHost(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(DefaultConfig(host(0, "a")))
+	now := host(1, "a")
+	now.Started = 5
+	is.True(table.Greeted(now, Status{Ready: true}, start))
+	is.True(!table.Greeted(host(1, "a"), Status{Leaving: true}, start))
+	is.True(!table.Put(host(1, "a")))
+	is.True(slices.Contains(table.Addresses(start, 64), "a-1:1"))
+	is.True(!table.Greeted(now, Status{Ready: true}, start)) // nothing new
+	is.Equal(table.Known(), 2)
+}
+
+// TestRelays guards the bytes between zones: of each other zone few hosts are told, and of the own zone none.
+func TestRelays(t *testing.T) {
+	is := is.New(t)
+	relays := deployment([]string{"a", "b", "c"}, 5)["a-0"].Relays()
+	is.Equal(len(relays), 2*relaysPerZone)
+	for _, r := range relays {
+		is.True(r.Zone != "a")
+	}
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -138,3 +138,11 @@
 	is.Equal(strings.Count(out, "\n"), 2) // the header and one field
 	is.True(strings.Contains(out, "/services/0/burst"))
 }
+
+// TestTableFigures guards against figures with the rounding of binary fractions, such as 3300.0000000000005.
+func TestTableFigures(t *testing.T) {
+	is := is.New(t)
+	var table table
+	table.add(3300.0000000000005, 0.25, 27, "x")
+	is.Equal(table.rows[0], []string{"3300", "0.25", "27", "x"})
+}
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -23,10 +24,16 @@
 	rows   [][]string
 }
 
+// shownDigits leaves out the rounding of binary fractions.
+const shownDigits = 10
+
 func (t *table) add(cells ...any) {
 	row := make([]string, len(cells))
 	for i, c := range cells {
 		row[i] = fmt.Sprint(c)
+		if f, ok := c.(float64); ok {
+			row[i] = strconv.FormatFloat(f, 'g', shownDigits, 64)
+		}
 	}
 	t.rows = append(t.rows, row)
 }
--- a/internal/transport/frontend/frontend.go
+++ b/internal/transport/frontend/frontend.go
@@ -279,9 +279,12 @@
 	if err != nil {
 		return 0, malformed(fmt.Sprintf("%s is %q", callerapi.HeaderDeadlineMS, text), "send the remaining milliseconds as a decimal number")
 	}
-	if ms <= 0 {
+	if ms < 0 {
+		return 0, malformed(fmt.Sprintf("%s is %d", callerapi.HeaderDeadlineMS, ms), "send the remaining milliseconds, from 0")
+	}
+	if ms == 0 {
 		return 0, &refusals.Refusal{Reason: refusals.DeadlineExpired, Ran: refusals.RanNo, Limit: 1, Observed: float64(ms), Unit: "ms",
-			Detail: fmt.Sprintf("the caller's deadline had passed on arrival: %d ms remained", ms), Remedy: "send the request with more time"}
+			Detail: "the caller's deadline had passed on arrival: 0 ms remained", Remedy: "send the request with more time"}
 	}
 	return min(deadline, time.Duration(min(ms, int64(contractMS)))*time.Millisecond), nil
 }
--- a/internal/transport/frontend/frontend_test.go
+++ b/internal/transport/frontend/frontend_test.go
@@ -111,7 +111,7 @@
 		{"empty segment", get("/s/svc//a/"), "request_malformed", "no"},
 		{"deadline not a number", with("GET /s/svc/a/", "Arbutusspan-Deadline-Ms: soon\r\n", ""), "request_malformed", "no"},
 		{"deadline passed", with("GET /s/svc/a/", "Arbutusspan-Deadline-Ms: 0\r\n", ""), "deadline_expired", "no"},
-		{"deadline below zero", with("GET /s/svc/a/", "Arbutusspan-Deadline-Ms: -5\r\n", ""), "deadline_expired", "no"},
+		{"deadline below zero", with("GET /s/svc/a/", "Arbutusspan-Deadline-Ms: -5\r\n", ""), "request_malformed", "no"},
 		{"attempt not a number", with("GET /s/svc/a/", "Arbutusspan-Attempt: -1\r\n", ""), "request_malformed", "no"},
 		{"body too large", with("PUT /s/svc/a/", "Content-Length: 101\r\n", strings.Repeat("x", 101)), "body_too_large", "no"},
 		{"chunks too large", with("PUT /s/svc/a/", "Transfer-Encoding: chunked\r\n", "65\r\n"+strings.Repeat("x", 101)+"\r\n0\r\n\r\n"), "body_too_large", "no"},
--- /dev/null
+++ b/internal/transport/ingress/ingress_test.go
@@ -0,0 +1,308 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+)
+
+// handler answers by path. Paths that begin with /hold wait until they are released or the caller leaves.
+type handler struct {
+	mu      sync.Mutex
+	bodies  []string
+	started chan string
+	release map[string]chan struct{}
+	gone    chan string
+}
+
+func newHandler() *handler {
+	return &handler{started: make(chan string, 64), gone: make(chan string, 64), release: map[string]chan struct{}{}}
+}
+
+func (h *handler) hold(path string) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.release[path] == nil {
+		h.release[path] = make(chan struct{})
+	}
+	return h.release[path]
+}
+
+func (h *handler) Overlaps(r *Request) bool { return r.Method == http.MethodGet }
+
+func (h *handler) Serve(ctx context.Context, r *Request) *Response {
+	h.mu.Lock()
+	h.bodies = append(h.bodies, string(r.Body))
+	h.mu.Unlock()
+	h.started <- r.Target
+	if strings.HasPrefix(r.Path, "/hold") {
+		select {
+		case <-h.hold(r.Path):
+		case <-ctx.Done():
+			h.gone <- r.Path
+		}
+	}
+	if r.Path == "/cut" {
+		return &Response{Status: 200, Length: 10, Stream: io.NopCloser(strings.NewReader("half"))}
+	}
+	if r.Path == "/unknown-length" {
+		return &Response{Status: 200, Length: -1, Stream: io.NopCloser(strings.NewReader(strings.Repeat("x", 9000)))}
+	}
+	return &Response{Status: 200, Header: http.Header{"X-Path": {r.Target}}, Body: []byte(r.Target)}
+}
+
+func serve(t *testing.T, h Handler, limits routing.Limits) (*Server, func() net.Conn) {
+	t.Helper()
+	s := New(Config{Handler: h, Limits: func() routing.Limits { return limits }, MaxConnections: 8, MaxBodiesBytes: 1 << 20})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		s.Close(ctx)
+	})
+	return s, func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer reads one response.
+func answer(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+// TestPipelined guards pipelined requests: they run side by side, and are answered in the order in which they came.
+func TestPipelined(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	_, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+get("/2")+get("/3"))
+	seen := map[string]bool{}
+	for range 3 {
+		seen[<-h.started] = true // all started before the first is answered
+	}
+	is.Equal(len(seen), 3)
+	close(h.hold("/hold/1"))
+	br := bufio.NewReader(c)
+	for _, want := range []string{"/hold/1", "/2", "/3"} {
+		_, body := answer(t, br)
+		is.Equal(body, want)
+	}
+}
+
+// TestNonIdempotentWaits guards against a request that must not repeat and runs behind one whose answer closes the connection: the caller
+// would send it again.
+func TestNonIdempotentWaits(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+	is.Equal(<-h.started, "/hold/1")
+	for s.Active() < 2 { // until the second one has been read
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(len(h.started), 0)
+	close(h.hold("/hold/1"))
+	is.Equal(<-h.started, "/2")
+	br := bufio.NewReader(c)
+	answer(t, br)
+	_, body := answer(t, br)
+	is.Equal(body, "/2")
+}
+
+// TestCallerLeaves guards against work for callers that have left, also while further requests wait on the connection.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	_, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+get("/hold/2"))
+	<-h.started
+	<-h.started
+	c.Close()
+	gone := map[string]bool{<-h.gone: true, <-h.gone: true}
+	is.Equal(gone, map[string]bool{"/hold/1": true, "/hold/2": true})
+}
+
+// TestBodies guards the reading of bodies of known and unknown length, and that the next request begins right behind them.
+func TestBodies(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	_, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	br := bufio.NewReader(c)
+	send(t, c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	answer(t, br)
+	send(t, c, "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n2\r\n!!\r\n0\r\nTrailer: t\r\n\r\n")
+	answer(t, br)
+	send(t, c, "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+	resp, _ := answer(t, br)
+	is.Equal(resp.StatusCode, 100)
+	send(t, c, "ok")
+	answer(t, br)
+	is.Equal(h.bodies, []string{"abc", "xyz!!", "ok"})
+}
+
+// TestRefusedRequests guards against requests whose end is ambiguous, which could smuggle another request in, and against requests beyond
+// the limits. Each is refused, none reaches the handler, and the connection ends.
+func TestRefusedRequests(t *testing.T) {
+	limits := routing.DefaultLimits
+	limits.MaxHeaderBytes, limits.MaxBodyBytes = 300, 10
+	for text, want := range map[string]int{
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":          400,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc":                         400,
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n":                                           400,
+		"POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":                               400,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc":                                             400,
+		"POST / HTTP/1.1\r\nHost: h\r\nX: y\r\n Content-Length: 3\r\n\r\nabc":                                     400,
+		"GET / HTTP/1.1\nHost: h\n\n":                                                                   400,
+		"GET / HTTP/1.1\r\n\r\n":                                                                        400,
+		"GET http://other/ HTTP/1.1\r\nHost: h\r\n\r\n":                                                 400,
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":                        400,
+		"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 300) + "\r\n\r\n":                      431,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n":                                      413,
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n": 413,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n":                                      400,
+	} {
+		t.Run(fmt.Sprintf("%.60q", text), func(t *testing.T) {
+			is := is.New(t)
+			h := newHandler()
+			_, dial := serve(t, h, limits)
+			c := dial()
+			send(t, c, text+get("/smuggled"))
+			br := bufio.NewReader(c)
+			resp, _ := answer(t, br)
+			is.Equal(resp.StatusCode, want)
+			_, err := br.ReadByte()
+			is.Equal(err, io.EOF)
+			is.Equal(len(h.started), 0)
+		})
+	}
+}
+
+// TestSlowHeader guards against callers that hold a connection with a header that never ends.
+func TestSlowHeader(t *testing.T) {
+	is := is.New(t)
+	limits := routing.DefaultLimits
+	limits.HeaderTimeout = 20 * time.Millisecond
+	_, dial := serve(t, newHandler(), limits)
+	c := dial()
+	send(t, c, "GET / HTTP/1.1\r\nHost:")
+	resp, _ := answer(t, bufio.NewReader(c))
+	is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+}
+
+// TestCutAnswer guards against an answer that ends early and looks whole.
+func TestCutAnswer(t *testing.T) {
+	is := is.New(t)
+	_, dial := serve(t, newHandler(), routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/cut"))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+	}
+	is.True(err != nil)
+}
+
+// TestUnknownLength guards answers whose length is not known: they are sent in chunks, and the connection goes on.
+func TestUnknownLength(t *testing.T) {
+	is := is.New(t)
+	_, dial := serve(t, newHandler(), routing.DefaultLimits)
+	c := dial()
+	br := bufio.NewReader(c)
+	send(t, c, get("/unknown-length")+get("/next"))
+	_, body := answer(t, br)
+	is.Equal(len(body), 9000)
+	_, body = answer(t, br)
+	is.Equal(body, "/next")
+}
+
+// TestDrain guards a planned stop: what was read is answered, the last answer says that the connection closes, and the stop ends.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, dial := serve(t, h, routing.DefaultLimits)
+	busy, waiting := dial(), dial()
+	send(t, busy, get("/hold/1")+get("/2"))
+	<-h.started
+	<-h.started
+	s.Drain()
+	send(t, waiting, get("/late")) // a request on a connection that was idle
+	resp, body := answer(t, bufio.NewReader(waiting))
+	is.Equal(body, "/late")
+	is.True(resp.Close)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.Close(context.Background())
+	}()
+	close(h.hold("/hold/1"))
+	br := bufio.NewReader(busy)
+	resp, body = answer(t, br)
+	is.Equal(body, "/hold/1")
+	is.True(!resp.Close) // another answer follows
+	resp, body = answer(t, br)
+	is.Equal(body, "/2")
+	is.True(resp.Close)
+	<-stopped
+	is.Equal(s.Connections(), 0)
+}
+
+// TestTooManyConnections guards the descriptors: a connection beyond the bound gets an answer that says it was not run.
+func TestTooManyConnections(t *testing.T) {
+	is := is.New(t)
+	s, dial := serve(t, newHandler(), routing.DefaultLimits)
+	for range 8 {
+		dial()
+	}
+	for s.Connections() < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	c := dial()
+	send(t, c, get("/x"))
+	resp, _ := answer(t, bufio.NewReader(c))
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Header.Get("Retry-After") != "")
+}
--- a/internal/transport/ingress/parse.go
+++ b/internal/transport/ingress/parse.go
@@ -108,10 +108,19 @@
 // a request of its own (RFC 9112 section 6.1).
 func framingFault(head []byte, r *http.Request) string {
 	lengths, codings := 0, 0
+	first := true
 	for line := range bytes.Lines(head) {
+		if first {
+			first = false // the request line
+			continue
+		}
 		name, _, ok := bytes.Cut(line, []byte(":"))
 		switch {
 		case !ok:
+		case len(bytes.TrimRight(name, " \t")) != len(name):
+			return "a header has a space before its colon"
+		case line[0] == ' ' || line[0] == '\t':
+			return "a header is folded"
 		case strings.EqualFold(string(name), "Content-Length"):
 			lengths++
 		case strings.EqualFold(string(name), "Transfer-Encoding"):
