--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -107,7 +107,6 @@
 	downSince   time.Time // zero while the store answers
 	behind      bool      // a peer told of records that this host has missed
 	refreshes   int
-	reads       int64
 }
 
 // New returns a follower that has read nothing yet.
