Let starting hosts learn from peers, and tell changes in several datagrams

Change: a starting host asks the seeds for hosts and fetches the state from one that knows the store; each zone keeps one list of its hosts in the store instead of one entry a host; changes are told compressed and in several datagrams, removals after a full read included; messages of other zones show that their hosts live. Ruled out: larger datagrams alone (one lost fragment loses all); a fetch of the state by each host that is behind (39 transfers from one host with a link of 10 Mbit/s).

--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -4,8 +4,11 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +57,8 @@
 	AgeMS     int64        `cbor:"1,keyasint"` // since the read began
 	Disturbed bool         `cbor:"2,keyasint"` // the store was unavailable shortly before
 	Feeds     []FeedUpdate `cbor:"3,keyasint"`
+	// Partial says that another update with the rest of what was read follows.
+	Partial bool `cbor:"4,keyasint,omitempty"`
 }
 
 // FeedUpdate covers the offsets From to Next of a topic. Records that changed nothing are left out.
@@ -62,7 +67,7 @@
 	From    int64    `cbor:"2,keyasint"`
 	Next    int64    `cbor:"3,keyasint"`
 	Records []Record `cbor:"4,keyasint,omitempty"`
-	// Cut says that records are left out because they are too large to be told. The receiver reads them itself.
+	// Cut says that records are left out because they are too large. The receiver reads them itself.
 	Cut bool `cbor:"5,keyasint,omitempty"`
 }
 
@@ -74,6 +79,8 @@
 	MaxAge func() time.Duration
 	// Tell sends an update to the peers.
 	Tell func(Update)
+	// Read is called after each successful refresh.
+	Read func(ReadInfo)
 	// Lost and Regained are called when the store stops and starts to answer this host.
 	Lost     func(error)
 	Regained func(away time.Duration)
@@ -91,18 +98,30 @@
 	// disturbedFor is how long after its last failure the store counts as disturbed: endpoints that could not renew their entries are
 	// back about two seconds after its return.
 	disturbedFor = 2 * time.Second
-	// toldBytes bounds the records of one update, which has to fit into a datagram.
-	toldBytes = 8 << 10
+	// toldBytes bounds the records of one update, which has to fit into a datagram once it is compressed. toldParts bounds the updates
+	// for one read; if they do not hold it, the receivers read for themselves.
+	toldBytes = 24 << 10
+	toldParts = 8
 )
 
+// ReadInfo describes a refresh, for logs.
+type ReadInfo struct {
+	Reason  string        // first, behind or age
+	Age     time.Duration // of the knowledge before it
+	Took    time.Duration
+	Feeds   int // topics that were read
+	Records int
+}
+
 // Follower keeps the feeds current.
 type Follower struct {
 	cfg  Config
 	wake chan struct{}
 
 	mu          sync.Mutex
-	positions   []int64   // next offset of each feed; -1 before the first read
-	asOf        time.Time // the knowledge reflects the store at this time or later
+	positions   []int64             // next offset of each feed; -1 before the first read
+	newest      []map[string]Record // of each feed, the records that the knowledge rests on, by key
+	asOf        time.Time           // the knowledge reflects the store at this time or later
 	lastFailure time.Time
 	downSince   time.Time // zero while the store answers
 	behind      bool      // a peer told of records that this host has missed
@@ -111,9 +130,9 @@
 
 // New returns a follower that has read nothing yet.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), positions: make([]int64, len(cfg.Feeds))}
+	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), positions: make([]int64, len(cfg.Feeds)), newest: make([]map[string]Record, len(cfg.Feeds))}
 	for i := range f.positions {
-		f.positions[i] = -1
+		f.positions[i], f.newest[i] = -1, map[string]Record{}
 	}
 	return f
 }
@@ -175,6 +194,13 @@
 	start := time.Now()
 	f.mu.Lock()
 	full := f.asOf.IsZero() || f.behind
+	info := ReadInfo{Reason: "age", Age: start.Sub(f.asOf)}
+	switch {
+	case f.asOf.IsZero():
+		info.Reason, info.Age = "first", 0
+	case f.behind:
+		info.Reason = "behind"
+	}
 	n := f.refreshes
 	f.refreshes++
 	positions := append([]int64(nil), f.positions...)
@@ -198,7 +224,18 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return f.take(start, reads, err)
+	if err = f.take(start, reads, err); err != nil {
+		return err
+	}
+	for i := range reads {
+		if !reads[i].skipped {
+			info.Feeds++
+			info.Records += len(reads[i].records)
+		}
+	}
+	info.Took = time.Since(start)
+	f.cfg.Read(info)
+	return nil
 }
 
 type feedRead struct {
@@ -238,14 +275,14 @@
 		f.cfg.Failed(now)
 	}
 	disturbed := f.disturbed(now)
-	u := Update{Disturbed: disturbed}
+	var told []FeedUpdate
 	for i, r := range reads {
 		if r.skipped || r.err != nil {
 			continue
 		}
 		fu := f.fold(i, r, disturbed, now)
 		if r.from >= 0 { // what a host reads at its start is no news to its peers
-			u.Feeds = append(u.Feeds, fu)
+			told = append(told, fu)
 		}
 	}
 	if err != nil {
@@ -256,11 +293,41 @@
 		f.downSince = time.Time{}
 	}
 	f.asOf, f.behind = start, false
-	u.AgeMS = now.Sub(start).Milliseconds()
-	f.cfg.Tell(u)
+	for _, u := range split(told) {
+		u.AgeMS, u.Disturbed = now.Sub(start).Milliseconds(), disturbed
+		f.cfg.Tell(u)
+	}
 	return nil
 }
 
+// split divides what was read into updates that fit into a datagram each.
+func split(feeds []FeedUpdate) []Update {
+	updates := []Update{{}}
+	size := 0
+	for _, fu := range feeds {
+		part := FeedUpdate{Topic: fu.Topic, From: fu.From, Next: fu.Next}
+		for _, rec := range fu.Records {
+			n := len(rec.Key) + len(rec.Value)
+			if size > 0 && size+n > toldBytes {
+				part.Next = rec.Offset
+				last := &updates[len(updates)-1]
+				last.Feeds, last.Partial = append(last.Feeds, part), true
+				updates = append(updates, Update{})
+				part, size = FeedUpdate{Topic: fu.Topic, From: rec.Offset, Next: fu.Next}, 0
+			}
+			if n > toldBytes || len(updates) > toldParts {
+				part.Cut = true
+			} else {
+				part.Records = append(part.Records, rec)
+				size += n
+			}
+		}
+		last := &updates[len(updates)-1]
+		last.Feeds = append(last.Feeds, part)
+	}
+	return updates[:min(len(updates), toldParts+1)]
+}
+
 func (f *Follower) disturbed(now time.Time) bool {
 	return !f.lastFailure.IsZero() && now.Sub(f.lastFailure) < disturbedFor
 }
@@ -270,7 +337,6 @@
 	feed := &f.cfg.Feeds[i]
 	u := FeedUpdate{Topic: feed.Topic, From: f.positions[i], Next: r.next}
 	keys := map[string]bool{}
-	size := 0
 	for _, rec := range r.records {
 		if rec.Value != nil {
 			keys[rec.Key] = true
@@ -278,23 +344,88 @@
 		if rec.Offset < f.positions[i] && !r.complete {
 			continue
 		}
-		if !feed.Fold.Apply(rec, disturbed, now) {
-			continue
-		}
-		if size += len(rec.Key) + len(rec.Value); size > toldBytes {
-			u.Records, u.Cut = nil, true
-		} else {
+		if f.apply(i, rec, disturbed, now) {
 			u.Records = append(u.Records, rec)
 		}
 	}
 	if r.complete {
+		for key := range f.newest[i] {
+			if !keys[key] { // told as a removal
+				delete(f.newest[i], key)
+				u.Records = append(u.Records, Record{Key: key, Offset: max(u.From, r.next-1)})
+			}
+		}
 		feed.Fold.Complete(keys, disturbed, now)
-		u.Cut = true // removals are not among the records
+		// Newest records come in no order of offsets, and changes that were made before From may be among them.
+		for n := range u.Records {
+			u.Records[n].Offset = max(u.Records[n].Offset, u.From)
+		}
+		slices.SortStableFunc(u.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	}
 	f.positions[i] = max(f.positions[i], r.next)
 	return u
 }
 
+// apply hands a record to its fold and keeps it for State.
+func (f *Follower) apply(i int, rec Record, disturbed bool, now time.Time) bool {
+	if rec.Value == nil {
+		delete(f.newest[i], rec.Key)
+	} else {
+		f.newest[i][rec.Key] = rec
+	}
+	return f.cfg.Feeds[i].Fold.Apply(rec, disturbed, now)
+}
+
+// State is all that a host knows of the store. It lets a starting host begin without calls to the store.
+type State struct {
+	AgeMS int64       `cbor:"1,keyasint"`
+	Feeds []FeedState `cbor:"2,keyasint"`
+}
+
+// FeedState is a topic's newest records, and the offset from which to read on.
+type FeedState struct {
+	Topic   string   `cbor:"1,keyasint"`
+	Next    int64    `cbor:"2,keyasint"`
+	Records []Record `cbor:"3,keyasint"`
+}
+
+// State returns what this host knows, or false if it knows nothing yet.
+func (f *Follower) State(now time.Time) (*State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asOf.IsZero() {
+		return nil, false
+	}
+	s := &State{AgeMS: now.Sub(f.asOf).Milliseconds()}
+	for i := range f.cfg.Feeds {
+		records := slices.SortedFunc(maps.Values(f.newest[i]), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+		s.Feeds = append(s.Feeds, FeedState{Topic: f.cfg.Feeds[i].Topic, Next: f.positions[i], Records: records})
+	}
+	return s, true
+}
+
+// Install takes in a peer's state. It reports whether this host knew nothing before.
+func (f *Follower) Install(s *State, received time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.asOf.IsZero() {
+		return false
+	}
+	for _, fs := range s.Feeds {
+		for i := range f.cfg.Feeds {
+			if f.cfg.Feeds[i].Topic != fs.Topic {
+				continue
+			}
+			for _, rec := range fs.Records {
+				f.apply(i, rec, false, received)
+			}
+			f.positions[i] = fs.Next
+		}
+	}
+	f.asOf = received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+	return true
+}
+
 // Heard takes in a peer's update. It reports whether the update was news to this host.
 func (f *Follower) Heard(u Update, sent time.Time) bool {
 	now := time.Now()
@@ -316,7 +447,9 @@
 		f.poke()
 		return true
 	}
-	f.asOf = asOf
+	if !u.Partial {
+		f.asOf = asOf
+	}
 	return true
 }
 
@@ -334,7 +467,7 @@
 		}
 		for _, rec := range u.Records {
 			if rec.Offset >= f.positions[i] {
-				f.cfg.Feeds[i].Fold.Apply(rec, disturbed, now)
+				f.apply(i, rec, disturbed, now)
 			}
 		}
 		f.positions[i] = u.Next
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -104,7 +104,7 @@
 func newHost(s Store, maxAge time.Duration) *host {
 	h := &host{fold: &fakeFold{values: map[string]string{}}}
 	h.Follower = New(Config{Store: s, Feeds: []Feed{{Topic: "t", Fold: h.fold, Every: 1}}, MaxAge: func() time.Duration { return maxAge },
-		Tell: func(u Update) { h.told = append(h.told, u) }, Lost: func(error) { h.lost++ }, Regained: func(time.Duration) { h.back++ }, Failed: func(time.Time) {}})
+		Tell: func(u Update) { h.told = append(h.told, u) }, Read: func(ReadInfo) {}, Lost: func(error) { h.lost++ }, Regained: func(time.Duration) { h.back++ }, Failed: func(time.Time) {}})
 	return h
 }
 
@@ -197,7 +197,54 @@
 	s.first = 3
 	is.NoErr(h.Refresh(t.Context()))
 	is.Equal(h.fold.values, map[string]string{"new": "2"})
-	is.True(h.told[len(h.told)-1].Feeds[0].Cut)
+}
+
+// TestTruncatedIsTold guards against a read by every host when the store drops its history: the first reader tells the others what has
+// changed, removals included.
+func TestTruncatedIsTold(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	s.put("gone", "1")
+	s.put("kept", "1")
+	a, b := newHost(s, time.Second), newHost(s, time.Second)
+	is.NoErr(a.Refresh(t.Context()))
+	is.NoErr(b.Refresh(t.Context()))
+	s.put("gone", "")
+	s.put("new", "2")
+	s.first = 4
+	is.NoErr(a.Refresh(t.Context()))
+	calls := s.newests
+	b.Heard(a.told[len(a.told)-1], time.Now())
+	is.Equal(b.fold.values, map[string]string{"kept": "1", "new": "2"})
+	is.True(b.due(time.Now()) > 0)
+	is.Equal(s.newests, calls)
+}
+
+// TestManyChanges guards against a read by every host when many endpoints start at once: what does not fit into one datagram is told in
+// several, and the loss of one of them is noticed.
+func TestManyChanges(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	a, b, c := newHost(s, time.Second), newHost(s, time.Second), newHost(s, time.Second)
+	for _, h := range []*host{a, b, c} {
+		is.NoErr(h.Refresh(t.Context()))
+	}
+	for i := range 100 {
+		s.put(fmt.Sprint(i), string(make([]byte, 1000)))
+	}
+	is.NoErr(a.Refresh(t.Context()))
+	parts := a.told[1:]
+	is.True(len(parts) > 1)
+	for n, u := range parts {
+		is.Equal(u.Partial, n < len(parts)-1)
+		b.Heard(u, time.Now())
+		if n != 1 {
+			c.Heard(u, time.Now())
+		}
+	}
+	is.Equal(len(b.fold.values), 100)
+	is.True(b.due(time.Now()) > 0)
+	is.True(c.due(time.Now()) <= 0)
 }
 
 // TestLargeChange guards against datagrams that are too large: the update says that records are missing.
@@ -210,6 +257,7 @@
 	s.put("x", string(make([]byte, toldBytes+1)))
 	is.NoErr(a.Refresh(t.Context()))
 	u := a.told[len(a.told)-1]
+	is.True(u.Feeds[0].Cut)
 	is.Equal(len(u.Feeds[0].Records), 0)
 	b.Heard(u, time.Now())
 	is.True(b.due(time.Now()) <= 0)
@@ -251,3 +299,30 @@
 		is.True(s.newests >= 9)
 	})
 }
+
+// TestStateOfPeer guards the start of a host from a peer's state: it knows what the peer knows, makes no call, and reads on where the peer
+// stands.
+func TestStateOfPeer(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	s.put("a", "1")
+	s.put("b", "2")
+	old, fresh := newHost(s, time.Second), newHost(s, time.Second)
+	is.NoErr(old.Refresh(t.Context()))
+	s.put("b", "")
+	s.put("c", "3")
+	is.NoErr(old.Refresh(t.Context()))
+	state, ok := old.State(time.Now())
+	is.True(ok)
+	calls := s.reads + s.newests
+	is.True(fresh.Install(state, time.Now()))
+	is.Equal(fresh.fold.values, map[string]string{"a": "1", "c": "3"})
+	is.Equal(s.reads+s.newests, calls)
+	s.put("d", "4")
+	is.NoErr(fresh.Refresh(t.Context()))
+	is.Equal(s.newests, 1)
+	is.Equal(fresh.fold.values["d"], "4")
+	is.True(!fresh.Install(state, time.Now())) // what it knows is newer
+	_, ok = newHost(s, time.Second).State(time.Now())
+	is.True(!ok)
+}
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -25,6 +25,8 @@
 type Status struct {
 	Ready   bool `cbor:"1,keyasint"`
 	Leaving bool `cbor:"2,keyasint"`
+	// Informed says that the host has learned the state of the store, whatever it holds.
+	Informed bool `cbor:"3,keyasint"`
 }
 
 // Config of a Table.
@@ -64,7 +66,8 @@
 type peer struct {
 	Host
 	Status
-	heard time.Time // last greeting; zero if only the store names the host
+	heard time.Time // last message; zero if only others name the host
+	named time.Time // when it was first named
 }
 
 // NewTable returns a table that knows no other host.
@@ -86,19 +89,19 @@
 	return t.cfg.Self, t.status
 }
 
-// Put takes in a host that the store names. It reports whether that is news.
-func (t *Table) Put(h Host) bool {
+// Put takes in a host that the store or another host names. It reports whether that is news.
+func (t *Table) Put(h Host, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.hosts[h.Name]
 	if h.Name == t.cfg.Self.Name || (old != nil && old.Started >= h.Started) {
 		return false
 	}
-	t.hosts[h.Name] = &peer{Host: h}
+	t.hosts[h.Name] = &peer{Host: h, named: now}
 	return true
 }
 
-// Greeted takes in a greeting. It reports whether the host is new or has changed its status.
+// Greeted takes in a message of a host. It reports whether the host is new or has changed its status.
 func (t *Table) Greeted(h Host, s Status, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -107,10 +110,85 @@
 		return false
 	}
 	changed := old == nil || old.Host != h || old.Status != s || !t.live(old, now)
-	t.hosts[h.Name] = &peer{Host: h, Status: s, heard: now}
+	t.hosts[h.Name] = &peer{Host: h, Status: s, heard: now, named: now}
 	return changed
 }
 
+// forgetSilent is how long a host that is silent is kept. Hosts of other zones are heard only when they are told something.
+const forgetSilent = 30 * time.Second
+
+// Forget drops hosts that have been silent for long, and returns their names.
+func (t *Table) Forget(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, p := range t.hosts {
+		last := p.named
+		if p.heard.After(last) {
+			last = p.heard
+		}
+		if p.Zone == t.cfg.Self.Zone && now.Sub(last) > forgetSilent {
+			delete(t.hosts, name)
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// introducedPerZone is the number of hosts of another zone that a starting host is told of.
+const introducedPerZone = 3
+
+// Introduce returns the hosts that a host of the given zone should know: all of its zone, some of each other zone, this one's live ones
+// first.
+func (t *Table) Introduce(zone string, now time.Time) []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Host
+	for _, z := range t.zones() {
+		names := t.namesOf(z, now)
+		if z != zone {
+			names = names[:min(introducedPerZone, len(names))]
+		}
+		for _, name := range names {
+			list = append(list, t.hosts[name].Host)
+		}
+	}
+	return list
+}
+
+// namesOf returns the other hosts of a zone in rank, live ones first.
+func (t *Table) namesOf(zone string, now time.Time) []string {
+	var live, rest []string
+	for _, p := range t.hosts {
+		switch {
+		case p.Zone != zone:
+		case t.live(p, now):
+			live = append(live, p.Name)
+		default:
+			rest = append(rest, p.Name)
+		}
+	}
+	return append(rendezvous.Rank(readerKey, live), rendezvous.Rank(readerKey, rest)...)
+}
+
+// Informed returns a host that lives and knows the store, one of this zone if there is any.
+func (t *Table) Informed(now time.Time) (h Host, ownZone, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.hosts {
+		if !p.Status.Informed || !t.live(p, now) {
+			continue
+		}
+		if own := p.Zone == t.cfg.Self.Zone; own || !ok {
+			h, ownZone, ok = p.Host, own, true
+			if own {
+				break
+			}
+		}
+	}
+	return h, ownZone, ok
+}
+
 func (t *Table) live(p *peer, now time.Time) bool {
 	return !p.heard.IsZero() && now.Sub(p.heard) <= time.Duration(t.cfg.Missed)*t.greetLocked()
 }
@@ -205,25 +283,36 @@
 const relaysPerZone = 2
 
 // Relays returns the hosts of other zones that are told what this host has read.
-func (t *Table) Relays() []Host {
+func (t *Table) Relays(now time.Time) []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Host
 	for _, zone := range t.zones()[1:] {
-		var names []string
-		for _, p := range t.hosts {
-			if p.Zone == zone {
-				names = append(names, p.Name)
-			}
-		}
-		ranked := rendezvous.Rank(readerKey, names)
-		for _, name := range ranked[:min(relaysPerZone, len(ranked))] {
+		names := t.namesOf(zone, now)
+		for _, name := range names[:min(relaysPerZone, len(names))] {
 			list = append(list, t.hosts[name].Host)
 		}
 	}
 	return list
 }
 
+// Roster returns the hosts of this zone that live, this one included, if this host is the first in rank to write it down.
+func (t *Table) Roster(now time.Time) (hosts []Host, first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := append(t.liveNames(now), t.cfg.Self.Name)
+	first = rendezvous.First(readerKey, names) == t.cfg.Self.Name
+	slices.Sort(names)
+	for _, name := range names {
+		if name == t.cfg.Self.Name {
+			hosts = append(hosts, t.cfg.Self)
+			continue
+		}
+		hosts = append(hosts, t.hosts[name].Host)
+	}
+	return hosts, first
+}
+
 // offeredKey orders the hosts of a zone for callers.
 const offeredKey = "callers"
 
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -27,7 +27,7 @@
 	for _, t := range tables {
 		for _, z := range zones {
 			for n := range perZone {
-				t.Put(host(n, z))
+				t.Put(host(n, z), start)
 				if z == t.cfg.Self.Zone {
 					t.Greeted(host(n, z), Status{Ready: true}, start)
 				}
@@ -99,7 +99,7 @@
 	now.Started = 5
 	is.True(table.Greeted(now, Status{Ready: true}, start))
 	is.True(!table.Greeted(host(1, "a"), Status{Leaving: true}, start))
-	is.True(!table.Put(host(1, "a")))
+	is.True(!table.Put(host(1, "a"), start))
 	is.True(slices.Contains(table.Addresses(start, 64), "a-1:1"))
 	is.True(!table.Greeted(now, Status{Ready: true}, start)) // nothing new
 	is.Equal(table.Known(), 2)
@@ -108,9 +108,68 @@
 // TestRelays guards the bytes between zones: of each other zone few hosts are told, and of the own zone none.
 func TestRelays(t *testing.T) {
 	is := is.New(t)
-	relays := deployment([]string{"a", "b", "c"}, 5)["a-0"].Relays()
+	relays := deployment([]string{"a", "b", "c"}, 5)["a-0"].Relays(start)
 	is.Equal(len(relays), 2*relaysPerZone)
 	for _, r := range relays {
 		is.True(r.Zone != "a")
 	}
 }
+
+// TestRelaysThatLive guards against updates for a zone that go to hosts which are gone.
+func TestRelaysThatLive(t *testing.T) {
+	is := is.New(t)
+	table := deployment([]string{"a", "b"}, 5)["a-0"]
+	table.Greeted(host(3, "b"), Status{Ready: true}, start)
+	is.Equal(table.Relays(start)[0].Name, "b-3")
+}
+
+// TestIntroduce guards what a starting host is told: all of its zone, few of each other zone.
+func TestIntroduce(t *testing.T) {
+	is := is.New(t)
+	table := deployment([]string{"a", "b", "c"}, 5)["a-0"]
+	count := map[string]int{}
+	for _, h := range table.Introduce("b", start) {
+		count[h.Zone]++
+	}
+	is.Equal(count, map[string]int{"a": introducedPerZone, "b": 5, "c": introducedPerZone})
+}
+
+// TestInformed guards the choice of a peer for a starting host's first state: one of its own zone if there is any.
+func TestInformed(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(DefaultConfig(host(0, "a")))
+	_, _, ok := table.Informed(start)
+	is.True(!ok)
+	table.Greeted(host(1, "b"), Status{Informed: true}, start)
+	table.Greeted(host(2, "a"), Status{}, start)
+	h, own, ok := table.Informed(start)
+	is.True(ok && !own)
+	is.Equal(h.Name, "b-1")
+	table.Greeted(host(3, "a"), Status{Informed: true}, start)
+	h, own, ok = table.Informed(start)
+	is.True(ok && own)
+	is.Equal(h.Name, "a-3")
+}
+
+// TestRosterHasOneWriter guards the calls to the store: of the hosts that see each other one writes the list of the zone.
+func TestRosterHasOneWriter(t *testing.T) {
+	is := is.New(t)
+	writers := 0
+	for _, table := range deployment([]string{"a"}, 5) {
+		hosts, first := table.Roster(start)
+		is.Equal(len(hosts), 5)
+		if first {
+			writers++
+		}
+	}
+	is.Equal(writers, 1)
+}
+
+// TestForgetSilent guards against greetings for hosts that were removed for good.
+func TestForgetSilent(t *testing.T) {
+	is := is.New(t)
+	table := deployment([]string{"a", "b"}, 3)["a-0"]
+	table.Greeted(host(1, "a"), Status{}, start.Add(forgetSilent))
+	is.Equal(table.Forget(start.Add(forgetSilent+1)), []string{"a-2"})
+	is.Equal(len(table.Neighbours()), 1)
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -90,29 +90,39 @@
 	return true
 }
 
-// hostFold learns of hosts in other availability zones, and of neighbours before their first greeting.
+// hostFold learns of hosts from the lists that each availability zone keeps in the store.
 type hostFold struct{ g *Gateway }
 
-func (f hostFold) Apply(r follow.Record, _ bool, _ time.Time) bool {
+func (f hostFold) Apply(r follow.Record, _ bool, now time.Time) bool {
 	if r.Value == nil {
 		return false
 	}
-	var h peers.Host
-	if err := cbor.Unmarshal(r.Value, &h); err != nil {
-		f.g.log.Warn("host_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
+	var hosts []peers.Host
+	if err := cbor.Unmarshal(r.Value, &hosts); err != nil {
+		f.g.log.Warn("hosts_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
 		return false
 	}
-	if !f.g.peers.Put(h) {
-		return false
+	if r.Key == f.g.settings.Zone {
+		f.g.roster.set(hosts)
+	}
+	for _, h := range hosts {
+		f.g.introduced(h, "store", now)
 	}
-	f.g.log.Info("host", "name", h.Name, "zone", h.Zone, "callers", h.Callers, "source", "store")
 	return true
 }
 
 func (f hostFold) Complete(map[string]bool, bool, time.Time) {}
 
+// introduced takes in a host that another one or the store names.
+func (g *Gateway) introduced(h peers.Host, source string, now time.Time) {
+	if g.peers.Put(h, now) {
+		g.log.Info("host", "name", h.Name, "zone", h.Zone, "callers", h.Callers, "source", source)
+	}
+}
+
 func (g *Gateway) updateStatus() {
-	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !g.draining.Load(), Leaving: g.draining.Load()})
+	leaving := g.draining.Load()
+	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, Informed: g.informed.Load()})
 }
 
 // greet tells the neighbours that this host lives.
@@ -125,21 +135,25 @@
 }
 
 func (g *Gateway) greetOnce() {
-	g.sendTo(nil, g.peers.Neighbours())
+	g.send(peerlink.Message{}, addressesOf(g.peers.Neighbours()))
 }
 
 // tell passes on what was read: to the neighbours, and to some hosts of each other zone.
 func (g *Gateway) tell(u follow.Update) {
-	g.sendTo(&u, append(g.peers.Neighbours(), g.peers.Relays()...))
+	g.send(peerlink.Message{Update: &u}, addressesOf(append(g.peers.Neighbours(), g.peers.Relays(time.Now())...)))
 }
 
-func (g *Gateway) sendTo(u *follow.Update, hosts []peers.Host) {
-	self, status := g.peers.Self()
-	var to []string
-	for _, h := range hosts {
-		to = append(to, h.Peers)
+func addressesOf(hosts []peers.Host) []string {
+	addresses := make([]string, len(hosts))
+	for i, h := range hosts {
+		addresses[i] = h.Peers
 	}
-	if err := g.link.Send(&peerlink.Message{From: self, Status: status, Update: u}, to); err != nil {
+	return addresses
+}
+
+func (g *Gateway) send(m peerlink.Message, to []string) {
+	m.From, m.Status = g.peers.Self()
+	if err := g.link.Send(&m, to); err != nil {
 		g.metrics.Add("peer_sends_failed_total", 1)
 		g.log.Debug("peer_send_failed", "error", err)
 	}
@@ -147,20 +161,28 @@
 
 func (g *Gateway) receive(m *peerlink.Message) {
 	now := time.Now()
-	if m.From.Zone == g.settings.Zone {
-		if g.peers.Greeted(m.From, m.Status, now) {
-			g.log.Info("host", "name", m.From.Name, "zone", m.From.Zone, "ready", m.Status.Ready, "leaving", m.Status.Leaving, "source", "greeting")
-		}
-	} else if g.peers.Put(m.From) {
-		g.log.Info("host", "name", m.From.Name, "zone", m.From.Zone, "source", "update")
+	if g.peers.Greeted(m.From, m.Status, now) {
+		g.log.Info("host", "name", m.From.Name, "zone", m.From.Zone, "ready", m.Status.Ready, "leaving", m.Status.Leaving, "source", "message")
+	}
+	for _, h := range m.Hosts {
+		g.introduced(h, m.From.Name, now)
+	}
+	if m.Asks {
+		g.send(peerlink.Message{Hosts: g.peers.Introduce(m.From.Zone, now)}, []string{m.From.Peers})
 	}
 	if m.Update == nil {
 		return
 	}
 	g.metrics.Add("peer_updates_total", 1)
-	if g.follower.Heard(*m.Update, now) && m.From.Zone != g.settings.Zone {
-		g.sendTo(m.Update, g.peers.Neighbours())
+	news := g.follower.Heard(*m.Update, now)
+	if m.From.Zone == g.settings.Zone {
+		return
+	}
+	if news {
+		g.send(peerlink.Message{Update: m.Update}, addressesOf(g.peers.Neighbours()))
 	}
+	// The answer tells the reader that this host lives.
+	g.send(peerlink.Message{}, []string{m.From.Peers})
 }
 
 func (g *Gateway) malformed(from netip.AddrPort, err error) {
@@ -193,3 +215,9 @@
 	s.count("read", err)
 	return records, next, err
 }
+
+func (s countingStore) Append(ctx context.Context, topic, key string, value []byte) error {
+	err := s.Store.Append(ctx, topic, key, value)
+	s.count("append", err)
+	return err
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
@@ -50,6 +49,7 @@
 type Gateway struct {
 	settings *Settings
 	adapter  Adapter
+	store    follow.Store // the adapter's, with counts
 	log      *eventlog.Log
 	metrics  *metrics.Set
 	refusals *refusals.Store
@@ -64,6 +64,8 @@
 	peers     *peers.Table
 	link      *peerlink.Link
 	draining  atomic.Bool
+	informed  atomic.Bool // the state of the store is known
+	roster    roster
 	started   time.Time
 
 	splitMu sync.Mutex
@@ -97,6 +99,7 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals),
 		endpoints: registry.NewTable(lapseGrace), started: time.Now(), split: map[string]float64{}}
+	g.store = countingStore{a.Store, g.metrics}
 	cfg := placement.DefaultConfig()
 	cfg.Zone = s.Zone
 	g.board = placement.NewBoard(cfg)
@@ -111,8 +114,14 @@
 		Asks: placement.NewAskBudget(g.askRate), Endpoints: g.endpoints.Snapshot})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callersShare),
 		MaxBodiesBytes: int64(s.MemoryMB * maxBodiesShare * mebibyte)})
-	g.follower = follow.New(follow.Config{Store: countingStore{a.Store, g.metrics}, Feeds: g.feeds(),
+	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge: func() time.Duration { return g.peers.MaxAge(time.Now()) }, Tell: g.tell,
+		Read: func(r follow.ReadInfo) {
+			if !g.informed.Swap(true) {
+				g.updateStatus()
+			}
+			g.log.Info("store_read", "reason", r.Reason, "age_ms", ms(r.Age), "took_ms", ms(r.Took), "topics", r.Feeds, "records", r.Records)
+		},
 		Lost:     func(err error) { g.log.Warn("store_lost", "error", err) },
 		Regained: func(away time.Duration) { g.log.Info("store_regained", "away_ms", away.Milliseconds()) },
 		Failed:   g.endpoints.Hold})
@@ -165,6 +174,7 @@
 	group.Go(func() error { g.greet(running); return nil })
 	group.Go(func() error { g.start(running); return nil })
 	group.Go(func() error { g.sweep(running); return nil })
+	group.Go(func() error { g.keepRoster(running); return nil })
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
 	<-ctx.Done()
 	g.drain(callers)
@@ -196,34 +206,6 @@
 	return known && g.routes.Load() != nil && !g.draining.Load()
 }
 
-// start announces this host in the store and follows it.
-func (g *Gateway) start(ctx context.Context) {
-	self, _ := g.peers.Self()
-	record, err := cbor.Marshal(self)
-	if err != nil {
-		g.log.Warn("announcement_failed", "error", err)
-	}
-	go func() {
-		for ctx.Err() == nil {
-			appendCtx, cancel := context.WithTimeout(ctx, announceTimeout)
-			err := g.adapter.Store.Append(appendCtx, g.adapter.HostTopic, self.Name, record)
-			cancel()
-			if err == nil {
-				g.log.Info("announced", "topic", g.adapter.HostTopic)
-				return
-			}
-			g.log.Warn("announcement_failed", "error", err)
-			pause(ctx, announcePause)
-		}
-	}()
-	g.follower.Run(ctx)
-}
-
-const (
-	announceTimeout = 2 * time.Second
-	announcePause   = time.Second
-)
-
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -244,6 +226,9 @@
 		if n%4 == 0 {
 			g.pool.CloseIdle(now)
 			g.board.Forget(forgetUnused, now)
+			for _, name := range g.peers.Forget(now) {
+				g.log.Info("host", "name", name, "state", "forgotten")
+			}
 		}
 	}
 }
--- a/internal/gateway/side.go
+++ b/internal/gateway/side.go
@@ -21,7 +21,10 @@
 	lookup := func() ([]string, time.Duration) {
 		return g.peers.Addresses(time.Now(), maxResolved), time.Duration(g.settings.AddressLifetimeS * float64(time.Second))
 	}
+	state := http.NewServeMux()
+	state.HandleFunc("GET "+statePath, g.serveState)
 	servers := []sideServer{
+		{g.settings.StateAddress, state, sideIdle},
 		{g.settings.ReadyAddress, g.adapter.Ready(g.ready), sideIdle},
 		{g.settings.DirectoryAddress, g.adapter.Directory(lookup), sideIdle},
 	}
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -3,7 +3,10 @@
 package peerlink
 
 import (
+	"bytes"
+	"compress/flate"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 
@@ -19,6 +22,10 @@
 	From   peers.Host     `cbor:"1,keyasint"`
 	Status peers.Status   `cbor:"2,keyasint"`
 	Update *follow.Update `cbor:"3,keyasint,omitempty"`
+	// Hosts introduces other hosts.
+	Hosts []peers.Host `cbor:"4,keyasint,omitempty"`
+	// Asks wants an answer with introductions.
+	Asks bool `cbor:"5,keyasint,omitempty"`
 }
 
 // maxDatagram bounds what is read.
@@ -44,7 +51,7 @@
 
 // Send sends a message to each address. An address that cannot be parsed or reached is passed over: its host greets again.
 func (l *Link) Send(m *Message, to []string) error {
-	data, err := cbor.Marshal(m)
+	data, err := encode(m)
 	if err != nil {
 		return trace.Wrap(err, "encode a message")
 	}
@@ -74,7 +81,7 @@
 			continue
 		}
 		var m Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+		if err := decode(buf[:n], &m); err != nil {
 			malformed(from, err)
 			continue
 		}
@@ -82,5 +89,59 @@
 	}
 }
 
+// First byte of a datagram.
+const (
+	plain      = 0
+	compressed = 1
+)
+
+const (
+	// compressAbove is the size in bytes from which compression saves more than it costs.
+	compressAbove = 1000
+	// maxMessage bounds a message after decompression.
+	maxMessage = 1 << 20
+)
+
+func encode(m *Message) ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) <= compressAbove {
+		return append([]byte{plain}, data...), nil
+	}
+	var out bytes.Buffer
+	out.WriteByte(compressed)
+	zw, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := zw.Write(data); err != nil {
+		return nil, err
+	}
+	err = zw.Close()
+	return out.Bytes(), err
+}
+
+var errForeign = trace.BadParameter("the datagram is no message of an entry host")
+
+func decode(data []byte, m *Message) error {
+	if len(data) == 0 {
+		return errForeign
+	}
+	body := data[1:]
+	switch data[0] {
+	case plain:
+	case compressed:
+		var err error
+		if body, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxMessage)); err != nil {
+			return err
+		}
+	default:
+		return errForeign
+	}
+	return cbor.Unmarshal(body, m)
+}
+
 // Close ends Receive.
 func (l *Link) Close() error { return l.conn.Close() }
--- /dev/null
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -0,0 +1,46 @@
+package peerlink
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+)
+
+// TestMessages guards small and large messages between two hosts, and that a datagram of somebody else is told and does no harm.
+func TestMessages(t *testing.T) {
+	is := is.New(t)
+	l, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	received, malformed := make(chan Message, 1), make(chan error, 1)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- l.Receive(func(m *Message) { received <- *m }, func(_ netip.AddrPort, err error) { malformed <- err })
+	}()
+	other, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	defer other.Close()
+	to := l.conn.LocalAddr().String()
+	for _, size := range []int{1, 20_000} {
+		m := Message{From: peers.Host{Name: "h", Zone: "z"}, Status: peers.Status{Ready: true}, Update: &follow.Update{AgeMS: 5,
+			Feeds: []follow.FeedUpdate{{Topic: "t", From: 1, Next: 2, Records: []follow.Record{{Key: "k", Value: []byte(strings.Repeat("x", size)), Offset: 1}}}}}}
+		is.NoErr(other.Send(&m, []string{to}))
+		is.Equal(<-received, m)
+	}
+	is.True(other.Send(&Message{}, []string{"nowhere"}) != nil)
+	conn, err := net.Dial("udp", to)
+	is.NoErr(err)
+	defer conn.Close()
+	for _, data := range []string{"\x07abc", "\x01abc", "\x00\xff"} {
+		_, err = conn.Write([]byte(data))
+		is.NoErr(err)
+		is.True(<-malformed != nil)
+	}
+	is.NoErr(l.Close())
+	is.NoErr(<-ended)
+}
