Offer callers the hosts of a zone by size and demand

Cause: two hosts of a zone were offered whatever their size. Ruled out: all hosts (small ones are slow whatever their load, and know little); repeating large hosts in the answer (callers may drop duplicates).

--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -3,6 +3,7 @@
 package peers
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -13,12 +14,13 @@
 
 // Host describes one process of an entry host. It is kept in the store and told in greetings.
 type Host struct {
-	Name    string `cbor:"1,keyasint" json:"name"`
-	Zone    string `cbor:"2,keyasint" json:"zone"`
-	Started int64  `cbor:"3,keyasint" json:"started"` // Unix milliseconds; a later start replaces an earlier one
-	Callers string `cbor:"4,keyasint" json:"callers"` // IP:port for callers
-	Peers   string `cbor:"5,keyasint" json:"peers"`   // IP:port for messages between hosts, over UDP
-	State   string `cbor:"6,keyasint" json:"state"`   // IP:port that serves the host's state to starting hosts, over TCP
+	Name    string  `cbor:"1,keyasint" json:"name"`
+	Zone    string  `cbor:"2,keyasint" json:"zone"`
+	Started int64   `cbor:"3,keyasint" json:"started"` // Unix milliseconds; a later start replaces an earlier one
+	Callers string  `cbor:"4,keyasint" json:"callers"` // IP:port for callers
+	Peers   string  `cbor:"5,keyasint" json:"peers"`   // IP:port for messages between hosts, over UDP
+	State   string  `cbor:"6,keyasint" json:"state"`   // IP:port that serves the host's state to starting hosts, over TCP
+	Cores   float64 `cbor:"7,keyasint" json:"cores"`   // processor cores that the process may use
 }
 
 // Status is what a host says of itself in a greeting.
@@ -27,6 +29,8 @@
 	Leaving bool `cbor:"2,keyasint"`
 	// Informed says that the host has learned the state of the store, whatever it holds.
 	Informed bool `cbor:"3,keyasint"`
+	// Rate is the number of requests a second that the host has taken lately.
+	Rate int `cbor:"4,keyasint"`
 }
 
 // Config of a Table.
@@ -38,8 +42,14 @@
 	GreetPerHost time.Duration
 	// Missed is the number of greetings that may be missed before a host counts as gone.
 	Missed int
-	// Offered is the number of hosts of a zone that callers are told of.
-	Offered int
+	// MinOffered is the least number of hosts of a zone that callers are told of, so that the loss of one leaves another.
+	MinOffered int
+	// OfferedShare of the zone's processor cores is offered at least, since the demand is not known at the start.
+	OfferedShare float64
+	// RequestCost is the processor time of one request, with the questions to endpoints, and BusyShare the part of a host's time that
+	// requests should take. More hosts are offered when the zone's requests would take more.
+	RequestCost time.Duration
+	BusyShare   float64
 	// AgeFirst is how old the knowledge of the first-ranked host becomes before it reads the store; each further zone waits AgePerZone
 	// longer, and each further host of a zone AgePerHost.
 	AgeFirst, AgePerZone, AgePerHost time.Duration
@@ -50,7 +60,8 @@
 // DefaultConfig returns the figures used in production. A leaving endpoint has to be known within 2 s: the first host reads each 0.65 s,
 // and the third in rank would notice after 1.15 s that the first two do not.
 func DefaultConfig(self Host) Config {
-	return Config{Self: self, Greet: 200 * time.Millisecond, GreetPerHost: 10 * time.Millisecond, Missed: 4, Offered: 2,
+	return Config{Self: self, Greet: 200 * time.Millisecond, GreetPerHost: 10 * time.Millisecond, Missed: 4, MinOffered: 2, OfferedShare: 0.2,
+		RequestCost: 1400 * time.Microsecond, BusyShare: 0.35,
 		AgeFirst: 650 * time.Millisecond, AgePerZone: 150 * time.Millisecond, AgePerHost: 250 * time.Millisecond, AgeLongest: 1300 * time.Millisecond}
 }
 
@@ -230,11 +241,11 @@
 	return len(t.hosts) + 1
 }
 
-// Serving returns the number of hosts that callers are told of, over all zones.
-func (t *Table) Serving() int {
+// Serving returns the number of hosts that callers are told of, over all zones, if the other zones are like this one.
+func (t *Table) Serving(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return min(len(t.hosts)+1, t.cfg.Offered*len(t.zones()))
+	return max(1, len(t.offered(now))) * len(t.zones())
 }
 
 // Live returns the names of the neighbours that were heard recently, ordered.
@@ -316,33 +327,58 @@
 // offeredKey orders the hosts of a zone for callers.
 const offeredKey = "callers"
 
-// Addresses returns addresses for callers: the first Offered hosts in rank of those that are ready in this zone. Few hosts that take
-// many requests each know the endpoints' load better than many hosts that take few. If no host of the zone is ready, the hosts of other
-// zones that the store names are offered.
-func (t *Table) Addresses(now time.Time, most int) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	callers := map[string]string{}
+// offered returns the hosts of this zone that callers are told of: few large ones, which take many requests each and so know the
+// endpoints' load better than many small ones, but enough of them for the requests of the zone. Callers use them evenly.
+func (t *Table) offered(now time.Time) []Host {
+	ready := map[string]Host{}
+	rate, cores := 0, 0.0
 	if t.status.Ready && !t.status.Leaving {
-		callers[t.cfg.Self.Name] = t.cfg.Self.Callers
+		ready[t.cfg.Self.Name] = t.cfg.Self
 	}
+	rate += t.status.Rate
 	for _, p := range t.hosts {
-		if p.Zone == t.cfg.Self.Zone && t.live(p, now) && p.Ready && !p.Leaving {
-			callers[p.Name] = p.Callers
+		if p.Zone != t.cfg.Self.Zone || !t.live(p, now) {
+			continue
+		}
+		rate += p.Rate
+		if p.Ready && !p.Leaving {
+			ready[p.Name] = p.Host
 		}
 	}
-	offered := t.cfg.Offered
-	if len(callers) == 0 {
-		offered = most
+	var ranked []Host
+	for _, name := range rendezvous.Rank(offeredKey, slices.Collect(maps.Keys(ready))) {
+		ranked = append(ranked, ready[name])
+		cores += ready[name].Cores
+	}
+	slices.SortStableFunc(ranked, func(a, b Host) int { return cmp.Compare(b.Cores, a.Cores) })
+	need := float64(rate) * t.cfg.RequestCost.Seconds() / t.cfg.BusyShare // cores
+	sum := 0.0
+	for i, h := range ranked {
+		sum += h.Cores
+		n := i + 1
+		// The smallest host gets as many requests as the largest.
+		if n >= t.cfg.MinOffered && sum >= t.cfg.OfferedShare*cores && h.Cores*float64(n) >= need {
+			return ranked[:n]
+		}
+	}
+	return ranked
+}
+
+// Addresses returns addresses for callers. If no host of the zone is ready, the hosts of other zones that are known are offered.
+func (t *Table) Addresses(now time.Time, most int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for _, h := range t.offered(now) {
+		list = append(list, h.Callers)
+	}
+	if len(list) == 0 {
 		for _, p := range t.hosts {
 			if p.Zone != t.cfg.Self.Zone {
-				callers[p.Name] = p.Callers
+				list = append(list, p.Callers)
 			}
 		}
+		slices.Sort(list)
 	}
-	var list []string
-	for _, name := range rendezvous.Rank(offeredKey, slices.Collect(maps.Keys(callers))) {
-		list = append(list, callers[name])
-	}
-	return list[:min(most, offered, len(list))]
+	return list[:min(most, len(list))]
 }
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -13,7 +13,7 @@
 
 func host(n int, zone string) Host {
 	name := fmt.Sprintf("%s-%d", zone, n)
-	return Host{Name: name, Zone: zone, Started: 1, Callers: name + ":1", Peers: name + ":2", State: name + ":3"}
+	return Host{Name: name, Zone: zone, Started: 1, Callers: name + ":1", Peers: name + ":2", State: name + ":3", Cores: 0.3}
 }
 
 // deployment returns the tables of all hosts, each of which has heard its neighbours and read of all others.
@@ -70,7 +70,7 @@
 	tables := deployment([]string{"a", "b"}, 4)
 	table := tables["a-0"]
 	offered := table.Addresses(start, 64)
-	is.Equal(len(offered), DefaultConfig(Host{}).Offered)
+	is.Equal(len(offered), DefaultConfig(Host{}).MinOffered)
 	for _, other := range []string{"a-1", "a-2", "a-3"} {
 		is.Equal(tables[other].Addresses(start, 64), offered)
 	}
@@ -173,3 +173,33 @@
 	is.Equal(table.Forget(start.Add(forgetSilent+1)), []string{"a-2"})
 	is.Equal(len(table.Neighbours()), 1)
 }
+
+// TestOfferedBySize answers zones of few large and many small hosts: the large ones are offered while they can carry the requests, and
+// small ones besides when they cannot, or when a large one is gone.
+func TestOfferedBySize(t *testing.T) {
+	is := is.New(t)
+	self := host(0, "a")
+	self.Cores = 0.16
+	table := NewTable(DefaultConfig(self))
+	table.SetStatus(Status{Ready: true})
+	greet := func(n int, cores float64, rate int) {
+		h := host(n, "a")
+		h.Cores = cores
+		table.Greeted(h, Status{Ready: true, Rate: rate}, start)
+	}
+	for n := 1; n <= 30; n++ {
+		greet(n, 0.16, 0)
+	}
+	greet(31, 0.8, 0)
+	greet(32, 0.8, 0)
+	is.Equal(len(table.Addresses(start, 64)), 2)
+	greet(31, 0.8, 150)
+	greet(32, 0.8, 150)
+	is.Equal(len(table.Addresses(start, 64)), 2) // 300 a second are 0.42 cores of work
+	greet(31, 0.8, 300)
+	greet(32, 0.8, 300)
+	addresses := table.Addresses(start, 64)
+	is.Equal(len(addresses), 15) // 600 a second need 2.4 cores at 35%, and each gets the same number
+	is.True(slices.Contains(addresses, "a-31:1") && slices.Contains(addresses, "a-32:1"))
+	is.Equal(table.Serving(start), 15)
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -122,9 +124,42 @@
 
 func (g *Gateway) updateStatus() {
 	leaving := g.draining.Load()
-	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, Informed: g.informed.Load()})
+	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, Informed: g.informed.Load(), Rate: int(math.Round(g.rate()))})
 }
 
+// rateMemory is the time over which the rate of requests is averaged.
+const rateMemory = 2 * time.Second
+
+// rateMeter averages the arrivals of requests.
+type rateMeter struct {
+	mu    sync.Mutex
+	value float64 // requests a second
+	seen  int64
+	at    time.Time
+}
+
+// rate returns the number of requests a second that this host has taken lately.
+func (g *Gateway) rate() float64 {
+	m := &g.meter
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, count := time.Now(), g.arrivals.Load()
+	passed := now.Sub(m.at)
+	if m.at.IsZero() || passed < minRateSample {
+		if m.at.IsZero() {
+			m.at = now
+		}
+		return m.value
+	}
+	weight := 1 - math.Exp(-passed.Seconds()/rateMemory.Seconds())
+	m.value += weight * (float64(count-m.seen)/passed.Seconds() - m.value)
+	m.seen, m.at = count, now
+	return m.value
+}
+
+// minRateSample keeps single requests from looking like a burst.
+const minRateSample = 100 * time.Millisecond
+
 // greet tells the neighbours that this host lives.
 func (g *Gateway) greet(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,8 +64,10 @@
 	peers     *peers.Table
 	link      *peerlink.Link
 	draining  atomic.Bool
-	informed  atomic.Bool // the state of the store is known
+	arrivals  atomic.Int64 // requests since the start
+	informed  atomic.Bool  // the state of the store is known
 	roster    roster
+	meter     rateMeter
 	started   time.Time
 
 	splitMu sync.Mutex
@@ -107,7 +109,7 @@
 	upstreams.Dialect, upstreams.IdleTimeout, upstreams.ConnectTimeout = a.Dialect, upstreamIdle, upstreamConnect
 	g.pool = upstreamconn.NewPool(upstreams)
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
-		Callers: s.CallerAddress, Peers: s.PeerAddress, State: s.StateAddress}))
+		Callers: s.CallerAddress, Peers: s.PeerAddress, State: s.StateAddress, Cores: s.Cores}))
 	repeats := placement.NewRepeats(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.peers.Known)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Asker: g.pool, Board: g.board, Repeats: repeats,
@@ -133,7 +135,7 @@
 
 // askRate returns this host's part of the questions that the endpoints may be asked, in questions a second.
 func (g *Gateway) askRate() float64 {
-	return asksUsed * g.settings.AsksPerS * float64(g.endpoints.Snapshot().Total) / float64(g.peers.Serving())
+	return asksUsed * g.settings.AsksPerS * float64(g.endpoints.Snapshot().Total) / float64(g.peers.Serving(time.Now()))
 }
 
 func (g *Gateway) limits() routing.Limits {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -42,6 +42,8 @@
 	AddressLifetimeS float64 `json:"address_lifetime_s"`
 	// MaxDescriptors is what the process may open.
 	MaxDescriptors int `json:"max_descriptors"`
+	// Cores is the number of processor cores that the process may use, as a fraction.
+	Cores float64 `json:"cores"`
 	// MemoryMB is what the process may use.
 	MemoryMB float64 `json:"memory_mb"`
 	// LogLevel is debug, info, warn or error. Empty means info.
@@ -105,6 +107,7 @@
 	s.GraceS = cmp.Or(s.GraceS, defaultGraceS)
 	s.AddressLifetimeS = cmp.Or(s.AddressLifetimeS, defaultLifetimeS)
 	s.MaxDescriptors = cmp.Or(s.MaxDescriptors, defaultFiles)
+	s.Cores = cmp.Or(s.Cores, 1)
 	s.MemoryMB = cmp.Or(s.MemoryMB, defaultMemory)
 	check(s.RepeatRatio >= 0 && s.RepeatRatio <= maxPercent, "repeat_ratio is %v: use 0 to %d", s.RepeatRatio, maxPercent)
 	check(s.RepeatBurst >= 0, "repeat_burst is %v: use 0 or more requests", s.RepeatBurst)
@@ -112,6 +115,7 @@
 	check(s.AsksPerS > 0, "asks_per_s is %v: use more than 0", s.AsksPerS)
 	check(s.GraceS >= minGraceS && s.GraceS <= maxGraceS, "grace_s is %v: use %d to %d seconds", s.GraceS, minGraceS, maxGraceS)
 	check(s.AddressLifetimeS > 0, "address_lifetime_s is %v: use more than 0 seconds", s.AddressLifetimeS)
+	check(s.Cores > 0, "cores is %v: use more than 0", s.Cores)
 	check(s.MaxDescriptors >= minFiles, "max_descriptors is %d: use at least %d", s.MaxDescriptors, minFiles)
 	check(s.MemoryMB >= minMemory, "memory_mb is %v: use at least %d", s.MemoryMB, minMemory)
 	level, err := log.ParseLevel(s.LogLevel)
