Recover faster after a restart of all hosts, and keep idle connections alive with questions

Change: each host draws its patience, large ones hardly wait, and a host that knows the store greets its neighbours at once; a gap in the list of hosts is no reason to read; questions take the connection that has been idle for longest.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -34,6 +34,8 @@
 	Copy      keys.Copy // as stated by the caller; a number above 0 is a repeat
 	Key       string    // idempotency key, or empty
 	Host      string    // Host header; empty means the endpoint's address
+	// Refresh takes the connection that has been idle for longest instead of the newest one, which keeps it from being closed.
+	Refresh bool
 	// RetainBody is called before Body is handed to a connection, and the function that it returns once the connection no
 	// longer reads it, which can be after the call has ended. Nil if Body is never reused.
 	RetainBody func() (release func())
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -50,6 +50,8 @@
 	// Every is the number of refreshes between two reads of the topic. Peers tell changes of some topics at once, so that these need
 	// no frequent reads.
 	Every int
+	// Additive says that missed records are made good in other ways, so that a gap is no reason to read the store.
+	Additive bool
 }
 
 // Update is what a host tells its peers after it has read the store.
@@ -462,7 +464,7 @@
 		if u.Next <= f.positions[i] {
 			return true
 		}
-		if u.Cut || u.From > f.positions[i] || f.positions[i] < 0 {
+		if !f.cfg.Feeds[i].Additive && (u.Cut || u.From > f.positions[i] || f.positions[i] < 0) {
 			return false
 		}
 		for _, rec := range u.Records {
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -326,3 +326,20 @@
 	_, ok = newHost(s, time.Second).State(time.Now())
 	is.True(!ok)
 }
+
+// TestAdditiveFeed guards against a read by every host because of a gap in a topic whose records are learned in other ways too.
+func TestAdditiveFeed(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	a, b := newHost(s, time.Second), newHost(s, time.Second)
+	b.cfg.Feeds[0].Additive = true
+	is.NoErr(a.Refresh(t.Context()))
+	is.NoErr(b.Refresh(t.Context()))
+	s.put("x", "1")
+	is.NoErr(a.Refresh(t.Context())) // b does not hear of it
+	s.put("y", "2")
+	is.NoErr(a.Refresh(t.Context()))
+	is.True(b.Heard(a.told[len(a.told)-1], time.Now()))
+	is.Equal(b.fold.values, map[string]string{"y": "2"})
+	is.True(b.due(time.Now()) > 0)
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -22,7 +22,7 @@
 	return []follow.Feed{
 		{Topic: g.adapter.EndpointTopic, Fold: endpointFold{g}, Every: 1},
 		{Topic: g.adapter.ContractTopic, Fold: contractFold{g}, Every: 1},
-		{Topic: g.adapter.HostTopic, Fold: hostFold{g}, Every: hostFeedEvery},
+		{Topic: g.adapter.HostTopic, Fold: hostFold{g}, Every: hostFeedEvery, Additive: true},
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 		Read: func(r follow.ReadInfo) {
 			if !g.informed.Swap(true) {
 				g.updateStatus()
+				g.greetOnce() // starting neighbours may wait for a host that knows the store
 			}
 			g.log.Info("store_read", "reason", r.Reason, "age_ms", ms(r.Age), "took_ms", ms(r.Took), "topics", r.Feeds, "records", r.Records)
 		},
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -30,6 +30,8 @@
 	StoreAddress     string `json:"store_address"`     // the platform's store
 	// Seeds are the state addresses of some hosts, which may be down.
 	Seeds []string `json:"seeds"`
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool `json:"first_start"`
 	// RepeatRatio, RepeatBurst and RepeatWindowS bound what all hosts together send beyond the first arrival of each request.
 	RepeatRatio   float64 `json:"repeat_ratio"`
 	RepeatBurst   float64 `json:"repeat_burst"`    // requests
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -4,6 +4,7 @@
 	"compress/gzip"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -21,12 +22,19 @@
 const (
 	// statePath serves this host's knowledge to starting hosts.
 	statePath = "/v1/state"
-	// startPatience is how long a starting host looks for a peer that knows the store, before it reads the store itself.
-	startPatience = 300 * time.Millisecond
-	// ownZonePatience is how long it prefers a peer of its own zone.
-	ownZonePatience = 100 * time.Millisecond
-	// startRetry is the time between two questions to the seeds.
-	startRetry = 25 * time.Millisecond
+	// firstPatience is how long a host looks for a peer that knows the store when the whole system starts for the first time, before it
+	// reads the store itself. Callers come seconds later.
+	firstPatience = time.Second
+	// restartPatience bounds the same at any other start. Each host draws its own time, so that after a restart of all hosts one of a
+	// zone reads first and tells the others; large hosts, which take most callers, hardly wait.
+	restartPatience = 250 * time.Millisecond
+	largePatience   = 20 * time.Millisecond
+	largeCores      = 0.5
+	// ownZoneShare of the time a peer of the own zone is preferred.
+	ownZoneShare = 0.5
+	// startPoll is the time between two looks at who has answered, and askEvery the number of looks between two questions to the seeds.
+	startPoll = 10 * time.Millisecond
+	askEvery  = 4
 	// stateTimeout bounds the transfer.
 	stateTimeout = 250 * time.Millisecond
 	// maxState bounds a state after decompression.
@@ -41,16 +49,29 @@
 	g.follower.Run(ctx)
 }
 
-// startFromPeer asks the seeds for their hosts, and a host that is ready for its state. All hosts of a deployment may start at once: if
-// each read the store, its rate would be used up.
+// startPatience returns how long this start looks for a peer.
+func (g *Gateway) startPatience() time.Duration {
+	switch {
+	case g.settings.FirstStart:
+		return firstPatience
+	case g.settings.Cores >= largeCores:
+		return rand.N(largePatience)
+	}
+	return rand.N(restartPatience)
+}
+
+// startFromPeer asks the seeds for their hosts, and a host that knows the store for its state. All hosts of a deployment may start at
+// once: if each read the store, its rate would be used up.
 func (g *Gateway) startFromPeer(ctx context.Context) {
 	begin := time.Now()
-	seeds := g.seedPeers()
-	for len(seeds) > 0 && ctx.Err() == nil && time.Since(begin) < startPatience {
-		g.send(peerlink.Message{Asks: true}, seeds)
-		pause(ctx, startRetry)
+	patience, seeds := g.startPatience(), g.seedPeers()
+	for n := 0; ctx.Err() == nil && time.Since(begin) < patience; n++ {
+		if n%askEvery == 0 {
+			g.send(peerlink.Message{Asks: true}, seeds)
+		}
+		pause(ctx, startPoll)
 		h, own, ok := g.peers.Informed(time.Now())
-		if !ok || (!own && time.Since(begin) < ownZonePatience) {
+		if !ok || (!own && time.Since(begin) < time.Duration(ownZoneShare*float64(patience))) {
 			continue
 		}
 		state, err := fetchState(ctx, h)
@@ -60,8 +81,9 @@
 		}
 		if g.follower.Install(state, time.Now()) {
 			g.informed.Store(true)
-			g.updateStatus()
 			g.log.Info("state_fetched", "from", h.Name, "zone", h.Zone, "age_ms", state.AgeMS, "took_ms", ms(time.Since(begin)))
+			g.updateStatus()
+			g.greetOnce()
 		}
 		return
 	}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -7,6 +7,7 @@
 	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,16 +94,20 @@
 
 func (c *conn) close() { c.http.Close() }
 
-// get returns an idle connection to the endpoint, or nil. The newest is preferred, because it is most likely alive.
-func (p *Pool) get(id endpoints.ID, now time.Time) *conn {
+// get returns an idle connection to the endpoint, or nil. The newest is preferred, because it is most likely alive; oldest takes the one
+// that has been idle for longest.
+func (p *Pool) get(id endpoints.ID, now time.Time, oldest bool) *conn {
 	sh := p.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	list := sh.idle[id]
 	for len(list) > 0 {
-		c := list[len(list)-1]
-		list[len(list)-1] = nil
-		list = list[:len(list)-1]
+		at := len(list) - 1
+		if oldest {
+			at = 0
+		}
+		c := list[at]
+		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
 		if now.Sub(c.idleAt) < p.cfg.IdleTimeout && c.http.Err() == nil && c.raw.take() {
 			return c
