Weigh endpoints that lose answers by what a failure costs the request

Change: the rate weighs 4 times the expected time for requests that can be repeated and 12 times for others, ends no search for an endpoint, and fades in 3 s without outcomes. Ruled out: leaving them out entirely (they answer most requests, and under load they are needed).

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -95,9 +95,9 @@
 			candidates = append(candidates, i)
 		}
 	}
-	best, expected := cfg.Best(views, candidates, r.work)
+	best, expected := cfg.Best(views, candidates, r.work, r.c.Route.Idempotent)
 	for n, round := range cfg.Rounds(views, avoid, r.f.cfg.Random) {
-		if (waiting && n > 0) || (best >= 0 && cfg.Good(expected, r.work)) || ctx.Err() != nil {
+		if (waiting && n > 0) || (best >= 0 && cfg.Good(&views[best], expected, r.work)) || ctx.Err() != nil {
 			break
 		}
 		allowed := r.f.cfg.Asks.Take(len(round), time.Now())
@@ -106,7 +106,7 @@
 			break
 		}
 		candidates = append(candidates, r.ask(ctx, views, round[:allowed])...)
-		best, expected = cfg.Best(views, candidates, r.work)
+		best, expected = cfg.Best(views, candidates, r.work, r.c.Route.Idempotent)
 	}
 	if best < 0 && r.result.Unasked > 0 {
 		return r.withoutAsking(cfg, views, avoid)
@@ -124,7 +124,7 @@
 		return nil, 0
 	}
 	candidates := slices.Concat(rounds...)
-	best, expected := cfg.Best(views, candidates[:min(2, len(candidates))], r.work)
+	best, expected := cfg.Best(views, candidates[:min(2, len(candidates))], r.work, r.c.Route.Idempotent)
 	return &views[best], expected
 }
 
@@ -163,7 +163,7 @@
 			}
 			v := &views[got.index]
 			v.Load, v.LoadAge, v.Since = got.load, 0, 0
-			if len(answered) == 0 || cfg.Good(cfg.Expected(v, r.work), r.work) {
+			if len(answered) == 0 || cfg.Good(v, cfg.Expected(v, r.work), r.work) {
 				patience.Reset(othersPatience)
 			}
 			answered = append(answered, got.index)
--- a/internal/coordination/placement/board.go
+++ b/internal/coordination/placement/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"math"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	own          int
 	since        int // sends less ends since the load was told
 	failing      float64
+	failingAt    time.Time
 	suspectUntil time.Time
 	suspectFor   time.Duration
 	askedAt      time.Time // of a question without an answer yet; zero if there is none
@@ -62,6 +64,11 @@
 	f(s)
 }
 
+// faded returns the failure rate, which fades while there are no outcomes: an endpoint that is avoided could never show that it is well.
+func (s *stat) faded(now time.Time) float64 {
+	return s.failing * math.Exp(-now.Sub(s.failingAt).Seconds()/failureFades.Seconds())
+}
+
 // Views returns what is known of the endpoints.
 func (b *Board) Views(list []registry.Endpoint, now time.Time) []View {
 	views := make([]View, len(list))
@@ -79,7 +86,7 @@
 			v.Load, v.LoadAge = s.load, now.Sub(s.loadAt)
 		}
 		v.Asked = !s.askedAt.IsZero()
-		v.Own, v.Since, v.Failing, v.Suspect = s.own, s.since, s.failing, now.Before(s.suspectUntil)
+		v.Own, v.Since, v.Failing, v.Suspect = s.own, s.since, s.faded(now), now.Before(s.suspectUntil)
 	})
 	return v
 }
@@ -140,7 +147,8 @@
 		if failed {
 			sample = 1
 		}
-		s.failing += failureMemory * (sample - s.failing)
+		s.failing = s.faded(now) + failureMemory*(sample-s.faded(now))
+		s.failingAt = now
 	})
 }
 
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -52,8 +52,13 @@
 	// usualSlowness is expected of an endpoint that has not told its load for reportLife.
 	usualSlowness = 2.0
 	reportLife    = 150 * time.Millisecond
-	// failureMemory weighs one outcome in an endpoint's failure rate.
+	// failureMemory weighs one outcome in an endpoint's failure rate, which fades with failureFades while nothing is sent there.
 	failureMemory = 0.2
+	failureFades  = 3 * time.Second
+	// repeatCost is what a failure costs a request that can be sent again, in parts of its expected time, and lossCost what it costs one
+	// that cannot: its caller gets nothing.
+	repeatCost = 4
+	lossCost   = 12
 	// suspectFirst is how long an endpoint that could not be reached is left alone, doubling up to suspectLongest.
 	suspectFirst   = 250 * time.Millisecond
 	suspectLongest = 2 * time.Second
@@ -105,8 +110,6 @@
 	if ahead := busy - slots + 1; ahead > 0 {
 		expected += turn * float64(ahead) / float64(slots)
 	}
-	// A request that fails is sent again, so it costs at least one more turn.
-	expected *= 1 + 2*v.Failing
 	if !v.Local {
 		expected += float64(c.RemotePenalty)
 	}
@@ -176,20 +179,30 @@
 	return out
 }
 
-// Best returns the index of the view with the shortest expected time among the candidates, or -1.
-func (c *Config) Best(views []View, candidates []int, work time.Duration) (int, time.Duration) {
-	best, shortest := -1, time.Duration(0)
+// Best returns the index of the best candidate, or -1, and its expected time. The best one has the shortest expected time, weighed with
+// what its failures cost the request.
+func (c *Config) Best(views []View, candidates []int, work time.Duration, idempotent bool) (int, time.Duration) {
+	failure := float64(lossCost)
+	if idempotent {
+		failure = repeatCost
+	}
+	best, least, bestExpected := -1, 0.0, time.Duration(0)
 	for _, i := range candidates {
-		if e := c.Expected(&views[i], work); best < 0 || e < shortest {
-			best, shortest = i, e
+		expected := c.Expected(&views[i], work)
+		cost := float64(expected) * (1 + failure*views[i].Failing)
+		if best < 0 || cost < least {
+			best, least, bestExpected = i, cost, expected
 		}
 	}
-	return best, shortest
+	return best, bestExpected
 }
 
-// Good reports whether an expected time ends the asking.
-func (c *Config) Good(expected, work time.Duration) bool {
-	return float64(expected) <= float64(work)*c.GoodEnough
+// goodFailing is the failure rate above which an endpoint does not end the asking.
+const goodFailing = 0.05
+
+// Good reports whether an endpoint with the expected time ends the asking.
+func (c *Config) Good(v *View, expected, work time.Duration) bool {
+	return float64(expected) <= float64(work)*c.GoodEnough && v.Failing <= goodFailing
 }
 
 // Random is the source of randomness in production.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -256,6 +256,6 @@
 const (
 	// drainAcceptShare of the grace time new connections are taken, since callers keep addresses for seconds.
 	drainAcceptShare = 0.5
-	// drainShare of the grace time is used; the process is killed at its end.
-	drainShare = 0.95
+	// drainShare of the grace time is used. The rest is for the end of the process, which is killed when the grace time is over.
+	drainShare = 0.86
 )
