--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -177,6 +177,16 @@
 	g.metrics.Add("endpoints_asked_total", int64(res.Asked))
 	g.metrics.Add("endpoints_asked_unanswered_total", int64(res.Unanswered))
 	g.metrics.Add("sends_total", int64(len(res.Attempts)))
+	g.metrics.Observe("request_duration_priority_"+strconv.Itoa(c.Route.Priority), took)
+	g.metrics.Add("waits_total", int64(res.Waits))
+	for i := range res.Attempts {
+		if res.Attempts[i].Hedge {
+			g.metrics.Add("hedges_total", 1)
+		}
+	}
+	if len(res.Attempts) > 0 {
+		g.metrics.Observe("choice_duration", res.Attempts[0].After)
+	}
 	age, _ := g.follower.Age(time.Now())
 	fields := []any{"id", id, "outcome", res.Outcome, "route", c.Route.Name, "service", c.Service.Name, "took_ms", ms(took),
 		"left_ms", ms(time.Until(c.Due)), "config", t.Version, "store_age_ms", age.Milliseconds(), "endpoints", res.Candidates,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		Callers: s.CallerAddress, Peers: s.PeerAddress, State: s.StateAddress, Cores: s.Cores}))
 	repeats := placement.NewRepeats(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
-		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.peers.Known)
+		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatSharers)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Asker: g.pool, Board: g.board, Repeats: repeats,
 		Asks: placement.NewAskBudget(g.askRate), Endpoints: g.endpoints.Snapshot})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callersShare),
@@ -131,6 +131,12 @@
 	return g
 }
 
+// repeatSharers returns the number of hosts that share the burst of repeats. Most requests come to the hosts that callers are told of;
+// the others serve those who hold older addresses, and hold half a share.
+func (g *Gateway) repeatSharers() int {
+	return (g.peers.Serving(time.Now()) + g.peers.Known() + 1) / 2
+}
+
 // asksUsed is the part of the allowed questions that is used. What is left covers hosts that callers use though they are not offered.
 const asksUsed = 0.85
 
--- a/internal/state/refusals/refusals.go
+++ b/internal/state/refusals/refusals.go
@@ -11,7 +11,7 @@
 // Reason is a stable code. Callers may branch on it.
 type Reason string
 
-// Reasons for a refusal. docs/OPERATORS.md explains each.
+// Reasons for a refusal. docs/OPERATIONS.md explains each.
 const (
 	CredentialsMissing     Reason = "credentials_missing"
 	CredentialsWrong       Reason = "credentials_wrong"
