--- a/cmd/arbutusspan/gateway.go
+++ b/cmd/arbutusspan/gateway.go
@@ -22,8 +22,12 @@
 	return &cli.Command{
 		Name:  "gateway",
 		Usage: "run one entry host on the users' platform",
-		Flags: []cli.Flag{settings},
+		Flags: []cli.Flag{settings, &cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool("check") {
+				_, err := gateway.LoadSettings(c.String("settings"))
+				return err
+			}
 			return runGateway(ctx, c.String("settings"))
 		},
 	}
@@ -49,7 +53,15 @@
 			logger.Info("reload", "outcome", "kept", "detail", "settings of a running host do not change; restart it for new ones")
 		}
 	}()
-	if err := gateway.New(settings, platform.New(settings.StoreAddress), logger).Run(ctx); err != nil {
+	g := gateway.New(settings, platform.New(settings.StoreAddress), logger)
+	dumps := make(chan os.Signal, 1)
+	signal.Notify(dumps, syscall.SIGUSR1)
+	go func() {
+		for range dumps {
+			g.LogDump()
+		}
+	}()
+	if err := g.Run(ctx); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	return nil
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -13,6 +14,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/gateway"
+	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
 )
 
 // unreachable is a loopback address on which nothing listens; port 1 is reserved.
@@ -146,3 +150,41 @@
 	table.add(3300.0000000000005, 0.25, 27, "x")
 	is.Equal(table.rows[0], []string{"3300", "0.25", "27", "x"})
 }
+
+// TestGatewayCommands guards the commands for hosts on the users' platform: a host that does not answer does not hide the others, and a
+// refusal is found at whichever host keeps it.
+func TestGatewayCommands(t *testing.T) {
+	is := is.New(t)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+gateway.DumpPath, func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(gateway.Dump{Host: "edge-1", Zone: "a", Configuration: 7, Endpoints: []gateway.EndpointDump{{Name: "i-1", Service: "lotdesk", Slowness: 2.5}}})
+	})
+	mux.HandleFunc("GET "+gateway.RefusalsPath+"known", func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(problem.Document{RequestID: "known", Detail: "no endpoint had room"})
+	})
+	up := httptest.NewServer(mux)
+	defer up.Close()
+	down := httptest.NewServer(mux)
+	down.Close()
+	at := []string{"--at", down.Listener.Addr().String(), "--at", up.Listener.Addr().String()}
+	run := func(args ...string) (string, error) {
+		var out bytes.Buffer
+		err := New(&out).Run(t.Context(), append([]string{"arbutusctl", "gateway"}, args...))
+		return out.String(), err
+	}
+	out, err := run(append([]string{"status"}, at...)...)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "edge-1"))
+	out, err = run(append([]string{"endpoints"}, at...)...)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "i-1") && strings.Contains(out, "2.5"))
+	out, err = run(append(append([]string{"explain"}, at[2:]...), "known")...)
+	is.NoErr(err)
+	is.True(strings.Contains(out, "no endpoint had room"))
+	for want, args := range map[int][]string{ExitNotFound: append(append([]string{"explain"}, at[2:]...), "unknown"), ExitUnavailable: append([]string{"status"}, at[:2]...)} {
+		_, err = run(args...)
+		var e *Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Code, want)
+	}
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -23,7 +23,7 @@
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Usage: "`FORMAT` of results: table or json", Value: "table", Validator: validOutput},
 			&cli.DurationFlag{Name: "timeout", Usage: "give up after this `TIME`", Value: 15 * time.Second},
 		},
-		Commands: []*cli.Command{contractCommand(), limitsCommand(), statusCommand(), stateCommand(), refusalCommand(), hostCommand(), upstreamsCommand()},
+		Commands: []*cli.Command{contractCommand(), limitsCommand(), statusCommand(), stateCommand(), refusalCommand(), hostCommand(), upstreamsCommand(), gatewayCommand()},
 		// Errors and exit codes are the caller's, so that tests can run commands.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
+)
+
+// Paths on the metrics address.
+const (
+	MetricsPath  = "/metrics"
+	DumpPath     = "/v1/dump"
+	RefusalsPath = "/v1/refusals/" // and the request id
+)
+
+// Dump is what a host knows and believes. It holds no secrets.
+type Dump struct {
+	Host              string         `json:"host"`
+	Zone              string         `json:"zone"`
+	Ready             bool           `json:"ready"`
+	Draining          bool           `json:"draining"`
+	UptimeS           int64          `json:"uptime_s"`
+	Configuration     uint64         `json:"configuration"` // version in force; 0 if none is known
+	StoreAgeMS        int64          `json:"store_age_ms"`  // of the view of the store
+	StoreAwayMS       int64          `json:"store_away_ms"` // how long the store has not answered this host; 0 if it answers
+	ActiveRequests    int64          `json:"active_requests"`
+	CallerConnections int            `json:"caller_connections"`
+	Offered           []string       `json:"offered"` // addresses that callers are told
+	LiveHosts         []string       `json:"live_hosts"`
+	Endpoints         []EndpointDump `json:"endpoints"`
+}
+
+// EndpointDump is an endpoint as this host sees it.
+type EndpointDump struct {
+	Service   string  `json:"service"`
+	Name      string  `json:"name"`
+	Address   string  `json:"address"`
+	Zone      string  `json:"zone"`
+	Slots     int     `json:"slots"`
+	Running   int     `json:"running"`
+	Waiting   int     `json:"waiting"`
+	Slowness  float64 `json:"slowness"`
+	LoadAgeMS int64   `json:"load_age_ms"` // of the three figures before; -1 if none are known
+	Own       int     `json:"own"`         // requests of this host that it works on
+	Failing   float64 `json:"failing"`     // share of recent requests that failed
+	Suspect   bool    `json:"suspect"`     // could not be reached recently
+}
+
+// dump collects the state of this host.
+func (g *Gateway) dump(now time.Time) Dump {
+	age, _ := g.follower.Age(now)
+	d := Dump{Host: g.settings.Host, Zone: g.settings.Zone, Ready: g.ready(), Draining: g.draining.Load(), UptimeS: int64(now.Sub(g.started).Seconds()),
+		StoreAgeMS: ms(age), StoreAwayMS: ms(g.follower.Down(now)), ActiveRequests: g.callers.Active(), CallerConnections: g.callers.Connections(),
+		Offered: g.peers.Addresses(now, maxResolved), LiveHosts: g.peers.Live(now)}
+	if t := g.routes.Load(); t != nil {
+		d.Configuration = t.Version
+	}
+	for service, list := range g.endpoints.Snapshot().Services {
+		for _, v := range g.board.Views(list, now) {
+			e := EndpointDump{Service: service, Name: v.Name, Address: v.Address, Zone: v.Zone, Slots: v.Slots, LoadAgeMS: -1, Own: v.Own,
+				Failing: v.Failing, Suspect: v.Suspect}
+			if v.LoadAge >= 0 {
+				e.Running, e.Waiting, e.Slowness, e.LoadAgeMS = v.Load.Running, v.Load.Waiting, v.Load.Slowness, ms(v.LoadAge)
+			}
+			d.Endpoints = append(d.Endpoints, e)
+		}
+	}
+	return d
+}
+
+// operators answers questions of operators on the metrics address.
+func (g *Gateway) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the reader is gone; so below.
+		_, _ = w.Write([]byte(g.metrics.String()))
+	})
+	mux.HandleFunc("GET "+DumpPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.dump(time.Now())) })
+	mux.HandleFunc("GET "+RefusalsPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		refusal, ok := g.refusals.Get(r.PathValue("id"))
+		if !ok {
+			http.Error(w, "no refusal with this request id is kept on this host", http.StatusNotFound)
+			return
+		}
+		writeJSON(w, problem.New(refusal))
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// LogDump writes the state of this host to the log, one line for the host and one for each endpoint.
+func (g *Gateway) LogDump() {
+	d := g.dump(time.Now())
+	g.log.Info("dump", "ready", d.Ready, "configuration", d.Configuration, "store_age_ms", d.StoreAgeMS, "store_away_ms", d.StoreAwayMS,
+		"active", d.ActiveRequests, "connections", d.CallerConnections, "offered", d.Offered, "live_hosts", d.LiveHosts)
+	for _, e := range d.Endpoints {
+		g.log.Info("dump_endpoint", "service", e.Service, "name", e.Name, "running", e.Running, "waiting", e.Waiting, "slowness", e.Slowness,
+			"load_age_ms", e.LoadAgeMS, "own", e.Own, "failing", e.Failing, "suspect", e.Suspect)
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -301,6 +301,40 @@
 	is.Equal(figures["configuration_version"], 3.0)
 }
 
+// TestOperators guards what operators see of a host: its state, and why a request was refused.
+func TestOperators(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 3, "/lots/")
+	h := d.start(t)
+	waitFor(t, "readiness", h.ready)
+	h.call(t, "/lots/1", "r1")
+	h.call(t, "/other/1", "r2")
+	get := func(path string, into any) int {
+		resp, err := http.Get("http://" + h.settings.MetricsAddress + path)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			is.NoErr(json.NewDecoder(resp.Body).Decode(into))
+		}
+		return resp.StatusCode
+	}
+	var dump Dump
+	is.Equal(get(DumpPath, &dump), http.StatusOK)
+	is.True(dump.Ready)
+	is.Equal(dump.Configuration, uint64(3))
+	is.Equal(len(dump.Endpoints), 1)
+	is.Equal(dump.Endpoints[0].Name, "e-1")
+	is.True(dump.Endpoints[0].LoadAgeMS >= 0)
+	is.Equal(dump.Offered, []string{h.settings.CallerAddress})
+	var doc problem.Document
+	is.Equal(get(RefusalsPath+"r2", &doc), http.StatusOK)
+	is.Equal(doc.Reason, refusals.RouteUnknown)
+	is.Equal(get(RefusalsPath+"r1", &doc), http.StatusNotFound)
+	h.gateway.LogDump()
+	waitFor(t, "the dump in the log", func() bool { return strings.Contains(d.logged(), "msg=dump_endpoint") })
+}
+
 // TestConfigurationNeverGoesBack guards against an older version that arrives late.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/side.go
+++ b/internal/gateway/side.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 	"time"
-
-	"github.com/justinas/alice"
 )
 
 // sideServer is a server beside the callers' one.
@@ -29,13 +27,7 @@
 		{g.settings.DirectoryAddress, g.adapter.Directory(lookup), sideIdle},
 	}
 	if g.settings.MetricsAddress != "" {
-		mux := http.NewServeMux()
-		mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Content-Type", "application/json")
-			// A failed write means that the reader is gone.
-			_, _ = w.Write([]byte(g.metrics.String()))
-		})
-		servers = append(servers, sideServer{g.settings.MetricsAddress, alice.New().Then(mux), sideIdle})
+		servers = append(servers, sideServer{g.settings.MetricsAddress, g.operators(), sideIdle})
 	}
 	return servers
 }
