--- a/internal/coordination/forward/hedge.go
+++ b/internal/coordination/forward/hedge.go
@@ -7,13 +7,13 @@
 
 const (
 	// hedgeFirst is when a request is looked at again, in parts of its usual duration. Most requests have ended by then.
-	hedgeFirst = 1.3
+	hedgeFirst = 1.6
 	// hedgeAgain is the time between further looks.
 	hedgeAgain = 0.5
 	// hedgeSlow is the slowness at which an endpoint is no longer waited for.
 	hedgeSlow = 2
 	// hedgeLate is the time, in parts of the usual duration, after which a request is repeated wherever it runs.
-	hedgeLate = 2.5
+	hedgeLate = 3
 	// minCheck bounds how often a request is looked at.
 	minCheck = 10 * time.Millisecond
 )
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -40,13 +40,13 @@
 
 // DefaultConfig returns the figures used in production.
 func DefaultConfig() Config {
-	return Config{FirstAsked: 3, NextAsked: 4, MaxRounds: 3, ReuseAge: 25 * time.Millisecond, GoodEnough: 1.25, RemotePenalty: 10 * time.Millisecond}
+	return Config{FirstAsked: 3, NextAsked: 4, MaxRounds: 3, ReuseAge: 25 * time.Millisecond, GoodEnough: 1.5, RemotePenalty: 10 * time.Millisecond}
 }
 
 const (
 	// nearlyFull is the share of busy slots above which endpoints tend to slow down, and nearlyFullFactor by how much.
 	nearlyFull       = 0.8
-	nearlyFullFactor = 1.2
+	nearlyFullFactor = 1.0
 	// warmUpFactor is by how much an endpoint is slower in the first seconds after its start.
 	warmUpFactor = 2.0
 	// usualSlowness is expected of an endpoint that has not told its load for reportLife.
