--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -46,7 +46,7 @@
 const (
 	// nearlyFull is the share of busy slots above which endpoints tend to slow down, and nearlyFullFactor by how much.
 	nearlyFull       = 0.8
-	nearlyFullFactor = 1.0
+	nearlyFullFactor = 1.2
 	// warmUpFactor is by how much an endpoint is slower in the first seconds after its start.
 	warmUpFactor = 2.0
 	// usualSlowness is expected of an endpoint that has not told its load for reportLife.
