--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,15 +3,14 @@
 package gateway
 
 import (
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/jsonfile"
 )
 
 // Settings is the JSON settings file of `arbutusspan gateway`.
@@ -72,15 +71,9 @@
 
 // LoadSettings reads and validates a settings file.
 func LoadSettings(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
 	var s Settings
-	if err := dec.Decode(&s); err != nil {
-		return nil, trace.BadParameter("settings %s: %v; see docs/CONFIG.md", path, err)
+	if err := jsonfile.Load(path, &s); err != nil {
+		return nil, err
 	}
 	return &s, trace.Wrap(s.Validate(), "settings %s", path)
 }
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -2,11 +2,8 @@
 package host
 
 import (
-	"bytes"
-	"encoding/json"
 	"net/netip"
 	"net/url"
-	"os"
 	"regexp"
 	"slices"
 
@@ -14,6 +11,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/balancer/policies"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/dispatch"
+	"github.com/arbutusspan/arbutusspan/internal/state/jsonfile"
 	"github.com/arbutusspan/arbutusspan/internal/transport/admin"
 )
 
@@ -83,15 +81,9 @@
 
 // LoadSettings reads and validates a settings file.
 func LoadSettings(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
 	var s Settings
-	if err := dec.Decode(&s); err != nil {
-		return nil, trace.BadParameter("settings %s: %v; see docs/CONFIG.md", path, err)
+	if err := jsonfile.Load(path, &s); err != nil {
+		return nil, err
 	}
 	if err := s.Validate(); err != nil {
 		return nil, trace.Wrap(err, "settings %s", path)
