Simplify the forwarder after a newcomer's reading

place() waits in a function of its own; a repeat that is not sent gives its budget back; lines of requests tell the age of the load that a choice rested on. The rank of a route among those of its service is gone with its test (MostUrgent): no decision uses it since the last slot is no longer kept for urgent requests; the queue orders by priority.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -10,60 +10,62 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
-// place finds an endpoint for the request and waits for room if there is none.
-func (r *run) place(ctx context.Context, hedge bool) (view placement.View, expected time.Duration, ok bool) {
+// place finds an endpoint for the request, and waits for room if there is none. A repeat has nothing to wait for: it goes out if it can
+// still be answered.
+func (r *run) place(ctx context.Context, repeat bool) (view placement.View, expected time.Duration, ok bool) {
 	queue := r.f.queue(r.c.Service.Name)
 	var waiter *placement.Waiter
+	defer func() {
+		if waiter != nil {
+			queue.Leave(waiter)
+			if !ok {
+				queue.Released() // the wake-up may have been for another request
+			}
+		}
+	}()
 	for {
 		best, expected := r.choose(ctx, waiter != nil)
 		now := time.Now()
-		d := placement.Demand{Work: r.work, Target: r.late.Sub(now), Left: r.c.Due.Sub(now), Waited: now.Sub(r.c.Arrived), Urgent: r.c.Urgent}
-		if hedge || len(r.tried) > 0 {
-			// A repeat has nothing to wait for: it goes out if it can still be answered.
-			return deref(best), expected, best != nil && expected <= d.Left
+		d := placement.Demand{Work: r.work, Target: r.late.Sub(now), Left: r.c.Due.Sub(now), Waited: now.Sub(r.c.Arrived)}
+		if repeat {
+			if best == nil || expected > d.Left {
+				return placement.View{}, 0, false
+			}
+			return *best, expected, true
 		}
 		verdict := r.f.cfg.Board.Config().Admit(best, expected, d)
 		if r.result.Candidates == 0 {
 			verdict = placement.Refuse // nothing to wait for
 		}
-		switch {
-		case verdict == placement.Send:
-			if waiter != nil {
-				queue.Leave(waiter)
-			}
+		if verdict == placement.Send {
 			return *best, expected, true
-		case verdict == placement.Refuse || ctx.Err() != nil:
-			if waiter != nil {
-				queue.Leave(waiter)
-				queue.Released() // the wake-up may have been for another one
-			}
+		}
+		if verdict == placement.Refuse || ctx.Err() != nil {
 			r.refuse(best, expected, ctx.Err() != nil)
 			return placement.View{}, 0, false
 		}
 		if waiter == nil {
 			waiter = queue.Join(r.c.Route.Priority, r.late)
 		}
-		r.result.Waits++
-		timer := time.NewTimer(waitAgain)
-		select {
-		case <-waiter.Wake:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		r.wait(ctx, waiter)
 	}
 }
 
-// waitAgain is how long a waiting request waits for a wake-up before it looks again: other hosts use the endpoints too.
-const waitAgain = 15 * time.Millisecond
-
-func deref(v *placement.View) placement.View {
-	if v == nil {
-		return placement.View{}
+// wait returns when an endpoint may have room.
+func (r *run) wait(ctx context.Context, w *placement.Waiter) {
+	r.result.Waits++
+	timer := time.NewTimer(waitAgain)
+	defer timer.Stop()
+	select {
+	case <-w.Wake:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return *v
 }
 
+// waitAgain is how long a waiting request waits for a wake-up before it looks again: other hosts use the endpoints too.
+const waitAgain = 15 * time.Millisecond
+
 // refuse notes why no endpoint was found.
 func (r *run) refuse(best *placement.View, expected time.Duration, gone bool) {
 	switch {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -53,8 +53,6 @@
 	*executor.Call
 	Route   *routing.Route
 	Service *routing.Service
-	// Urgent says that no other route of the service is more urgent.
-	Urgent bool
 	// Due is when the caller or the route stops waiting.
 	Due time.Time
 	// Arrived is when the request was read.
@@ -148,7 +146,6 @@
 	sends    int
 	cancels  []context.CancelFunc
 	last     *sendResult // the newest failure
-	answered bool
 }
 
 type sendResult struct {
@@ -208,7 +205,7 @@
 			if r.running > 0 {
 				continue
 			}
-			if !r.mayRepeat(ctx) || !r.next(ctx, false) {
+			if !r.repeat(ctx) {
 				r.fail(ctx)
 				return
 			}
@@ -252,7 +249,6 @@
 }
 
 func (r *run) answer(got sendResult) {
-	r.answered = true
 	r.result.Outcome, r.result.Response, r.result.Body, r.result.Rest = Answered, got.resp, got.body, got.rest
 	r.cancels[got.attempt] = nil
 }
@@ -262,18 +258,22 @@
 	return r.sends < r.c.Route.MaxAttempts && time.Until(r.c.Due) > r.work/2
 }
 
-// mayRepeat decides whether the request is sent again after all sends have failed.
-func (r *run) mayRepeat(ctx context.Context) bool {
+// repeat sends the request again after all sends have failed, if that is safe and paid for. It reports whether a send was started.
+func (r *run) repeat(ctx context.Context) bool {
 	if ctx.Err() != nil || (r.possible && !r.c.Route.Idempotent) || !r.canRepeat() || len(r.tried) > connectWaits {
 		return false
 	}
 	if r.sends == 0 {
-		return true // nothing arrived anywhere
+		return r.next(ctx, false) // nothing arrived anywhere, so the budget is not touched
 	}
 	if !r.f.cfg.Repeats.Take(r.c.Service.Name, time.Now()) {
 		r.result.Detail = "the repeat budget is used up"
 		return false
 	}
+	if !r.next(ctx, false) {
+		r.f.cfg.Repeats.GiveBack(r.c.Service.Name, time.Now())
+		return false
+	}
 	return true
 }
 
@@ -302,7 +302,7 @@
 
 // next finds an endpoint and sends. It reports whether a send was started.
 func (r *run) next(ctx context.Context, hedge bool) bool {
-	view, expected, ok := r.place(ctx, hedge)
+	view, expected, ok := r.place(ctx, hedge || len(r.tried) > 0)
 	if !ok || ctx.Err() != nil {
 		if ok && r.last == nil && !hedge {
 			r.result.Outcome, r.result.RetryAfter = RefusedUnsent, idleRetryAfter
@@ -369,8 +369,7 @@
 	}
 	now := time.Now()
 	var se *executor.SendError
-	switch {
-	case errors.As(got.err, &se):
+	if errors.As(got.err, &se) {
 		got.written = se.Written
 	}
 	switch {
@@ -380,7 +379,6 @@
 		f.cfg.Board.Withdrawn(v.ID, now)
 		f.cfg.Board.Unreachable(v.ID, now)
 	case got.err != nil:
-		got.resp = nil
 		f.cfg.Board.Ended(v.ID, true, now)
 	default:
 		f.cfg.Board.Ended(v.ID, got.resp.Refused || got.resp.Status >= http.StatusInternalServerError, now)
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -119,7 +119,7 @@
 func request(idempotent bool) *Call {
 	now := time.Now()
 	return &Call{Route: &routing.Route{Name: "lookup", Idempotent: idempotent, TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Priority: 1},
-		Service: &routing.Service{Name: "lotdesk", HealthPath: "/health"}, Due: now.Add(500 * time.Millisecond), Arrived: now, Urgent: true,
+		Service: &routing.Service{Name: "lotdesk", HealthPath: "/health"}, Due: now.Add(500 * time.Millisecond), Arrived: now,
 		Call: &executor.Call{RequestID: "r1", Method: "GET", Path: "/x"}}
 }
 
--- a/internal/coordination/placement/admit.go
+++ b/internal/coordination/placement/admit.go
@@ -8,7 +8,6 @@
 	Target time.Duration // left until the answer is late
 	Left   time.Duration // left until nobody waits for it
 	Waited time.Duration // since the request was read
-	Urgent bool          // no other route of the service is more urgent
 }
 
 // Verdict says what happens to a request now.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -70,7 +70,7 @@
 	}
 	service := table.Service(route.Pick(g.share(route.Name)))
 	due := r.ReadAt.Add(patience)
-	call := &forward.Call{Route: route, Service: service, Due: due, Arrived: r.ReadAt, Urgent: table.MostUrgent(route), Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
+	call := &forward.Call{Route: route, Service: service, Due: due, Arrived: r.ReadAt, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: callerapi.EndToEnd(r.Header, nil), Body: r.Body, Deadline: due, Host: r.Host}}
 	res := g.forwarder.Run(ctx, call)
 	g.logRequest(ctx, r, id, table, call, res)
@@ -194,7 +194,7 @@
 	for i := range res.Attempts {
 		a := &res.Attempts[i]
 		fields = append(fields, "to", a.Endpoint, "at_ms", ms(a.After), "ran_ms", ms(a.Took), "expected_ms", ms(a.Expected),
-			"running", a.Load.Running, "waiting", a.Load.Waiting, "slowness", a.Load.Slowness, "hedge", a.Hedge, "result", a.Result)
+			"running", a.Load.Running, "waiting", a.Load.Waiting, "slowness", a.Load.Slowness, "load_age_ms", ms(a.LoadAge), "hedge", a.Hedge, "result", a.Result)
 	}
 	if res.Response != nil {
 		fields = append(fields, "status", res.Response.Status)
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -62,12 +62,11 @@
 	Limits   Limits
 	routes   map[string][]*Route // by host, longest prefix first
 	services map[string]*Service
-	urgent   map[string]int // the most urgent priority among the routes of a service
 }
 
 // New checks a configuration. The error names each wrong field.
 func New(c Config) (*Table, error) {
-	t := &Table{Version: c.Version, Limits: c.Limits.withDefaults(), routes: map[string][]*Route{}, services: map[string]*Service{}, urgent: map[string]int{}}
+	t := &Table{Version: c.Version, Limits: c.Limits.withDefaults(), routes: map[string][]*Route{}, services: map[string]*Service{}}
 	var errs []error
 	for i := range c.Services {
 		s := &c.Services[i]
@@ -84,11 +83,6 @@
 		}
 		r.Host = strings.ToLower(r.Host)
 		t.routes[r.Host] = append(t.routes[r.Host], r)
-		for _, s := range r.Split {
-			if p, ok := t.urgent[s.Service]; !ok || r.Priority < p {
-				t.urgent[s.Service] = r.Priority
-			}
-		}
 	}
 	for _, list := range t.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -144,16 +138,6 @@
 	return nil
 }
 
-// MostUrgent reports whether no route of the route's services is more urgent.
-func (t *Table) MostUrgent(r *Route) bool {
-	for _, s := range r.Split {
-		if t.urgent[s.Service] < r.Priority {
-			return false
-		}
-	}
-	return true
-}
-
 // Service returns what is known of a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -40,15 +40,6 @@
 	is.Equal(r.Pick(0), "pricebook") // a weight of 0 gets nothing
 }
 
-// TestMostUrgent guards the order between the routes of one service.
-func TestMostUrgent(t *testing.T) {
-	is := is.New(t)
-	table, err := New(config())
-	is.NoErr(err)
-	is.True(table.MostUrgent(table.Match("shop.example", "/lots/1")))
-	is.True(!table.MostUrgent(table.Match("shop.example", "/x")))
-}
-
 // TestFaultyRoutes guards against a fault in one route that takes others with it, and against errors that do not name the field.
 func TestFaultyRoutes(t *testing.T) {
 	for want, change := range map[string]func(*Route){
