--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -54,25 +53,6 @@
 	Additive bool
 }
 
-// Update is what a host tells its peers after it has read the store.
-type Update struct {
-	AgeMS     int64        `cbor:"1,keyasint"` // since the read began
-	Disturbed bool         `cbor:"2,keyasint"` // the store was unavailable shortly before
-	Feeds     []FeedUpdate `cbor:"3,keyasint"`
-	// Partial says that another update with the rest of what was read follows.
-	Partial bool `cbor:"4,keyasint,omitempty"`
-}
-
-// FeedUpdate covers the offsets From to Next of a topic. Records that changed nothing are left out.
-type FeedUpdate struct {
-	Topic   string   `cbor:"1,keyasint"`
-	From    int64    `cbor:"2,keyasint"`
-	Next    int64    `cbor:"3,keyasint"`
-	Records []Record `cbor:"4,keyasint,omitempty"`
-	// Cut says that records are left out because they are too large. The receiver reads them itself.
-	Cut bool `cbor:"5,keyasint,omitempty"`
-}
-
 // Config of a Follower.
 type Config struct {
 	Store Store
@@ -302,34 +282,6 @@
 	return nil
 }
 
-// split divides what was read into updates that fit into a datagram each.
-func split(feeds []FeedUpdate) []Update {
-	updates := []Update{{}}
-	size := 0
-	for _, fu := range feeds {
-		part := FeedUpdate{Topic: fu.Topic, From: fu.From, Next: fu.Next}
-		for _, rec := range fu.Records {
-			n := len(rec.Key) + len(rec.Value)
-			if size > 0 && size+n > toldBytes {
-				part.Next = rec.Offset
-				last := &updates[len(updates)-1]
-				last.Feeds, last.Partial = append(last.Feeds, part), true
-				updates = append(updates, Update{})
-				part, size = FeedUpdate{Topic: fu.Topic, From: rec.Offset, Next: fu.Next}, 0
-			}
-			if n > toldBytes || len(updates) > toldParts {
-				part.Cut = true
-			} else {
-				part.Records = append(part.Records, rec)
-				size += n
-			}
-		}
-		last := &updates[len(updates)-1]
-		last.Feeds = append(last.Feeds, part)
-	}
-	return updates[:min(len(updates), toldParts+1)]
-}
-
 func (f *Follower) disturbed(now time.Time) bool {
 	return !f.lastFailure.IsZero() && now.Sub(f.lastFailure) < disturbedFor
 }
@@ -378,105 +330,6 @@
 	return f.cfg.Feeds[i].Fold.Apply(rec, disturbed, now)
 }
 
-// State is all that a host knows of the store. It lets a starting host begin without calls to the store.
-type State struct {
-	AgeMS int64       `cbor:"1,keyasint"`
-	Feeds []FeedState `cbor:"2,keyasint"`
-}
-
-// FeedState is a topic's newest records, and the offset from which to read on.
-type FeedState struct {
-	Topic   string   `cbor:"1,keyasint"`
-	Next    int64    `cbor:"2,keyasint"`
-	Records []Record `cbor:"3,keyasint"`
-}
-
-// State returns what this host knows, or false if it knows nothing yet.
-func (f *Follower) State(now time.Time) (*State, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.asOf.IsZero() {
-		return nil, false
-	}
-	s := &State{AgeMS: now.Sub(f.asOf).Milliseconds()}
-	for i := range f.cfg.Feeds {
-		records := slices.SortedFunc(maps.Values(f.newest[i]), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
-		s.Feeds = append(s.Feeds, FeedState{Topic: f.cfg.Feeds[i].Topic, Next: f.positions[i], Records: records})
-	}
-	return s, true
-}
-
-// Install takes in a peer's state. It reports whether this host knew nothing before.
-func (f *Follower) Install(s *State, received time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.asOf.IsZero() {
-		return false
-	}
-	for _, fs := range s.Feeds {
-		for i := range f.cfg.Feeds {
-			if f.cfg.Feeds[i].Topic != fs.Topic {
-				continue
-			}
-			for _, rec := range fs.Records {
-				f.apply(i, rec, false, received)
-			}
-			f.positions[i] = fs.Next
-		}
-	}
-	f.asOf = received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
-	return true
-}
-
-// Heard takes in a peer's update. It reports whether the update was news to this host.
-func (f *Follower) Heard(u Update, sent time.Time) bool {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	asOf := sent.Add(-time.Duration(u.AgeMS) * time.Millisecond)
-	if f.asOf.IsZero() || !asOf.After(f.asOf) {
-		return false
-	}
-	if u.Disturbed {
-		f.lastFailure = now
-	}
-	for _, fu := range u.Feeds {
-		if !f.hear(fu, u.Disturbed, now) {
-			f.behind = true
-		}
-	}
-	if f.behind {
-		f.poke()
-		return true
-	}
-	if !u.Partial {
-		f.asOf = asOf
-	}
-	return true
-}
-
-// hear takes in one feed of a peer's update. It fails if records are missing in between.
-func (f *Follower) hear(u FeedUpdate, disturbed bool, now time.Time) bool {
-	for i := range f.cfg.Feeds {
-		if f.cfg.Feeds[i].Topic != u.Topic {
-			continue
-		}
-		if u.Next <= f.positions[i] {
-			return true
-		}
-		if !f.cfg.Feeds[i].Additive && (u.Cut || u.From > f.positions[i] || f.positions[i] < 0) {
-			return false
-		}
-		for _, rec := range u.Records {
-			if rec.Offset >= f.positions[i] {
-				f.apply(i, rec, disturbed, now)
-			}
-		}
-		f.positions[i] = u.Next
-	}
-	return true
-}
-
 // poke makes Run look again.
 func (f *Follower) poke() {
 	select {
--- /dev/null
+++ b/internal/coordination/follow/state.go
@@ -0,0 +1,58 @@
+package follow
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// State is all that a host knows of the store. It lets a starting host begin without calls to the store.
+type State struct {
+	AgeMS int64       `cbor:"1,keyasint"`
+	Feeds []FeedState `cbor:"2,keyasint"`
+}
+
+// FeedState is a topic's newest records, and the offset from which to read on.
+type FeedState struct {
+	Topic   string   `cbor:"1,keyasint"`
+	Next    int64    `cbor:"2,keyasint"`
+	Records []Record `cbor:"3,keyasint"`
+}
+
+// State returns what this host knows, or false if it knows nothing yet.
+func (f *Follower) State(now time.Time) (*State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asOf.IsZero() {
+		return nil, false
+	}
+	s := &State{AgeMS: now.Sub(f.asOf).Milliseconds()}
+	for i := range f.cfg.Feeds {
+		records := slices.SortedFunc(maps.Values(f.newest[i]), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+		s.Feeds = append(s.Feeds, FeedState{Topic: f.cfg.Feeds[i].Topic, Next: f.positions[i], Records: records})
+	}
+	return s, true
+}
+
+// Install takes in a peer's state. It reports whether this host knew nothing before.
+func (f *Follower) Install(s *State, received time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.asOf.IsZero() {
+		return false
+	}
+	for _, fs := range s.Feeds {
+		for i := range f.cfg.Feeds {
+			if f.cfg.Feeds[i].Topic != fs.Topic {
+				continue
+			}
+			for _, rec := range fs.Records {
+				f.apply(i, rec, false, received)
+			}
+			f.positions[i] = fs.Next
+		}
+	}
+	f.asOf = received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+	return true
+}
--- /dev/null
+++ b/internal/coordination/forward/send.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+)
+
+// sendOnce sends the request to one endpoint and reads the answer.
+func (f *Forwarder) sendOnce(ctx context.Context, v placement.View, c *executor.Call, route *routing.Route) sendResult {
+	start := time.Now()
+	f.cfg.Board.Sent(v.ID, start)
+	got := sendResult{endpoint: v.Endpoint, written: true}
+	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
+	if got.err == nil {
+		got.body, got.rest, got.err = readAnswer(got.resp)
+	}
+	now := time.Now()
+	var se *executor.SendError
+	if errors.As(got.err, &se) {
+		got.written = se.Written
+	}
+	switch {
+	case got.err != nil && ctx.Err() != nil:
+		f.cfg.Board.Withdrawn(v.ID, now)
+	case got.err != nil && !got.written:
+		f.cfg.Board.Withdrawn(v.ID, now)
+		f.cfg.Board.Unreachable(v.ID, now)
+	case got.err != nil:
+		f.cfg.Board.Ended(v.ID, true, now)
+	default:
+		f.cfg.Board.Ended(v.ID, got.resp.Refused || got.resp.Status >= http.StatusInternalServerError, now)
+		if got.resp.Slots > 0 {
+			f.cfg.Board.Reported(v.Endpoint.Endpoint, LoadOf(got.resp), now)
+		}
+		if got.resp.Replaced {
+			f.cfg.Board.Unreachable(v.ID, now)
+		}
+		if !got.resp.Refused && got.resp.Status < http.StatusInternalServerError {
+			f.work.observe(route, now.Sub(start), v.Load)
+		}
+	}
+	if got.err != nil {
+		got.resp = nil
+	}
+	f.queue(v.Service).Released()
+	return got
+}
+
+// readAnswer reads an answer up to maxBuffered bytes. rest holds what follows.
+func readAnswer(resp *executor.Response) (body []byte, rest io.ReadCloser, err error) {
+	if resp.Length > maxBuffered {
+		return nil, resp.Body, nil
+	}
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	if err == nil && len(body) > maxBuffered {
+		return body, resp.Body, nil
+	}
+	resp.Body.Close()
+	return body, nil, err
+}
+
+// LoadOf returns the load that an answer tells, with Slots 0 if it tells none.
+func LoadOf(r *executor.Response) placement.Load {
+	l := placement.Load{Running: r.InFlight - r.Waiting, Waiting: r.Waiting, Slots: r.Slots, Slowness: r.Slowness}
+	if l.Slowness <= 0 {
+		l.Slowness = 1
+	}
+	return l
+}
