--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -147,8 +148,15 @@
 		}
 		asked++
 		go func(e registry.Endpoint) {
-			load, err := r.f.askOne(e, r.c.Service.HealthPath)
-			results <- askResult{i, load, err}
+			got := askResult{index: i, err: errPanicked}
+			defer func() {
+				if errors.Is(got.err, errPanicked) {
+					r.f.cfg.Board.Asked(e.ID, time.Now())
+				}
+				results <- got
+			}()
+			defer r.f.recoverPanic(r.c.RequestID)
+			got.load, got.err = r.f.askOne(e, r.c.Service.HealthPath)
 		}(views[i].Endpoint)
 	}
 	r.result.Asked += asked
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -30,6 +32,8 @@
 	Asks      *placement.AskBudget
 	Endpoints func() *registry.Snapshot
 	Random    func(n int) int // nil means placement.Random
+	// Panicked is told of a fault of this program that ended a send or a question. Nil means that a panic ends the process.
+	Panicked func(requestID string, value any, stack []byte)
 }
 
 // Forwarder runs requests. It is safe for concurrent use.
@@ -44,6 +48,9 @@
 	if cfg.Random == nil {
 		cfg.Random = placement.Random
 	}
+	if cfg.Panicked == nil {
+		cfg.Panicked = func(_ string, value any, _ []byte) { panic(value) }
+	}
 	return &Forwarder{cfg: cfg}
 }
 
@@ -95,13 +102,12 @@
 }
 
 type sendResult struct {
-	attempt  int // index in Result.Attempts
-	endpoint registry.Endpoint
-	resp     *executor.Response
-	body     []byte
-	rest     io.ReadCloser
-	err      error
-	written  bool
+	attempt int // index in Result.Attempts
+	resp    *executor.Response
+	body    []byte
+	rest    io.ReadCloser
+	err     error
+	written bool
 }
 
 // Run serves the request. ctx ends when the caller has left.
@@ -123,6 +129,16 @@
 	return r.result
 }
 
+// errPanicked ends a send or a question in which this program failed. The request may have run.
+var errPanicked = errors.New("internal error: this host's log has the details")
+
+// recoverPanic reports a panic, so that it ends one send or question and not the process.
+func (f *Forwarder) recoverPanic(requestID string) {
+	if value := recover(); value != nil {
+		f.cfg.Panicked(requestID, value, debug.Stack())
+	}
+}
+
 // cancelOnClose ends the context of an answer that is passed on piece by piece.
 type cancelOnClose struct {
 	io.ReadCloser
@@ -270,7 +286,7 @@
 
 func (r *run) send(ctx context.Context, v placement.View, expected time.Duration, hedge bool) {
 	n := len(r.result.Attempts)
-	r.result.Attempts = append(r.result.Attempts, Attempt{Endpoint: v.Name, Zone: v.Zone, After: time.Since(r.start),
+	r.result.Attempts = append(r.result.Attempts, Attempt{Endpoint: v.Name, After: time.Since(r.start),
 		Expected: expected, Load: v.Load, LoadAge: v.LoadAge, Hedge: hedge})
 	r.tried = append(r.tried, v.ID)
 	r.sends++
@@ -280,9 +296,16 @@
 	call := *r.c.Call
 	call.Deadline = r.c.Due
 	go func() {
-		got := r.f.sendOnce(sendCtx, v, &call, r.c.Route)
-		got.attempt = n
-		r.results <- got
+		got := sendResult{err: errPanicked, written: true} // what a panic leaves behind
+		defer func() {
+			if errors.Is(got.err, errPanicked) {
+				r.f.cfg.Board.Ended(v.ID, true, time.Now())
+			}
+			got.attempt = n
+			r.results <- got
+		}()
+		defer r.f.recoverPanic(call.RequestID)
+		got = r.f.sendOnce(sendCtx, v, &call, r.c.Route)
 	}()
 }
 
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -345,3 +345,19 @@
 		})
 	}
 }
+
+// TestPanicEndsOneRequest guards against a fault of this program that ends the process: the send or question that met it fails, the fault
+// is reported, and the request counts as possibly run.
+func TestPanicEndsOneRequest(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(map[string]*upstream{"a": {answer: func() (*executor.Response, error) { panic("broken") }}})
+	forwarder := f.forwarder(10)
+	var reported []string
+	forwarder.cfg.Panicked = func(id string, value any, stack []byte) {
+		is.True(len(stack) > 0)
+		reported = append(reported, fmt.Sprint(id, " ", value))
+	}
+	res := forwarder.Run(t.Context(), request(false))
+	is.Equal(res.Outcome, LostAnswer)
+	is.Equal(reported, []string{"r1 broken"})
+}
--- a/internal/coordination/forward/result.go
+++ b/internal/coordination/forward/result.go
@@ -35,7 +35,6 @@
 // Attempt records one send, for logs.
 type Attempt struct {
 	Endpoint string        `json:"endpoint"`
-	Zone     string        `json:"zone"`
 	After    time.Duration `json:"after"` // from the start of the request
 	Expected time.Duration `json:"expected"`
 	Load     placement.Load
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -16,7 +16,7 @@
 func (f *Forwarder) sendOnce(ctx context.Context, v placement.View, c *executor.Call, route *routing.Route) sendResult {
 	start := time.Now()
 	f.cfg.Board.Sent(v.ID, start)
-	got := sendResult{endpoint: v.Endpoint, written: true}
+	got := sendResult{written: true}
 	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
 	if got.err == nil {
 		got.body, got.rest, got.err = readAnswer(got.resp)
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -69,11 +69,22 @@
 type Table struct {
 	cfg Config
 
-	mu     sync.Mutex
-	hosts  map[string]*peer
-	status Status
+	mu      sync.Mutex
+	hosts   map[string]*peer
+	status  Status
+	serving serving
 }
 
+// serving is the number of hosts that callers are told of. Ranking the hosts takes long beside the handling of a request, and the
+// number changes with messages and silence only.
+type serving struct {
+	hosts int // 0 after a change
+	at    time.Time
+}
+
+// servingReuse is how long the number is used although hosts may have become silent: a part of the time after which that is noticed.
+const servingReuse = 100 * time.Millisecond
+
 type peer struct {
 	Host
 	Status
@@ -90,7 +101,7 @@
 func (t *Table) SetStatus(s Status) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.status = s
+	t.status, t.serving = s, serving{}
 }
 
 // Self returns what this host says of itself.
@@ -108,7 +119,7 @@
 	if h.Name == t.cfg.Self.Name || (old != nil && old.Started >= h.Started) {
 		return false
 	}
-	t.hosts[h.Name] = &peer{Host: h, named: now}
+	t.hosts[h.Name], t.serving = &peer{Host: h, named: now}, serving{}
 	return true
 }
 
@@ -122,6 +133,9 @@
 	}
 	changed := old == nil || old.Host != h || old.Status != s || !t.live(old, now)
 	t.hosts[h.Name] = &peer{Host: h, Status: s, heard: now, named: now}
+	if changed {
+		t.serving = serving{}
+	}
 	return changed
 }
 
@@ -140,6 +154,7 @@
 		}
 		if p.Zone == t.cfg.Self.Zone && now.Sub(last) > forgetSilent {
 			delete(t.hosts, name)
+			t.serving = serving{}
 			names = append(names, name)
 		}
 	}
@@ -245,7 +260,10 @@
 func (t *Table) Serving(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(1, len(t.offered(now))) * len(t.zones())
+	if t.serving.hosts == 0 || now.Sub(t.serving.at) > servingReuse {
+		t.serving = serving{max(1, len(t.offered(now))) * len(t.zones()), now}
+	}
+	return t.serving.hosts
 }
 
 // Live returns the names of the neighbours that were heard recently, ordered.
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -203,3 +203,18 @@
 	is.True(slices.Contains(addresses, "a-31:1") && slices.Contains(addresses, "a-32:1"))
 	is.Equal(table.Serving(start), 15)
 }
+
+// TestServingIsCurrent guards the kept number of serving hosts against changes and silence.
+func TestServingIsCurrent(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(DefaultConfig(host(0, "a")))
+	is.Equal(table.Serving(start), 1)
+	table.SetStatus(Status{Ready: true})
+	for n := 1; n < 3; n++ {
+		table.Greeted(host(n, "a"), Status{Ready: true}, start)
+	}
+	is.Equal(table.Serving(start), 2)
+	table.Put(host(3, "b"), start)
+	is.Equal(table.Serving(start), 4) // the other zone is taken to be like this one
+	is.Equal(table.Serving(start.Add(time.Minute)), 2)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
@@ -91,7 +92,6 @@
 	forgetUnused   = time.Minute
 	hostFeedEvery  = 8
 	mebibyte       = 1 << 20
-	logCloseWait   = 200 * time.Millisecond
 	serverTimeout  = 2 * time.Second
 	maxResolved    = 64
 	gcPercentSmall = 200 // the heap is a few megabytes, so collecting less often costs little memory
@@ -107,13 +107,14 @@
 	g.board = placement.NewBoard(cfg)
 	upstreams := upstreamconn.DefaultConfig()
 	upstreams.Dialect, upstreams.IdleTimeout, upstreams.ConnectTimeout = a.Dialect, upstreamIdle, upstreamConnect
+	upstreams.MaxPerEndpoint = g.maxConnections
 	g.pool = upstreamconn.NewPool(upstreams)
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
-		Callers: s.CallerAddress, Peers: s.PeerAddress, State: s.StateAddress, Cores: s.Cores}))
+		Callers: s.CallerAddress, Peers: s.advertised(s.PeerAddress), State: s.advertised(s.StateAddress), Cores: s.Cores}))
 	repeats := placement.NewRepeats(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatSharers)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Asker: g.pool, Board: g.board, Repeats: repeats,
-		Asks: placement.NewAskBudget(g.askRate), Endpoints: g.endpoints.Snapshot})
+		Asks: placement.NewAskBudget(g.askRate), Endpoints: g.endpoints.Snapshot, Panicked: g.reportPanic})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callersShare),
 		MaxBodiesBytes: int64(s.MemoryMB * maxBodiesShare * mebibyte), Panicked: g.panicked})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
@@ -147,8 +148,28 @@
 
 // panicked reports a fault of ours that ended a request.
 func (g *Gateway) panicked(r *ingress.Request, value any, stack []byte) {
+	g.reportPanic(r.Header.Get(g.adapter.Dialect.RequestID), value, stack)
+}
+
+func (g *Gateway) reportPanic(requestID string, value any, stack []byte) {
 	g.metrics.Add("panics_total", 1)
-	g.log.Warn("panic", "id", r.Header.Get(g.adapter.Dialect.RequestID), "value", value, "stack", string(stack))
+	g.log.Warn("panic", "id", requestID, "value", value, "stack", string(stack))
+}
+
+// minConnections to one endpoint let a host ask while a request runs, however many hosts share the endpoint.
+const minConnections = 2
+
+// maxConnections returns this host's part of the connections that an endpoint takes from all hosts together.
+func (g *Gateway) maxConnections(e endpoints.Endpoint) int {
+	t := g.routes.Load()
+	if t == nil {
+		return 0
+	}
+	s := t.Service(e.Service)
+	if s == nil || s.MaxConnections == 0 {
+		return 0
+	}
+	return max(minConnections, s.MaxConnections/g.peers.Known())
 }
 
 func (g *Gateway) limits() routing.Limits {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,8 +22,10 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -424,3 +426,37 @@
 		is.True(err != nil)
 	}
 }
+
+// TestConnectionShare guards the operators' bound on connections to an endpoint, which all hosts share.
+func TestConnectionShare(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	s := &Settings{Host: "host", Zone: "a", CallerAddress: "127.0.0.1:1", StoreAddress: "127.0.0.1:1"}
+	g := New(s, d.adapter(), eventlog.New(io.Discard, log.InfoLevel))
+	e := endpoints.Endpoint{Service: "lotdesk"}
+	is.Equal(g.maxConnections(e), 0) // nothing is known yet
+	table, err := routing.New(routing.Config{Version: 1, Services: []routing.Service{{Name: "lotdesk", MaxConnections: 220}, {Name: "free"}}})
+	is.NoErr(err)
+	g.routes.Store(table)
+	is.Equal(g.maxConnections(e), 220)
+	for n := range 10 {
+		g.peers.Put(peers.Host{Name: fmt.Sprint(n), Zone: "a", Started: 1}, time.Now())
+	}
+	is.Equal(g.maxConnections(e), 20)
+	for n := range 1000 {
+		g.peers.Put(peers.Host{Name: fmt.Sprint(n), Zone: "b", Started: 2}, time.Now())
+	}
+	is.Equal(g.maxConnections(e), minConnections)
+	is.Equal(g.maxConnections(endpoints.Endpoint{Service: "free"}), 0)
+}
+
+// TestAdvertisedAddresses guards hosts whose addresses are translated: peers learn the address that reaches the host.
+func TestAdvertisedAddresses(t *testing.T) {
+	is := is.New(t)
+	s := &Settings{AdvertisedIP: "192.0.2.7"}
+	is.Equal(s.advertised("127.0.0.1:8146"), "192.0.2.7:8146")
+	s.AdvertisedIP = ""
+	is.Equal(s.advertised("127.0.0.1:8146"), "127.0.0.1:8146")
+	s.AdvertisedIP = "192.0.2.7:80"
+	is.True(s.Validate() != nil && strings.Contains(s.Validate().Error(), "advertised_ip"))
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"net"
 	"net/netip"
 	"time"
 
@@ -27,6 +28,9 @@
 	StateAddress     string `json:"state_address"`     // this host's state for starting hosts
 	MetricsAddress   string `json:"metrics_address"`   // metrics and the state dump; empty for none
 	StoreAddress     string `json:"store_address"`     // the platform's store
+	// AdvertisedIP is the IP by which other hosts reach peer_address and state_address if addresses are translated between hosts. Empty
+	// means that they are reached as they are.
+	AdvertisedIP string `json:"advertised_ip"`
 	// Seeds are the state addresses of some hosts, which may be down.
 	Seeds []string `json:"seeds"`
 	// FirstStart says that the whole system starts for the first time.
@@ -97,6 +101,10 @@
 		_, err := netip.ParseAddrPort(s.MetricsAddress)
 		check(err == nil, "metrics_address is %q: use IP:port, or leave it out", s.MetricsAddress)
 	}
+	if s.AdvertisedIP != "" {
+		_, err := netip.ParseAddr(s.AdvertisedIP)
+		check(err == nil, "advertised_ip is %q: use an IP without port, or leave it out", s.AdvertisedIP)
+	}
 	s.RepeatWindowS = cmp.Or(s.RepeatWindowS, defaultWindowS)
 	s.AsksPerS = cmp.Or(s.AsksPerS, defaultAsksPerS)
 	s.GraceS = cmp.Or(s.GraceS, defaultGraceS)
@@ -124,5 +132,17 @@
 // Level returns the level of log lines that are written.
 func (s *Settings) Level() log.Level { return s.level }
 
+// advertised returns the address by which other hosts reach an address of this host.
+func (s *Settings) advertised(address string) string {
+	if s.AdvertisedIP == "" {
+		return address
+	}
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return address // Validate has checked the address
+	}
+	return net.JoinHostPort(s.AdvertisedIP, port)
+}
+
 // grace returns GraceS as a duration.
 func (s *Settings) grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -46,7 +46,7 @@
 // again, for longer each time, so that a store that refuses calls gets few of them.
 func (g *Gateway) start(ctx context.Context) {
 	patience := g.startPatience()
-	if slices.Contains(g.settings.Seeds, g.settings.StateAddress) {
+	if slices.Contains(g.settings.Seeds, g.settings.advertised(g.settings.StateAddress)) {
 		patience = 0 // the others wait for this host
 	}
 	for ctx.Err() == nil && !g.startFromPeer(ctx, patience) {
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -28,6 +28,9 @@
 type guardedConn struct {
 	net.Conn
 	stall time.Duration
+	// released is called once, when the connection is closed.
+	released func()
+	closing  sync.Once
 
 	mu      sync.Mutex
 	phase   phase
@@ -36,6 +39,14 @@
 	onIdle  func() // called once when the connection becomes idle
 }
 
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+func (c *guardedConn) release() { c.closing.Do(c.released) }
+
 // Write counts before the call, because a write that fails or blocks may have sent a part.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/maphash"
 	"net"
 	"net/http"
@@ -27,6 +28,9 @@
 	ConnectTimeout time.Duration
 	// WriteStall bounds one write. An upstream that takes no more bytes for this long is given up before the deadline.
 	WriteStall time.Duration
+	// MaxPerEndpoint returns how many connections this host may hold to an endpoint, idle ones included; 0 means any number. Nil means
+	// no bound.
+	MaxPerEndpoint func(e endpoints.Endpoint) int
 	// MaxIdlePerEndpoint bounds idle connections per endpoint.
 	MaxIdlePerEndpoint int
 	// MaxHeaderBytes bounds the status line and headers of an answer, interim answers included.
@@ -55,6 +59,7 @@
 type poolShard struct {
 	mu   sync.Mutex
 	idle map[endpoints.ID][]*conn
+	open map[endpoints.ID]int // connections, idle ones included
 }
 
 // NewPool returns an empty pool.
@@ -69,20 +74,18 @@
 			if err != nil {
 				return nil, err
 			}
-			raw := &guardedConn{Conn: nc, stall: cfg.WriteStall}
-			if slot, ok := ctx.Value(connSlotKey{}).(**guardedConn); ok {
-				*slot = raw
-			}
+			raw := ctx.Value(connSlotKey{}).(*guardedConn) // only dial opens connections
+			raw.Conn = nc
 			return raw, nil
 		},
 	}
 	for i := range p.shards {
-		p.shards[i].idle = map[endpoints.ID][]*conn{}
+		p.shards[i].idle, p.shards[i].open = map[endpoints.ID][]*conn{}, map[endpoints.ID]int{}
 	}
 	return p
 }
 
-// connSlotKey passes the dialled connection out of the transport.
+// connSlotKey passes the guarded connection to the transport's dialer.
 type connSlotKey struct{}
 
 // conn is one connection that carries at most one request at a time.
@@ -130,15 +133,47 @@
 	sh.idle[id] = append(sh.idle[id], c)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	var raw *guardedConn
-	hc, err := p.transport.NewClientConn(context.WithValue(ctx, connSlotKey{}, &raw), "http", address)
+func (p *Pool) dial(ctx context.Context, e endpoints.Endpoint) (*conn, error) {
+	if !p.reserve(e) {
+		return nil, errAllInUse
+	}
+	raw := &guardedConn{stall: p.cfg.WriteStall, released: func() { p.release(e.ID) }}
+	hc, err := p.transport.NewClientConn(context.WithValue(ctx, connSlotKey{}, raw), "http", e.Address)
 	if err != nil {
+		raw.release()
 		return nil, err
 	}
 	return &conn{http: hc, raw: raw}, nil
 }
 
+// errAllInUse says that this host holds as many connections to the endpoint as it may.
+var errAllInUse = errors.New("all connections that this host may hold to the endpoint are in use")
+
+// reserve counts a connection, if the endpoint's bound allows one more.
+func (p *Pool) reserve(e endpoints.Endpoint) bool {
+	most := 0
+	if p.cfg.MaxPerEndpoint != nil {
+		most = p.cfg.MaxPerEndpoint(e)
+	}
+	sh := p.shard(e.ID)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if most > 0 && sh.open[e.ID] >= most {
+		return false
+	}
+	sh.open[e.ID]++
+	return true
+}
+
+func (p *Pool) release(id endpoints.ID) {
+	sh := p.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.open[id]--; sh.open[id] <= 0 {
+		delete(sh.open, id)
+	}
+}
+
 // CloseIdle closes connections that have been idle for longer than the timeout. Connections to endpoints that are gone
 // are among them before long.
 func (p *Pool) CloseIdle(now time.Time) {
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -74,7 +74,7 @@
 		}
 		setBody(req, c)
 	}
-	cn, err := p.dial(ctx, e.Address)
+	cn, err := p.dial(ctx, e)
 	if err != nil {
 		return nil, nil, &executor.SendError{Err: err}
 	}
--- a/internal/transport/upstreamconn/send_test.go
+++ b/internal/transport/upstreamconn/send_test.go
@@ -503,3 +503,55 @@
 		is.Equal(err == nil, want[j])
 	}
 }
+
+// TestConnectionBound guards the bound on connections to one endpoint: a request beyond it is not sent, and closed connections free
+// their place.
+func TestConnectionBound(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+		if r.URL.Path == "/held" {
+			<-hold
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return r.URL.Path != "/last"
+	})
+	cfg := DefaultConfig()
+	cfg.MaxPerEndpoint = func(endpoints.Endpoint) int { return 2 }
+	p := NewPool(cfg)
+	send := func(path string) error {
+		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: path, RequestID: "r", Header: http.Header{}})
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	held := make(chan error, 2)
+	for range 2 {
+		go func() { held <- send("/held") }()
+	}
+	for p.opened(u.endpoint.ID) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	var se *executor.SendError
+	is.True(errors.As(send("/third"), &se))
+	is.True(!se.Written)
+	is.True(errors.Is(se.Err, errAllInUse))
+	close(hold)
+	is.NoErr(<-held)
+	is.NoErr(<-held)
+	// Each of them ends with its answer, in use or not.
+	for p.opened(u.endpoint.ID) > 0 {
+		is.NoErr(send("/last"))
+	}
+	is.NoErr(send("/again"))
+}
+
+func (p *Pool) opened(id endpoints.ID) int {
+	sh := p.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.open[id]
+}
