--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BIN := bin
 COMMANDS := arbutusspan arbutusctl standin spanload
 
-.PHONY: build test lint demo bench experiment capacity chaos clean
+.PHONY: build test lint demo bench experiment capacity chaos soak clean
 
 # make demo KEEP=1 leaves everything up until Ctrl-C.
 KEEP :=
@@ -37,5 +37,9 @@
 chaos: build
 	$(BIN)/spanload chaos $(if $(SEED),--seed $(SEED))
 
+# make soak draws seeds; make soak SEED=7 repeats one, SEEDS=50 plays that many in a row.
+soak: build
+	$(BIN)/spanload soak $(if $(SEED),--seed $(SEED)) $(if $(SEEDS),--seeds $(SEEDS))
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/spanload/chaos.go
+++ b/cmd/spanload/chaos.go
@@ -96,7 +96,7 @@
 	dir      string
 	bin      map[string]string
 	began    time.Time
-	ledger   *ledger
+	ledger   *testbed.Ledger
 	platform *testbed.Relay            // hosts reach the platform through it
 	edges    map[string]*testbed.Relay // by the caller address behind them; only the step broken-callers uses them
 	list     *hostList
@@ -129,7 +129,7 @@
 	}
 	defer os.RemoveAll(dir)
 	fmt.Printf("chaos: seed %d, %s, %d hosts, load average %s\n", seed, customer, chaosHosts, testbed.LoadAverage())
-	c := &chaos{ctx: ctx, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), customer: customer, dir: dir, bin: bin, ledger: newLedger(),
+	c := &chaos{ctx: ctx, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), customer: customer, dir: dir, bin: bin, ledger: testbed.NewLedger(os.Stdout, checkNames...),
 		keptArrivals: map[string][]standin.Arrival{}}
 	defer c.close()
 	if err := c.start(root); err != nil {
@@ -144,7 +144,7 @@
 	if err := c.audit(); err != nil {
 		return errors.Join(stepErr, err)
 	}
-	breaches := c.ledger.print(os.Stdout)
+	breaches := c.ledger.Print()
 	fmt.Printf("chaos: seed %d, %s, %.0f s, load average %s\n", seed, customer, time.Since(c.began).Seconds(), testbed.LoadAverage())
 	if breaches > 0 {
 		return errors.Join(stepErr, fmt.Errorf("seed %d: %d breaches", seed, breaches))
@@ -356,9 +356,9 @@
 	for _, n := range a.Refused {
 		refused += n
 	}
-	c.ledger.count(answers, a.Answered, a.WrongAnswers+a.AnsweredUnrun+a.Strays)
-	c.ledger.count(notRun, refused, a.RefusedRun)
-	c.ledger.count(atMostOnce, keyed, a.RunTwice)
+	c.ledger.Count(answers, a.Answered, a.WrongAnswers+a.AnsweredUnrun+a.Strays)
+	c.ledger.Count(notRun, refused, a.RefusedRun)
+	c.ledger.Count(atMostOnce, keyed, a.RunTwice)
 	return nil
 }
 
@@ -370,7 +370,7 @@
 			return err
 		}
 		allowed := budget * time.Since(c.began).Seconds()
-		c.ledger.check(measuring, float64(s.Measuring) <= allowed, "%s %s got %d probes, %.1f are allowed", service, address, s.Measuring, allowed)
+		c.ledger.Check(measuring, float64(s.Measuring) <= allowed, "%s %s got %d probes, %.1f are allowed", service, address, s.Measuring, allowed)
 		return nil
 	}
 	for service, addresses := range c.Upstreams {
--- a/cmd/spanload/chaos_checks.go
+++ b/cmd/spanload/chaos_checks.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -44,80 +42,6 @@
 	inForceBound = 6 * time.Second
 )
 
-// ledger counts checks and breaches.
-type ledger struct {
-	mu       sync.Mutex
-	checked  map[string]int
-	breaches map[string]int
-	facts    map[string]int
-}
-
-func newLedger() *ledger {
-	return &ledger{checked: map[string]int{}, breaches: map[string]int{}, facts: map[string]int{}}
-}
-
-// check counts one check and prints a breach.
-func (l *ledger) check(name string, ok bool, format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.checked[name]++
-	if !ok {
-		l.breaches[name]++
-		fmt.Printf("  BREACH of %q: %s\n", name, fmt.Sprintf(format, args...))
-	}
-}
-
-// report prints a breach that count has counted.
-func (l *ledger) report(name, format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	fmt.Printf("  BREACH of %q: %s\n", name, fmt.Sprintf(format, args...))
-}
-
-func (l *ledger) count(name string, checked, breaches int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.checked[name] += checked
-	l.breaches[name] += breaches
-}
-
-// add counts something that is printed beside the checks.
-func (l *ledger) add(fact string, n int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.facts[fact] += n
-}
-
-// print writes the table and returns the number of breaches.
-func (l *ledger) print(w io.Writer) (total int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	fmt.Fprintf(w, "  %-38s %8s %8s\n", "check", "checked", "breaches")
-	for _, name := range checkNames {
-		note := ""
-		if l.checked[name] == 0 {
-			note = "  not checked in this run"
-		}
-		fmt.Fprintf(w, "  %-38s %8d %8d%s\n", name, l.checked[name], l.breaches[name], note)
-		total += l.breaches[name]
-	}
-	for _, fact := range slices.Sorted(keysOf(l.facts)) {
-		fmt.Fprintf(w, "  %s: %d\n", fact, l.facts[fact])
-	}
-	return total
-}
-
-// keysOf iterates over the keys of a map.
-func keysOf(m map[string]int) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 const (
 	watchInterval = 150 * time.Millisecond
 	// watchTimeout ends questions to frozen hosts.
@@ -279,7 +203,7 @@
 		now[s.Customer] = s.Revision
 	}
 	for customer, before := range h.revisions {
-		w.c.ledger.check(noRevert, now[customer] >= before, "%s of %s went from %d to %d", customer, h.name, before, now[customer])
+		w.c.ledger.Check(noRevert, now[customer] >= before, "%s of %s went from %d to %d", customer, h.name, before, now[customer])
 	}
 	h.revisions = now
 	for a, at := range w.took {
@@ -291,7 +215,7 @@
 			continue
 		}
 		h.judged[a] = true
-		w.c.ledger.check(inForce, now[a.customer] >= a.revision, "%s has revision %d of %s, %d was accepted %.1f s ago", h.name, now[a.customer], a.customer, a.revision, time.Since(at).Seconds())
+		w.c.ledger.Check(inForce, now[a.customer] >= a.revision, "%s has revision %d of %s, %d was accepted %.1f s ago", h.name, now[a.customer], a.customer, a.revision, time.Since(at).Seconds())
 	}
 }
 
@@ -346,7 +270,7 @@
 		d := w.marks[id]
 		if !d.replaced {
 			if d.baseline >= 0 {
-				w.c.ledger.check(leaving, arrived <= d.baseline, "%s got %d requests, the last one at most %.1f s after the mark was first seen", id, arrived-d.baseline, time.Since(d.first).Seconds())
+				w.c.ledger.Check(leaving, arrived <= d.baseline, "%s got %d requests, the last one at most %.1f s after the mark was first seen", id, arrived-d.baseline, time.Since(d.first).Seconds())
 			}
 			d.baseline = arrived
 		}
--- a/cmd/spanload/chaos_edge.go
+++ b/cmd/spanload/chaos_edge.go
@@ -91,12 +91,12 @@
 			planned[plan[i].ID] = true
 		}
 		a := load.NewAudit(plan, results, slices.DeleteFunc(slices.Clone(records), func(r standin.Record) bool { return !planned[r.RequestID] }))
-		c.ledger.count(callerConns, a.Sent, a.RunTwice+a.WrongAnswers+a.AnsweredUnrun+a.RefusedRun+a.Strays)
+		c.ledger.Count(callerConns, a.Sent, a.RunTwice+a.WrongAnswers+a.AnsweredUnrun+a.RefusedRun+a.Strays)
 		for _, f := range a.Faults {
-			c.ledger.report(callerConns, "%s", f)
+			c.ledger.Report(callerConns, "%s", f)
 		}
 	}
 	for _, relay := range c.edges {
-		c.ledger.add("answers cut before callers", relay.Cuts())
+		c.ledger.Add("answers cut before callers", relay.Cuts())
 	}
 }
--- a/cmd/spanload/chaos_failing.go
+++ b/cmd/spanload/chaos_failing.go
@@ -104,9 +104,9 @@
 		}
 		allowed := queues * failingBound(s.slots, s.length())
 		share := others / healthy
-		c.ledger.add("requests to endpoints that fail fast", got)
-		c.ledger.check(failingFast, got <= allowed, "%s of %s got %d requests in %.1f s while it failed fast, %d are allowed with %d queues", s.address, s.service, got, s.length().Seconds(), allowed, queues)
-		c.ledger.check(failingFast, got <= share, "%s of %s got %d requests in %.1f s while it failed fast, a healthy endpoint %d", s.address, s.service, got, s.length().Seconds(), share)
+		c.ledger.Add("requests to endpoints that fail fast", got)
+		c.ledger.Check(failingFast, got <= allowed, "%s of %s got %d requests in %.1f s while it failed fast, %d are allowed with %d queues", s.address, s.service, got, s.length().Seconds(), allowed, queues)
+		c.ledger.Check(failingFast, got <= share, "%s of %s got %d requests in %.1f s while it failed fast, a healthy endpoint %d", s.address, s.service, got, s.length().Seconds(), share)
 	}
 	return nil
 }
--- a/cmd/spanload/chaos_parts.go
+++ b/cmd/spanload/chaos_parts.go
@@ -138,7 +138,7 @@
 		return fmt.Errorf("%w: %s %s", errNotAccepted, a.Outcome, a.Error)
 	}
 	c.watch.accept(doc.Customer, a.Revision)
-	c.ledger.add("accepted publications", 1)
+	c.ledger.Add("accepted publications", 1)
 	return nil
 }
 
@@ -162,8 +162,8 @@
 		wg.Go(func() { errs[k] = c.publish(ctx, c.Hosts[i], c.contract, base) })
 	}
 	wg.Wait()
-	c.ledger.check(oneWinner, errs[0] != nil || errs[1] != nil, "%s and %s both had a change of revision %d accepted", c.Hosts[a].Name, c.Hosts[b].Name, base)
-	c.ledger.add("races", 1)
+	c.ledger.Check(oneWinner, errs[0] != nil || errs[1] != nil, "%s and %s both had a change of revision %d accepted", c.Hosts[a].Name, c.Hosts[b].Name, base)
+	c.ledger.Add("races", 1)
 }
 
 // ownEndpoint is an upstream endpoint with a process of its own, so that it can return with a new incarnation.
@@ -298,7 +298,7 @@
 	l.mu.Lock()
 	e.state = "live"
 	l.mu.Unlock()
-	l.c.ledger.add("upstreams that came back", 1)
+	l.c.ledger.Add("upstreams that came back", 1)
 	return l.put(ctx)
 }
 
--- a/cmd/spanload/chaos_probes.go
+++ b/cmd/spanload/chaos_probes.go
@@ -116,13 +116,13 @@
 				byHost[host] = append(byHost[host], a.Time())
 			}
 		}
-		c.ledger.add("probes sent", len(all))
+		c.ledger.Add("probes sent", len(all))
 		c.checkWindows(address+" from all hosts", all, func(from, to time.Time) int {
 			return int(budget.Total*to.Sub(from).Seconds()) + c.watch.processesIn(from, to)*probeDepth
 		})
 		for host, times := range byHost {
 			i := slices.IndexFunc(c.watch.hosts, func(h *watchedHost) bool { return h.name == host })
-			c.ledger.check(measuring, i >= 0, "%s got %d probes of an unknown host %q", address, len(times), host)
+			c.ledger.Check(measuring, i >= 0, "%s got %d probes of an unknown host %q", address, len(times), host)
 			if i >= 0 {
 				c.checkWindows(address+" from "+host, times, func(from, to time.Time) int { return probesAllowed(c.watch.startsOf(i), budget.PerHost, from, to) })
 			}
@@ -156,9 +156,9 @@
 			}
 		}
 	}
-	c.ledger.count(measuring, checked, breaches)
+	c.ledger.Count(measuring, checked, breaches)
 	if worst > 0 {
-		c.ledger.report(measuring, "%s: %d probes too many from %s of the run", what, worst, text)
+		c.ledger.Report(measuring, "%s: %d probes too many from %s of the run", what, worst, text)
 	}
 }
 
--- a/cmd/spanload/chaos_retries.go
+++ b/cmd/spanload/chaos_retries.go
@@ -88,9 +88,9 @@
 			if own == 0 {
 				continue
 			}
-			c.ledger.add("requests received beyond first attempts", max(0, got-own))
+			c.ledger.Add("requests received beyond first attempts", max(0, got-own))
 			allowed := retryBound(own, earning, percent, s.processes)
-			c.ledger.check(retries, float64(got) <= allowed, "%s: upstreams of %s received %d requests for %d first attempts of %s, %.0f are allowed with %d host processes",
+			c.ledger.Check(retries, float64(got) <= allowed, "%s: upstreams of %s received %d requests for %d first attempts of %s, %.0f are allowed with %d host processes",
 				s.name, key.Service, got, own, key.Customer, allowed, s.processes)
 		}
 	}
--- a/cmd/spanload/chaos_steps.go
+++ b/cmd/spanload/chaos_steps.go
@@ -288,7 +288,7 @@
 			return nothing, err
 		}
 	}
-	c.ledger.add("upstreams that left", 1)
+	c.ledger.Add("upstreams that left", 1)
 	c.list.mu.Lock()
 	c.list.left[address] = true
 	c.list.mu.Unlock()
@@ -354,10 +354,10 @@
 		}
 		failed := !r.Answered && (r.Reason == load.NoAnswer || strings.HasPrefix(r.Reason, "host_"))
 		if intended := run.start.Add(run.plan[i].At); failed && excused != nil && excused(r, intended.Add(r.Late), intended.Add(r.Latency)) {
-			c.ledger.add("requests lost to a frozen host during a planned stop", 1)
+			c.ledger.Add("requests lost to a frozen host during a planned stop", 1)
 			continue
 		}
-		c.ledger.check(plannedStop, !failed, "%s at %.2f s of the step: %s at %s", run.plan[i].ID, run.plan[i].At.Seconds(), r.Reason, r.Host)
+		c.ledger.Check(plannedStop, !failed, "%s at %.2f s of the step: %s at %s", run.plan[i].ID, run.plan[i].At.Seconds(), r.Reason, r.Host)
 	}
 }
 
@@ -407,7 +407,7 @@
 		late := load.Plan(c.rng.Uint64(), c.planName("late"), load.Operations(c.contract, mixes[c.customer]), chaosRate, 2*time.Second)
 		c.judgeStop(c.runLoad(ctx, late, afterwards), nil)
 		ended := c.Hosts[stopped].Process.Wait(ctx)
-		c.ledger.check(plannedStop, ended == nil, "%s: %v", c.Hosts[stopped].Name, ended)
+		c.ledger.Check(plannedStop, ended == nil, "%s: %v", c.Hosts[stopped].Name, ended)
 		return func(r *load.Result, began, ended time.Time) bool {
 			return r.Host == frozen.Caller() && began.Before(until) && ended.After(since)
 		}, err
@@ -424,7 +424,7 @@
 	}
 	for _, i := range stopped {
 		err := c.Hosts[i].Process.Wait(ctx)
-		c.ledger.check(plannedStop, err == nil, "%s: %v", c.Hosts[i].Name, err)
+		c.ledger.Check(plannedStop, err == nil, "%s: %v", c.Hosts[i].Name, err)
 		if err := c.startHost(i); err != nil {
 			return err
 		}
@@ -478,16 +478,16 @@
 			over++
 		}
 	}
-	c.ledger.add("requests of overloads that were not answered", over)
+	c.ledger.Add("requests of overloads that were not answered", over)
 	if over > 0 { // otherwise the machine did not offer enough for an overload
 		for i, r := range run.results {
-			c.ledger.check(urgentFirst, r.Answered, "%s: %s, ran %s", run.plan[i].ID, r.Reason, r.Ran)
+			c.ledger.Check(urgentFirst, r.Answered, "%s: %s, ran %s", run.plan[i].ID, r.Reason, r.Ran)
 		}
 	}
 	pauseFor(ctx, recoveryTime)
 	after := c.runLoad(ctx, calm("after", calmTime), c.steady)
 	was, is := p99(before), p99(after)
-	c.ledger.check(recovery, is <= 2*was+scheduling, "p99 was %.0f ms before the overload and is %.0f ms after it", was.Seconds()*1000, is.Seconds()*1000)
+	c.ledger.Check(recovery, is <= 2*was+scheduling, "p99 was %.0f ms before the overload and is %.0f ms after it", was.Seconds()*1000, is.Seconds()*1000)
 	return nil
 }
 
@@ -558,7 +558,7 @@
 	for i, r := range run.results {
 		harmed := !r.Answered && slices.Contains([]string{"queue_full", "displaced", "rate_exceeded"}, r.Reason)
 		if !churn { // a new owner's buckets start empty, so a churn may refuse for a moment whoever calls
-			c.ledger.check(fairness, !harmed, "%s within its contract: %s", run.plan[i].ID, r.Reason)
+			c.ledger.Check(fairness, !harmed, "%s within its contract: %s", run.plan[i].ID, r.Reason)
 		}
 	}
 	records, err := c.Records(ctx)
@@ -572,8 +572,8 @@
 		}
 	}
 	allowed := rateBound(time.Since(start), changes)
-	c.ledger.add("flood requests run", ran)
-	c.ledger.check(rateSum, float64(ran) <= allowed, "upstreams ran %d requests of %s in %.1f s with %d changes of hosts, %.0f are allowed", ran, name, time.Since(start).Seconds(), changes, allowed)
+	c.ledger.Add("flood requests run", ran)
+	c.ledger.Check(rateSum, float64(ran) <= allowed, "upstreams ran %d requests of %s in %.1f s with %d changes of hosts, %.0f are allowed", ran, name, time.Since(start).Seconds(), changes, allowed)
 	return nil
 }
 
--- /dev/null
+++ b/internal/soak/audit.go
@@ -0,0 +1,260 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/platform/platformtest"
+)
+
+// Names of the checks, in the order in which they are printed.
+const (
+	ownAnswers   = "whole and own answers"
+	saysWhen     = "refusals say when to come back"
+	properServed = "proper requests are not turned away"
+	onlySent     = "endpoints run what was sent"
+	atMostOnce   = "non-idempotent at most once"
+	notRun       = "refused means not run"
+	fewAttempts  = "attempts within the route's limit"
+	deadlines    = "endpoints get what time is left"
+	rightService = "requests go where routes say"
+	staysUp      = "processes end when told to"
+	explained    = "failures are in the log"
+	returns      = "each host serves again"
+	testRuns     = "the soak itself"
+
+	fewRepeats   = "repeats within the budget (timed)"
+	configured   = "configuration in force (timed)"
+	drained      = "no requests for leaving (timed)"
+	plannedStops = "planned work loses nothing (timed)"
+	keptAnswers  = "calm hosts answer (timed)"
+	answersLate  = "answers by the deadline (timed)"
+	leftAlone    = "nothing runs for who left (timed)"
+	stopsInTime  = "stops within the grace time (timed)"
+	recovered    = "served after the faults (timed)"
+)
+
+var checkNames = []string{ownAnswers, saysWhen, properServed, onlySent, atMostOnce, notRun, fewAttempts, deadlines, rightService, staysUp, explained, returns, testRuns,
+	fewRepeats, configured, drained, plannedStops, keptAnswers, answersLate, leftAlone, stopsInTime, recovered}
+
+// Bounds of the checks that count.
+const (
+	// lateSlack is how long after its deadline a request may lack an answer before it counts as late. Eight and a quarter of the
+	// requests that lasted so long break the promise.
+	lateSlack     = 500 * time.Millisecond
+	fewLate       = 8
+	lateShare     = 0.25
+	fewLost       = 3 // requests of one host
+	fewAfterLeave = 3
+	leaveSlack    = 500 * time.Millisecond
+	servedShare   = 0.95 // of the requests at the calm end
+)
+
+// calmEnd is the scope of the time without faults at the end.
+const calmEnd = "calm end"
+
+// endpointFates keeps when endpoints began to leave, and which ones were killed.
+type endpointFates struct {
+	leaving map[string]time.Time
+	ended   map[string]bool
+}
+
+func (l *requestLog) leaves(endpoint string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fates.leaving == nil {
+		l.fates.leaving = map[string]time.Time{}
+	}
+	l.fates.leaving[endpoint] = at
+}
+
+func (l *requestLog) endpointEnded(endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fates.ended == nil {
+		l.fates.ended = map[string]bool{}
+	}
+	l.fates.ended[endpoint] = true
+}
+
+// checkRecovery waits until each host serves, and watches a time without faults.
+func (s *soak) checkRecovery(ctx context.Context) {
+	pause(ctx, settleTime)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, h := range s.hosts {
+		err := h.awaitReady(ctx)
+		s.ledger.Check(returns, err == nil, "%s: %v", h.name, err)
+	}
+	end := s.calm.disturb(calmEnd)
+	pause(ctx, calmTime)
+	end()
+}
+
+// audit compares what callers were told with what endpoints ran.
+func (s *soak) audit() {
+	s.requests.mu.Lock()
+	defer s.requests.mu.Unlock()
+	sent := map[string]*request{}
+	for _, r := range s.requests.list {
+		sent[r.id] = r
+	}
+	arrivals := map[string][]platformtest.Arrival{}
+	for _, a := range s.requests.arrivals {
+		r := sent[a.ID]
+		s.ledger.Check(onlySent, r != nil && a.Method == r.method && a.Target == r.target && a.Body == r.digest, "%s ran %s %s %q, which no caller sent so", a.Endpoint, a.Method, a.Target, a.ID)
+		if r == nil {
+			continue
+		}
+		arrivals[a.ID] = append(arrivals[a.ID], a)
+		s.auditArrival(r, a)
+	}
+	logs := map[*host]string{}
+	for _, h := range s.hosts {
+		for _, p := range h.all {
+			logs[h] += p.Log()
+		}
+	}
+	for _, r := range s.requests.list {
+		s.ledger.Add("requests "+r.end, 1)
+		s.auditRequest(r, arrivals[r.id], logs[r.host])
+	}
+	if s.Timed {
+		s.auditRepeats(sent)
+		s.auditCounts(arrivals)
+	}
+}
+
+func (s *soak) auditArrival(r *request, a platformtest.Arrival) {
+	most := float64(r.deadline.Milliseconds())
+	s.ledger.Check(deadlines, a.DeadlineMS > 0 && a.DeadlineMS <= most, "%s of %s was handed on with %.0f ms, its caller waits %.0f", r.id, r.host.name, a.DeadlineMS, most)
+	if !a.Ran {
+		return
+	}
+	s.ledger.Check(rightService, s.contract.allowed(r.route, a.At, false)[a.Service], "%s of %s ran at %s of %s, where no route sent it", r.id, r.host.name, a.Endpoint, a.Service)
+	if !s.Timed {
+		return
+	}
+	touch := s.calm.quiet(r.host.scope(), r.sent, a.At) && s.calm.quiet(scopeStore, r.sent, a.At)
+	if touch {
+		s.ledger.Check(configured, s.contract.allowed(r.route, r.sent, true)[a.Service], "%s of %s, sent at %.2f s, ran at %s, as only an old configuration says", r.id, r.host.name, r.sent.Sub(s.began).Seconds(), a.Service)
+	}
+	if since, ok := s.requests.fates.leaving[a.Endpoint]; ok && touch {
+		s.ledger.Check(drained, a.At.Before(since.Add(drain)), "%s of %s reached %s %.2f s after it began to leave", r.id, r.host.name, a.Endpoint, a.At.Sub(since).Seconds())
+	}
+}
+
+func (s *soak) auditRequest(r *request, arrivals []platformtest.Arrival, log string) {
+	runs := 0
+	counted := 0 // attempts at endpoints that did not end
+	for _, a := range arrivals {
+		if a.Ran {
+			runs++
+			if !s.requests.fates.ended[a.Endpoint] {
+				counted++
+			}
+		}
+	}
+	s.ledger.Check(fewAttempts, counted <= maxAttempts, "%s ran at %d endpoints", r, counted)
+	if !r.idempotent {
+		s.ledger.Check(atMostOnce, runs <= 1, "%s ran %d times", r, runs)
+	}
+	if r.end == answered && !r.signed {
+		s.auditRefusal(r, runs, log)
+	}
+	planned := !s.calm.quiet("planned "+r.host.scope(), r.sent, r.ended) && s.calm.quiet(scopeNetwork, r.sent, r.ended)
+	if s.Timed && planned && len(arrivals) > 0 {
+		s.ledger.Check(plannedStops, r.end != closed || r.unread, "%s, sent at %.2f s, was passed on and lost", r, r.sent.Sub(s.began).Seconds())
+	}
+}
+
+func (s *soak) auditRefusal(r *request, runs int, log string) {
+	switch r.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if !r.idempotent {
+			s.ledger.Check(notRun, runs == 0, "%s ran %d times", r, runs)
+		}
+	default:
+		proper := r.status >= http.StatusInternalServerError || strings.HasPrefix(r.route, "added-")
+		s.ledger.Check(properServed, proper, "%s", r)
+	}
+	if len(r.host.cut) == 0 && !strings.Contains(log, "log_lines_left_out") {
+		s.ledger.Check(explained, strings.Contains(log, r.id), "%s is not in the log of its host", r)
+	}
+}
+
+// auditCounts checks promises that allow a few exceptions.
+func (s *soak) auditCounts(arrivals map[string][]platformtest.Arrival) {
+	lost := map[*host]int{}
+	var lasting, late, calm, served, afterLeave int
+	for _, r := range s.requests.list {
+		touch := s.calm.quiet(r.host.scope(), r.sent, r.ended)
+		if touch && s.calm.quiet(scopeEndpoints, r.sent, r.ended) && r.end == closed && !r.unread && len(arrivals[r.id]) > 0 {
+			lost[r.host]++
+		}
+		if touch && r.end != left && (r.end != answered || r.ended.Sub(r.sent) > r.deadline) && !r.unread {
+			lasting++
+			if r.end == silent || r.ended.Sub(r.sent) > r.deadline+lateSlack {
+				late++
+			}
+		}
+		if touch && r.end == left && len(arrivals[r.id]) > 0 && arrivals[r.id][len(arrivals[r.id])-1].At.After(r.ended.Add(leaveSlack)) {
+			afterLeave++
+		}
+		if r.calm && r.end != left && !r.unread {
+			calm++
+			if r.signed && r.status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	for _, h := range s.hosts {
+		s.ledger.Check(keptAnswers, lost[h] <= fewLost, "%s closed the connections of %d requests that it had passed on", h.name, lost[h])
+	}
+	s.ledger.Check(answersLate, late < fewLate || float64(late) <= lateShare*float64(lasting), "%d of %d requests that lasted so long had no answer %s after their deadline", late, lasting, lateSlack)
+	s.ledger.Check(leftAlone, afterLeave <= fewAfterLeave, "%d requests reached endpoints %s after their callers had left", afterLeave, leaveSlack)
+	s.ledger.Check(recovered, calm > 0 && float64(served) >= servedShare*float64(calm), "%d of %d requests were served after the faults", served, calm)
+}
+
+// auditRepeats checks that in each window arrivals beyond the first of each request stay within the budget.
+func (s *soak) auditRepeats(sent map[string]*request) {
+	for _, service := range services {
+		var firsts, repeats []time.Time
+		for _, r := range s.requests.list {
+			if s.contract.allowed(r.route, r.sent, false)[service] {
+				firsts = append(firsts, r.sent)
+			}
+		}
+		seen := map[string]bool{}
+		for _, a := range s.requests.arrivals {
+			if sent[a.ID] == nil || a.Service != service {
+				continue
+			}
+			if seen[a.ID] {
+				repeats = append(repeats, a.At)
+			}
+			seen[a.ID] = true
+		}
+		slices.SortFunc(firsts, time.Time.Compare)
+		slices.SortFunc(repeats, time.Time.Compare)
+		for i, at := range repeats {
+			from := at.Add(-repeatWindow)
+			n := i + 1 - before(repeats, from)
+			requests := 0
+			for _, shift := range []time.Duration{0, repeatWindow / 2, repeatWindow} {
+				requests = max(requests, before(firsts, at.Add(-shift))-before(firsts, from.Add(-shift)))
+			}
+			allowed := repeatRatio*float64(requests) + repeatBurst
+			s.ledger.Check(fewRepeats, float64(n) <= allowed, "%s got %d repeats within %s for %d requests, %.0f are allowed", service, n, repeatWindow, requests, allowed)
+		}
+	}
+}
+
+// before returns how many of the sorted times lie before a time.
+func before(times []time.Time, at time.Time) int {
+	i, _ := slices.BinarySearchFunc(times, at, time.Time.Compare)
+	return i
+}
--- /dev/null
+++ b/internal/soak/audit_test.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/testbed"
+	"github.com/arbutusspan/arbutusspan/platform/platformtest"
+)
+
+// recorded returns a run with one host in which one non-idempotent request ran once and was answered.
+func recorded(out io.Writer) *soak {
+	s := &soak{Config: Config{Timed: true, Out: out}, store: platformtest.NewStore(), calm: newCalendar(), ledger: testbed.NewLedger(out, checkNames...), began: time.Now()}
+	s.hosts = []*host{{soak: s, name: "a-1"}}
+	s.publish(func(cfg *routing.Config) { *cfg = firstConfig() })
+	s.requests.endpointEnded("i-ended")
+	s.record("1", "reserve", func(*request, *platformtest.Arrival) {})
+	s.calmRequest("calm", http.StatusOK)
+	return s
+}
+
+// record adds a request and the arrival that belongs to it.
+func (s *soak) record(id, route string, change func(*request, *platformtest.Arrival)) {
+	at := time.Now()
+	r := &request{id: id, method: http.MethodPost, target: "/" + route + "/1", digest: "d", route: route, idempotent: route == "lookup" || route == "check",
+		deadline: routeTimeout, host: s.hosts[0], sent: at, ended: at.Add(20 * time.Millisecond), end: answered, status: http.StatusOK, signed: true}
+	a := platformtest.Arrival{Endpoint: "i-1", Service: services[0], ID: id, Method: r.method, Target: r.target, Body: r.digest, At: at.Add(time.Millisecond), DeadlineMS: 900, Ran: true}
+	change(r, &a)
+	s.requests.add(r)
+	if a.ID != "" {
+		s.requests.arrived(a)
+	}
+}
+
+func (s *soak) calmRequest(id string, status int) {
+	s.record(id, "lookup", func(r *request, _ *platformtest.Arrival) { r.calm, r.status = true, status })
+}
+
+// TestAudit guards against checks that cannot fail: each row is one breach, and the run without it has none.
+func TestAudit(t *testing.T) {
+	var none strings.Builder
+	s := recorded(&none)
+	s.audit()
+	is.New(t).Equal(none.String(), "")
+	unsigned := func(status int) func(*request, *platformtest.Arrival) {
+		return func(r *request, _ *platformtest.Arrival) { r.signed, r.status = false, status }
+	}
+	for name, row := range map[string]struct {
+		check  string
+		breach func(s *soak)
+	}{
+		"ran twice": {atMostOnce, func(s *soak) {
+			s.requests.arrived(platformtest.Arrival{Endpoint: "i-2", Service: services[0], ID: "1", Method: http.MethodPost, Target: "/reserve/1", Body: "d", DeadlineMS: 900, Ran: true, At: time.Now()})
+		}},
+		"unknown request": {onlySent, func(s *soak) { s.requests.arrived(platformtest.Arrival{ID: "smuggled", DeadlineMS: 1, Ran: true}) }},
+		"changed body":    {onlySent, func(s *soak) { s.record("2", "lookup", func(_ *request, a *platformtest.Arrival) { a.Body = "other" }) }},
+		"refused and ran": {notRun, func(s *soak) { s.record("2", "reserve", unsigned(http.StatusServiceUnavailable)) }},
+		"turned away":     {properServed, func(s *soak) { s.record("2", "lookup", unsigned(http.StatusNotFound)) }},
+		"not in the log":  {explained, func(s *soak) { s.record("2", "lookup", unsigned(http.StatusBadGateway)) }},
+		"too many attempts": {fewAttempts, func(s *soak) {
+			for range maxAttempts {
+				s.requests.arrived(platformtest.Arrival{Endpoint: "i-2", Service: services[0], ID: "calm", Method: http.MethodPost, Target: "/lookup/1", Body: "d", DeadlineMS: 900, Ran: true, At: time.Now()})
+			}
+		}},
+		"no deadline": {deadlines, func(s *soak) { s.record("2", "lookup", func(_ *request, a *platformtest.Arrival) { a.DeadlineMS = 0 }) }},
+		"longer deadline": {deadlines, func(s *soak) {
+			s.record("2", "lookup", func(_ *request, a *platformtest.Arrival) { a.DeadlineMS = 1001 })
+		}},
+		"wrong service": {rightService, func(s *soak) {
+			s.record("2", "lookup", func(_ *request, a *platformtest.Arrival) { a.Service = services[1] })
+		}},
+		"old configuration": {configured, func(s *soak) {
+			s.contract.list[0].at = time.Now().Add(-time.Minute)
+			s.publish(func(cfg *routing.Config) { move(cfg, 0) })
+			s.contract.list[1].at = time.Now().Add(-configBound - time.Second)
+			s.record("2", "lookup", func(*request, *platformtest.Arrival) {})
+		}},
+		"sent to a leaving endpoint": {drained, func(s *soak) {
+			s.requests.leaves("i-9", time.Now().Add(-drain-time.Second))
+			s.record("2", "lookup", func(_ *request, a *platformtest.Arrival) { a.Endpoint = "i-9" })
+		}},
+		"lost by planned work": {plannedStops, func(s *soak) {
+			s.calm.disturb(s.hosts[0].scope(), "planned "+s.hosts[0].scope())
+			s.record("2", "reserve", func(r *request, _ *platformtest.Arrival) { r.end, r.status = closed, 0 })
+		}},
+		"lost by a calm host": {keptAnswers, func(s *soak) {
+			for range fewLost + 1 {
+				s.record("2", "reserve", func(r *request, _ *platformtest.Arrival) { r.end, r.status = closed, 0 })
+			}
+		}},
+		"late": {answersLate, func(s *soak) {
+			for range fewLate {
+				s.record("2", "lookup", func(r *request, _ *platformtest.Arrival) { r.end, r.ended = silent, r.sent.Add(2*time.Second) })
+			}
+		}},
+		"sent for who left": {leftAlone, func(s *soak) {
+			for range fewAfterLeave + 1 {
+				s.record("2"+time.Now().String(), "lookup", func(r *request, a *platformtest.Arrival) { r.end, a.At = left, r.ended.Add(time.Second) })
+			}
+		}},
+		"not served at the end": {recovered, func(s *soak) { s.calmRequest("2", http.StatusBadGateway); s.calmRequest("3", http.StatusBadGateway) }},
+		"too many repeats": {fewRepeats, func(s *soak) {
+			for range repeatBurst + 3 {
+				s.requests.arrived(platformtest.Arrival{Endpoint: "i-1", Service: services[0], ID: "calm", Method: http.MethodPost, Target: "/lookup/1", Body: "d", DeadlineMS: 900, At: time.Now()})
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			s := recorded(&out)
+			row.breach(s)
+			s.audit()
+			is.New(t).True(strings.Contains(out.String(), `BREACH of "`+row.check+`"`))
+		})
+	}
+}
+
+// TestCalendar guards the time after a fault in which bounds do not hold.
+func TestCalendar(t *testing.T) {
+	is := is.New(t)
+	c := newCalendar()
+	end := c.disturb("a")
+	now := time.Now()
+	is.True(!c.quiet("a", now, now.Add(time.Second)))
+	is.True(c.during("a", now))
+	is.True(c.quiet("b", now, now.Add(time.Second)))
+	end()
+	is.True(!c.quiet("a", time.Now().Add(stability/2), time.Now().Add(stability)))
+	is.True(c.quiet("a", time.Now().Add(stability+time.Second), time.Now().Add(2*stability)))
+	is.True(!c.during("a", time.Now().Add(time.Second)))
+}
+
+// TestScheduleOfOnly guards the choice of faults.
+func TestScheduleOfOnly(t *testing.T) {
+	is := is.New(t)
+	_, err := faultNamed("no such fault")
+	is.True(err != nil)
+	for _, name := range FaultNames() {
+		f, err := faultNamed(name)
+		is.NoErr(err)
+		is.Equal(f.name, name)
+	}
+}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,307 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/platform/platformtest"
+)
+
+const (
+	connectTimeout = time.Second
+	lookupTimeout  = time.Second
+	// answerPatience is how long a caller waits beyond its deadline, to see what the host makes of a late request.
+	answerPatience = time.Second
+	thinkTime      = 60 * time.Millisecond // mean time between two requests of a caller
+	leaveShare     = 0.03                  // of the requests, whose caller leaves early
+	pipelineShare  = 0.1                   // of the idempotent requests, sent together
+	mostPipelined  = 3
+	largestBody    = 60_000
+	avoidFor       = 2 * time.Second // an address that took no connection
+)
+
+// How a request ended for its caller.
+const (
+	answered = "answered" // a whole answer came
+	closed   = "closed"   // the connection ended without one
+	silent   = "silent"   // nothing came while the caller waited
+	left     = "left"     // the caller closed the connection
+)
+
+// request is one request of a caller. It is written by the caller until end is set.
+type request struct {
+	id, method, target, digest string
+	route                      string
+	idempotent                 bool
+	deadline                   time.Duration
+	host                       *host
+	sent, ended                time.Time
+	end                        string
+	status                     int
+	signed                     bool
+	unread                     bool // it was sent behind an answer that closes the connection, or never in full
+	calm                       bool // sent at the calm end of the run
+}
+
+// requestLog keeps requests and arrivals.
+type requestLog struct {
+	mu       sync.Mutex
+	list     []*request
+	arrivals []platformtest.Arrival
+	fates    endpointFates
+}
+
+func (l *requestLog) add(r *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, r)
+}
+
+func (l *requestLog) arrived(a platformtest.Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, a)
+}
+
+// caller asks for addresses, keeps them, and sends requests on connections that it keeps.
+type caller struct {
+	soak    *soak
+	index   int
+	rng     *rand.Rand
+	known   []string
+	until   time.Time            // the addresses are kept
+	avoided map[string]time.Time // until when
+	serial  int
+}
+
+func newCaller(s *soak, index int) *caller {
+	return &caller{soak: s, index: index, rng: rand.New(rand.NewPCG(s.Seed, uint64(1000+index))), avoided: map[string]time.Time{}}
+}
+
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		h, conn := c.connect(ctx)
+		if conn == nil {
+			pause(ctx, thinkTime)
+			continue
+		}
+		c.use(ctx, h, conn)
+		conn.Close()
+	}
+}
+
+// connect opens a connection to one of the addresses.
+func (c *caller) connect(ctx context.Context) (*host, net.Conn) {
+	now := time.Now()
+	if now.After(c.until) {
+		c.lookup(ctx)
+	}
+	var usable []string
+	for _, a := range c.known {
+		if now.After(c.avoided[a]) {
+			usable = append(usable, a)
+		}
+	}
+	if len(usable) == 0 {
+		c.until = time.Time{}
+		return nil, nil
+	}
+	address := usable[c.rng.IntN(len(usable))]
+	h, reached := c.soak.reached(address)
+	c.soak.ledger.Check(ownAnswers, h != nil, "a caller was told of %s, which is no host", address)
+	if h == nil {
+		return nil, nil
+	}
+	conn, err := net.DialTimeout("tcp", reached, connectTimeout)
+	if err != nil {
+		c.avoided[address] = now.Add(avoidFor)
+		return nil, nil
+	}
+	return h, conn
+}
+
+// lookup asks hosts for addresses, the nearest first.
+func (c *caller) lookup(ctx context.Context) {
+	client := http.Client{Timeout: lookupTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range zones {
+		h := c.soak.hosts[(c.index+i)%len(c.soak.hosts)]
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.lookup+"?name="+hostName+"&zone="+zoneName(h.index), nil)
+		if err != nil {
+			continue
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			continue // a host that is down or paused
+		}
+		var answer struct {
+			Addresses []string `json:"addresses"`
+			TTLS      float64  `json:"ttlS"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&answer)
+		resp.Body.Close()
+		if err != nil || len(answer.Addresses) == 0 {
+			continue // the host knows nothing yet
+		}
+		kept := time.Duration(answer.TTLS * float64(time.Second))
+		if c.index%4 == 0 {
+			kept *= 3
+		}
+		c.known, c.until = answer.Addresses, time.Now().Add(kept)
+		return
+	}
+}
+
+// use sends requests on a connection until it ends. Half of the callers keep it for as long as the host does.
+func (c *caller) use(ctx context.Context, h *host, conn net.Conn) {
+	br := bufio.NewReaderSize(conn, 64<<10)
+	most := 1 + c.rng.IntN(20)
+	if c.index%2 == 0 {
+		most = 1 << 20
+	}
+	for range most {
+		pause(ctx, time.Duration(c.rng.ExpFloat64()*float64(thinkTime))/time.Duration(c.soak.burst.get()))
+		if ctx.Err() != nil {
+			return
+		}
+		routes := c.soak.contract.newest()
+		batch := []*request{c.request(h, routes[c.rng.IntN(len(routes))])}
+		if batch[0].idempotent && c.rng.Float64() < pipelineShare {
+			for range c.rng.IntN(mostPipelined) {
+				if r := c.request(h, routes[c.rng.IntN(len(routes))]); r.idempotent {
+					batch = append(batch, r)
+				}
+			}
+		}
+		if !c.exchange(conn, br, batch) {
+			return
+		}
+	}
+}
+
+func (c *caller) request(h *host, r routing.Route) *request {
+	c.serial++
+	return &request{id: fmt.Sprintf("%04x%08x", c.index, c.serial), method: http.MethodGet, target: fmt.Sprintf("/%s/%d?n=%d", r.Name, c.index, c.serial),
+		route: r.Name, idempotent: r.Idempotent, deadline: r.Timeout, host: h, calm: c.soak.calm.during(calmEnd, time.Now())}
+}
+
+// exchange sends requests together and reads their answers. It reports whether the connection is still of use.
+func (c *caller) exchange(conn net.Conn, br *bufio.Reader, batch []*request) bool {
+	var out bytes.Buffer
+	for _, r := range batch {
+		r.sent = time.Now()
+		c.encode(&out, r)
+	}
+	leaves := c.rng.Float64() < leaveShare
+	if leaves {
+		after := time.Duration(c.rng.IntN(40)) * time.Millisecond
+		defer time.AfterFunc(after, func() { conn.Close() }).Stop()
+	}
+	conn.SetDeadline(time.Now().Add(batch[0].deadline + answerPatience))
+	_, writeErr := conn.Write(out.Bytes())
+	usable := true
+	for i, r := range batch {
+		if usable {
+			usable = c.read(br, r)
+		} else {
+			r.end, r.unread = closed, batch[i-1].end == answered || batch[i-1].unread
+		}
+		r.unread = r.unread || writeErr != nil && r.end != answered
+		r.ended = time.Now()
+		if leaves && r.end != answered {
+			r.end = left
+		}
+		c.soak.requests.add(r)
+	}
+	if extra := br.Buffered(); usable && extra > 0 {
+		peek, _ := br.Peek(min(extra, 60))
+		c.soak.ledger.Check(ownAnswers, false, "%s sent %d bytes that belong to no request after %s: %q", batch[0].host.name, extra, batch[len(batch)-1].id, peek)
+	}
+	return usable
+}
+
+// encode writes a request, its body with a length or in chunks.
+func (c *caller) encode(out *bytes.Buffer, r *request) {
+	var body []byte
+	if !r.idempotent {
+		r.method = http.MethodPost
+		body = bytes.Repeat([]byte{byte('a' + c.rng.IntN(26))}, c.rng.IntN(200))
+		if c.rng.IntN(50) == 0 {
+			body = bytes.Repeat(body, largestBody/200)
+		}
+	}
+	sum := sha256.Sum256(body)
+	r.digest = hex.EncodeToString(sum[:])
+	fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.method, r.target, hostName,
+		platformtest.HeaderRequestID, r.id, platformtest.HeaderDeadlineMS, r.deadline.Milliseconds())
+	switch {
+	case len(body) > 0 && c.rng.IntN(4) == 0:
+		out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		for chunk := range slices.Chunk(body, 97) {
+			fmt.Fprintf(out, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		out.WriteString("0\r\n\r\n")
+	case r.method == http.MethodPost:
+		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	default:
+		out.WriteString("\r\n")
+	}
+}
+
+// read reads one answer and checks that it is the request's own.
+func (c *caller) read(br *bufio.Reader, r *request) bool {
+	resp, err := http.ReadResponse(br, &http.Request{Method: r.method})
+	if err != nil {
+		r.end = endOf(err)
+		return false
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.end = endOf(err)
+		return false
+	}
+	r.end, r.status = answered, resp.StatusCode
+	r.signed = platformtest.Signed(resp.Header)
+	whole := !r.signed && r.status >= http.StatusMultipleChoices ||
+		r.signed && platformtest.IsAnswer(resp.Header, r.status, string(data), platformtest.Arrival{ID: r.id, Method: r.method, Target: r.target, Body: r.digest})
+	c.soak.ledger.Check(ownAnswers, whole, "%s of %s got status %d with a body of %d bytes that is not its own: %.80q", r.id, r.host.name, r.status, len(data), data)
+	if !r.signed && r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable {
+		_, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		c.soak.ledger.Check(saysWhen, err == nil, "%s of %s was refused with %d without saying when to come back", r.id, r.host.name, r.status)
+	}
+	return !resp.Close && whole
+}
+
+func endOf(err error) string {
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		return silent
+	}
+	return closed
+}
+
+func (r *request) String() string {
+	return strings.Join([]string{r.id, r.route, r.host.name, r.end, strconv.Itoa(r.status)}, " ")
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,361 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/testbed"
+	"github.com/arbutusspan/arbutusspan/platform/platformtest"
+)
+
+// fault is something that happens to the system. It ends what it began before it returns.
+type fault struct {
+	name    string
+	planned bool // ordinary work of operators, around which nothing may be lost
+	run     func(s *soak, ctx context.Context, rng *rand.Rand)
+}
+
+var faults = []fault{
+	{"stop", true, func(s *soak, ctx context.Context, rng *rand.Rand) { s.stopAndStart(ctx, rng, s.anyHost(rng)) }},
+	{"rolling-stop", true, (*soak).rollingStop},
+	{"reload", true, (*soak).reload},
+	{"configuration", true, (*soak).configure},
+	{"configuration-storm", true, (*soak).configurationStorm},
+	{"endpoint-leaves", true, (*soak).endpointLeaves},
+	{"kill", false, func(s *soak, ctx context.Context, rng *rand.Rand) { s.killHost(ctx, rng, s.anyHost(rng)) }},
+	{"kill-all", false, (*soak).killAll},
+	{"pause", false, (*soak).pauseHost},
+	{"callers-network", false, (*soak).breakCallers},
+	{"peers-network", false, (*soak).breakPeers},
+	{"store-network", false, (*soak).breakStoreLink},
+	{"store-faults", false, (*soak).storeFaults},
+	{"store-refuses-one", false, (*soak).storeRefusesOne},
+	{"store-forgets", false, (*soak).storeForgets},
+	{"foreign-entries", false, (*soak).foreignEntries},
+	{"endpoint-killed", false, (*soak).endpointKilled},
+	{"endpoint-address-reused", false, (*soak).addressReused},
+	{"endpoint-answers", false, (*soak).misanswer},
+	{"endpoint-slow", false, (*soak).slowEndpoints},
+	{"endpoint-network", false, (*soak).breakEndpoint},
+	{"burst", false, (*soak).burstOfCallers},
+}
+
+// FaultNames returns the names of all faults.
+func FaultNames() []string {
+	var names []string
+	for _, f := range faults {
+		names = append(names, f.name)
+	}
+	return names
+}
+
+func faultNamed(name string) (fault, error) {
+	for _, f := range faults {
+		if f.name == name {
+			return f, nil
+		}
+	}
+	return fault{}, trace.BadParameter("no fault is called %q: use one of %v", name, FaultNames())
+}
+
+const (
+	phaseLength  = 4 * time.Second
+	mostFaults   = 5   // that begin in one phase
+	plannedShare = 0.3 // of the phases, with planned work only and calm before it
+	longestFault = 2500 * time.Millisecond
+)
+
+// schedule plays phases of faults until the length of the run is over, and waits for the last fault to end. All draws come from the
+// seed before the first fault begins, so that the schedule does not depend on how fast the machine is.
+func (s *soak) schedule(ctx context.Context) {
+	var running sync.WaitGroup
+	for begin := time.Now(); time.Since(begin) < s.Length && ctx.Err() == nil; {
+		planned := s.rng.Float64() < plannedShare
+		if planned {
+			running.Wait()
+			pause(ctx, stability)
+		}
+		for range 1 + s.rng.IntN(mostFaults) {
+			f := s.drawFault(planned)
+			offset := time.Duration(s.rng.Float64() * float64(phaseLength))
+			rng := rand.New(rand.NewPCG(s.rng.Uint64(), 1))
+			running.Go(func() {
+				pause(ctx, offset)
+				s.begin(ctx, f, rng)
+			})
+		}
+		pause(ctx, phaseLength)
+	}
+	running.Wait()
+}
+
+func (s *soak) begin(ctx context.Context, f fault, rng *rand.Rand) {
+	fmt.Fprintf(s.Out, "  %6.2f s  %s\n", time.Since(s.began).Seconds(), f.name)
+	s.ledger.Add("faults "+f.name, 1)
+	if !f.planned {
+		defer s.calm.disturb(scopeNetwork)()
+	}
+	f.run(s, ctx, rng)
+}
+
+func (s *soak) drawFault(planned bool) fault {
+	for {
+		f := faults[s.rng.IntN(len(faults))]
+		if len(s.Only) > 0 {
+			f, _ = faultNamed(s.Only[s.rng.IntN(len(s.Only))]) // Run has checked the names
+			return f
+		}
+		if f.planned || !planned {
+			return f
+		}
+	}
+}
+
+func (s *soak) anyHost(rng *rand.Rand) *host { return s.hosts[rng.IntN(len(s.hosts))] }
+
+func (s *soak) anyEndpoint(rng *rand.Rand) *endpoint { return s.endpoints[rng.IntN(len(s.endpoints))] }
+
+func lasting(rng *rand.Rand) time.Duration {
+	return time.Duration(rng.Float64() * float64(longestFault))
+}
+
+// Hosts.
+
+func (s *soak) stopAndStart(ctx context.Context, rng *rand.Rand, h *host) {
+	end := s.calm.disturb(h.scope(), "planned "+h.scope())
+	h.stop(ctx, true)
+	pause(ctx, lasting(rng)/4)
+	s.restart(h)
+	end()
+}
+
+func (s *soak) restart(h *host) {
+	err := h.start()
+	s.ledger.Check(staysUp, err == nil, "%s does not start: %v", h.name, err)
+}
+
+func (s *soak) rollingStop(ctx context.Context, rng *rand.Rand) {
+	first := rng.IntN(len(s.hosts))
+	for i := range min(3, len(s.hosts)) {
+		s.stopAndStart(ctx, rng, s.hosts[(first+i)%len(s.hosts)])
+	}
+}
+
+func (s *soak) reload(_ context.Context, rng *rand.Rand) {
+	for range 1 + rng.IntN(3) {
+		s.anyHost(rng).signal(syscall.SIGHUP)
+	}
+}
+
+func (s *soak) killHost(ctx context.Context, rng *rand.Rand, h *host) {
+	defer s.calm.disturb(h.scope())()
+	h.kill()
+	pause(ctx, lasting(rng)/2)
+	s.restart(h)
+}
+
+func (s *soak) killAll(ctx context.Context, rng *rand.Rand) {
+	var all sync.WaitGroup
+	for _, h := range s.hosts {
+		rng := rand.New(rand.NewPCG(rng.Uint64(), 1))
+		all.Go(func() { s.killHost(ctx, rng, h) })
+	}
+	all.Wait()
+}
+
+func (s *soak) pauseHost(ctx context.Context, rng *rand.Rand) {
+	h := s.anyHost(rng)
+	defer s.calm.disturb(h.scope())()
+	h.signal(syscall.SIGSTOP)
+	pause(ctx, lasting(rng))
+	h.signal(syscall.SIGCONT)
+}
+
+// Networks.
+
+var modes = []testbed.Mode{testbed.Cut, testbed.Stall, testbed.MuteForward, testbed.MuteReturn, testbed.CutAnswers}
+
+// breakRelay breaks a network for a while. Connections that are open can stay silent for good.
+func (s *soak) breakRelay(ctx context.Context, rng *rand.Rand, r *testbed.Relay) {
+	if rng.IntN(len(modes)+1) == 0 {
+		r.Silence()
+		return
+	}
+	r.SetMode(modes[rng.IntN(len(modes))])
+	pause(ctx, lasting(rng))
+	r.SetMode(testbed.Pass)
+}
+
+func (s *soak) breakCallers(ctx context.Context, rng *rand.Rand) {
+	h := s.anyHost(rng)
+	defer s.calm.disturb(h.scope())()
+	s.breakRelay(ctx, rng, h.callers)
+}
+
+func (s *soak) breakPeers(ctx context.Context, rng *rand.Rand) {
+	h := s.anyHost(rng)
+	defer s.calm.disturb(h.scope())()
+	s.breakRelay(ctx, rng, h.peers)
+}
+
+func (s *soak) breakStoreLink(ctx context.Context, rng *rand.Rand) {
+	h := s.anyHost(rng)
+	defer s.calm.disturb(h.scope())()
+	s.breakRelay(ctx, rng, h.toStore)
+}
+
+// The store.
+
+func drawStoreFaults(rng *rand.Rand) platformtest.StoreFaults {
+	return []platformtest.StoreFaults{{Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}, {Delay: 300 * time.Millisecond},
+		{Delay: 1500 * time.Millisecond}, {LoseEvery: 2}, {HangEvery: 2}, {CutAnswers: true}}[rng.IntN(7)]
+}
+
+func (s *soak) storeFaults(ctx context.Context, rng *rand.Rand) {
+	defer s.calm.disturb(scopeStore)()
+	f := drawStoreFaults(rng)
+	for _, h := range s.hosts {
+		h.front.SetFaults(f)
+	}
+	pause(ctx, 2*lasting(rng))
+	for _, h := range s.hosts {
+		h.front.SetFaults(platformtest.StoreFaults{})
+	}
+}
+
+func (s *soak) storeRefusesOne(ctx context.Context, rng *rand.Rand) {
+	h := s.anyHost(rng)
+	defer s.calm.disturb(h.scope())()
+	h.front.SetFaults(drawStoreFaults(rng))
+	pause(ctx, lasting(rng))
+	h.front.SetFaults(platformtest.StoreFaults{})
+}
+
+func (s *soak) storeForgets(context.Context, *rand.Rand) { s.store.Forget() }
+
+func (s *soak) foreignEntries(ctx context.Context, rng *rand.Rand) {
+	for _, text := range []string{"", "\xff\xfe", "null", "[]", "{}", `{"address":7}`,
+		`{"address":"127.0.0.1:1","born":1,"info":{"service":"nowhere","zone":"a","maxConcurrency":2},"status":{"state":"ready","sequence":1}}`,
+		`{"address":"127.0.0.1:1","born":1,"info":{"service":"desk","zone":"a","maxConcurrency":2},"status":{"state":"resting","sequence":1}}`} {
+		s.store.PutForeignEntry(fmt.Sprintf("x-%d", rng.IntN(4)), []byte(text))
+		pause(ctx, lasting(rng)/20)
+	}
+}
+
+// Configurations.
+
+func (s *soak) configure(_ context.Context, rng *rand.Rand) {
+	change := []func(*routing.Config, int){move, split, addRoute}[rng.IntN(3)]
+	i := rng.IntN(16)
+	s.publish(func(cfg *routing.Config) { change(cfg, i) })
+}
+
+func (s *soak) configurationStorm(ctx context.Context, rng *rand.Rand) {
+	for range 5 {
+		s.configure(ctx, rng)
+		pause(ctx, lasting(rng)/20)
+	}
+}
+
+// Endpoints.
+
+func (s *soak) restartEndpoint(e *endpoint, id string, clock time.Duration) {
+	err := e.Start(id, clock)
+	s.ledger.Check(testRuns, err == nil, "endpoint %s does not start: %v", id, err)
+}
+
+// endpointLeaves takes an endpoint away by plan, announced or by the removal of its entry.
+func (s *soak) endpointLeaves(ctx context.Context, rng *rand.Rand) {
+	e := s.anyEndpoint(rng)
+	e.busy.Lock()
+	defer e.busy.Unlock()
+	id := e.ID()
+	e.Leave(rng.IntN(2) == 0)
+	s.requests.leaves(id, time.Now())
+	pause(ctx, drain+time.Duration(rng.Float64()*float64(drain))+time.Second)
+	e.Kill()
+	pause(ctx, lasting(rng)/2)
+	s.restartEndpoint(e, s.nextID(), 0)
+}
+
+// endpointKilled kills an endpoint. It comes back under its old id, with a clock that may have jumped, or under a new one.
+func (s *soak) endpointKilled(ctx context.Context, rng *rand.Rand) {
+	e := s.anyEndpoint(rng)
+	defer s.calm.disturb(scopeEndpoints)()
+	e.busy.Lock()
+	defer e.busy.Unlock()
+	id := e.ID()
+	s.requests.endpointEnded(id)
+	e.Kill()
+	pause(ctx, lasting(rng))
+	clock := time.Duration(0)
+	switch rng.IntN(3) {
+	case 0:
+		id = s.nextID()
+	case 1:
+		clock = time.Duration(rng.IntN(10)-5) * time.Second
+	}
+	s.restartEndpoint(e, id, clock)
+}
+
+// addressReused ends an endpoint and gives its address to one of the other service for a while.
+func (s *soak) addressReused(ctx context.Context, rng *rand.Rand) {
+	e := s.anyEndpoint(rng)
+	defer s.calm.disturb(scopeEndpoints)()
+	e.busy.Lock()
+	defer e.busy.Unlock()
+	for range 2 {
+		s.requests.endpointEnded(e.ID())
+		e.Kill()
+		pause(ctx, drain)
+		e.SwapService(services[0], services[1])
+		s.restartEndpoint(e, s.nextID(), 0)
+		pause(ctx, lasting(rng))
+	}
+}
+
+func (s *soak) misanswer(ctx context.Context, rng *rand.Rand) {
+	e := s.anyEndpoint(rng)
+	defer s.calm.disturb(scopeEndpoints)()
+	kind := platformtest.AnswerFaults[rng.IntN(len(platformtest.AnswerFaults))]
+	e.SetFaults(platformtest.EndpointFaults{Answers: kind, Share: 0.2 + 0.8*rng.Float64(), LyingLoad: rng.IntN(2) == 0, Sick: rng.IntN(4) == 0})
+	s.ledger.Add("answers "+kind, 1)
+	pause(ctx, 2*lasting(rng))
+	e.SetFaults(platformtest.EndpointFaults{})
+}
+
+func (s *soak) slowEndpoints(ctx context.Context, rng *rand.Rand) {
+	defer s.calm.disturb(scopeEndpoints)()
+	var slow []*endpoint
+	for _, e := range s.endpoints {
+		if rng.IntN(3) == 0 {
+			slow = append(slow, e)
+			e.SetFaults(platformtest.EndpointFaults{SlowFactor: 2 + 10*rng.Float64(), LyingLoad: rng.IntN(3) == 0})
+		}
+	}
+	pause(ctx, lasting(rng))
+	for _, e := range slow {
+		e.SetFaults(platformtest.EndpointFaults{})
+	}
+}
+
+func (s *soak) breakEndpoint(ctx context.Context, rng *rand.Rand) {
+	defer s.calm.disturb(scopeEndpoints)()
+	s.breakRelay(ctx, rng, s.anyEndpoint(rng).relay)
+}
+
+// burstOfCallers lets callers offer many times the usual load.
+func (s *soak) burstOfCallers(ctx context.Context, rng *rand.Rand) {
+	defer s.calm.disturb(scopeOverload)()
+	s.burst.set(5 + int64(rng.IntN(10)))
+	pause(ctx, lasting(rng))
+	s.burst.set(1)
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,242 @@
+// Package soak runs entry hosts as processes on one machine, breaks them and what they depend on from outside, and checks the promises
+// to callers and endpoints from what callers and endpoints see.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/testbed"
+	"github.com/arbutusspan/arbutusspan/platform/platformtest"
+)
+
+// Config of a run.
+type Config struct {
+	Seed    uint64        // of the schedule and the load
+	Hosts   int           // entry hosts, dealt out to three availability zones
+	Length  time.Duration // of the part with faults
+	Timed   bool          // also check the promises that have a time bound; they need a machine with processors to spare
+	Only    []string      // names of the faults to use; empty for all
+	Program string        // path of arbutusspan
+	Dir     string        // for settings files, and for logs after a breach
+	Out     io.Writer
+}
+
+// Shape of the deployment.
+const (
+	zones            = 3
+	endpointsEach    = 6 // of a service
+	endpointSlots    = 2
+	endpointWork     = 15 * time.Millisecond
+	callersPerHost   = 4
+	routeTimeout     = time.Second
+	targetLatency    = 200 * time.Millisecond
+	maxAttempts      = 3
+	repeatRatio      = 0.2
+	repeatBurst      = 30
+	repeatWindow     = 10 * time.Second
+	grace            = 3 * time.Second
+	drain            = 2 * time.Second // after which a leaving endpoint gets no requests
+	stability        = 3 * time.Second // after a fault, until time bounds hold again
+	startTimeout     = time.Minute
+	settleTime       = 4 * time.Second // between the last fault and the calm end
+	calmTime         = 4 * time.Second
+	addressLifetimeS = 1
+
+	callerPort    = 8144
+	readyPort     = 8140
+	directoryPort = 8143
+	statePort     = 8146 // TCP, and UDP for messages between hosts
+	storePort     = 8142
+	endpointPort  = 9000
+)
+
+var services = []string{"desk", "book"}
+
+// soak is one run.
+type soak struct {
+	Config
+	network   byte
+	lock      net.Listener
+	rng       *rand.Rand
+	began     time.Time
+	store     *platformtest.Store
+	hosts     []*host
+	endpoints []*endpoint
+	servers   []*http.Server
+	ledger    *testbed.Ledger
+	calm      *calendar
+	contract  contractHistory
+	requests  requestLog
+	burst     multiplier // how many times the usual load callers offer
+	serial    counter    // of endpoint ids
+}
+
+// Run plays one seed and returns an error if a promise was broken.
+func Run(ctx context.Context, cfg Config) error {
+	s := &soak{Config: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 11)), store: platformtest.NewStore(), calm: newCalendar(),
+		ledger: testbed.NewLedger(cfg.Out, checkNames...)}
+	for _, name := range cfg.Only {
+		if _, err := faultNamed(name); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(cfg.Out, "soak: seed %d, %d hosts, load average %s\n", cfg.Seed, cfg.Hosts, testbed.LoadAverage())
+	// Each run has a directory of its own, since several may run at once.
+	s.Dir = filepath.Join(cfg.Dir, fmt.Sprintf("soak-%d", cfg.Seed))
+	if err := os.MkdirAll(s.Dir, 0o755); err != nil {
+		return err
+	}
+	defer s.close()
+	if err := s.start(ctx); err != nil {
+		return err
+	}
+	s.play(ctx)
+	s.audit()
+	breaches := s.ledger.Print()
+	fmt.Fprintf(cfg.Out, "soak: seed %d, %.0f s, load average %s\n", cfg.Seed, time.Since(s.began).Seconds(), testbed.LoadAverage())
+	if breaches > 0 {
+		return errors.Join(fmt.Errorf("seed %d: %d breaches; logs are in %s", cfg.Seed, breaches, s.Dir), s.keepLogs())
+	}
+	return ctx.Err()
+}
+
+// play runs callers and faults, and stops the hosts.
+func (s *soak) play(ctx context.Context) {
+	calling, leave := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range s.Hosts * callersPerHost {
+		c := newCaller(s, i)
+		callers.Go(func() { c.run(calling) })
+	}
+	s.schedule(ctx)
+	s.checkRecovery(ctx)
+	leave()
+	callers.Wait()
+	var stops sync.WaitGroup
+	for _, h := range s.hosts {
+		stops.Go(func() { h.stop(ctx, false) })
+	}
+	stops.Wait()
+	// Requests that were cut off may still run at endpoints.
+	time.Sleep(time.Second)
+}
+
+func (s *soak) start(ctx context.Context) error {
+	var err error
+	if s.network, s.lock, err = testbed.TakeNetwork(); err != nil {
+		return err
+	}
+	s.began = time.Now()
+	s.publish(func(cfg *routing.Config) { *cfg = firstConfig() })
+	for i, service := range services {
+		for j := range endpointsEach {
+			e, err := s.newEndpoint(service, 100+i, j)
+			if err != nil {
+				return err
+			}
+			s.endpoints = append(s.endpoints, e)
+		}
+	}
+	for i := range s.Hosts {
+		h, err := s.newHost(i)
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	for _, h := range s.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, h := range s.hosts {
+		if err := h.awaitReady(ctx); err != nil {
+			return fmt.Errorf("%s does not become ready: %w\n%s", h.name, err, h.process.Log())
+		}
+	}
+	return nil
+}
+
+func (s *soak) close() {
+	for _, h := range s.hosts {
+		h.kill()
+		h.callers.Close()
+		h.peers.Close()
+		h.toStore.Close()
+	}
+	for _, e := range s.endpoints {
+		e.Kill()
+		e.relay.Close()
+	}
+	for _, server := range s.servers {
+		server.Close()
+	}
+	if s.lock != nil {
+		s.lock.Close()
+	}
+}
+
+// address returns an address in the network of the run.
+func (s *soak) address(a, b, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.network, byte(a), byte(b)}), uint16(port))
+}
+
+// relay starts a relay without delay.
+func relay(listen, target netip.AddrPort) (*testbed.Relay, error) {
+	return testbed.NewRelay(listen, target, func(netip.Addr) time.Duration { return 0 })
+}
+
+// keepLogs writes the output of all host processes to files.
+func (s *soak) keepLogs() error {
+	var errs []error
+	for _, h := range s.hosts {
+		var b strings.Builder
+		for _, p := range h.all {
+			fmt.Fprintf(&b, "--- process %d\n%s", p.PID(), p.Log())
+		}
+		errs = append(errs, os.WriteFile(filepath.Join(s.Dir, h.name+".log"), []byte(b.String()), 0o644))
+	}
+	return errors.Join(errs...)
+}
+
+// endpoint is one endpoint behind a relay.
+type endpoint struct {
+	*platformtest.Endpoint
+	relay   *testbed.Relay
+	busy    sync.Mutex // held by the fault that stops or starts the process
+	service string
+}
+
+func (s *soak) newEndpoint(service string, net, i int) (*endpoint, error) {
+	real, advertised := s.address(net+10, 1+i, endpointPort), s.address(net, 1+i, endpointPort)
+	r, err := relay(advertised, real)
+	if err != nil {
+		return nil, err
+	}
+	cfg := platformtest.EndpointConfig{Service: service, Zone: zoneName(i), Listen: real.String(), Address: advertised.String(), Slots: endpointSlots,
+		Work: endpointWork, Record: s.requests.arrived}
+	if i == 0 {
+		cfg.Idle = 700 * time.Millisecond // this endpoint forgets connections sooner than hosts do
+	}
+	e := &endpoint{Endpoint: platformtest.NewEndpoint(s.store, cfg), relay: r, service: service}
+	return e, e.Start(s.nextID(), 0)
+}
+
+func (s *soak) nextID() string { return fmt.Sprintf("i-%d", s.serial.next()) }
+
+func zoneName(i int) string { return string(rune('a' + i%zones)) }
--- a/internal/testbed/deployment.go
+++ b/internal/testbed/deployment.go
@@ -160,10 +160,10 @@
 }
 
 func (d *Deployment) start(ctx context.Context) error {
-	if err := d.takeNetwork(); err != nil {
+	var err error
+	if d.network, d.lock, err = TakeNetwork(); err != nil {
 		return err
 	}
-	var err error
 	if d.platform, err = Start("platform", d.Config.Bin["standin"], "platform", "--listen", d.platformAddress()); err != nil {
 		return err
 	}
@@ -199,23 +199,26 @@
 	return d.AwaitRevision(ctx)
 }
 
-// takeNetwork reserves a network 127.N.0.0/16 that no other deployment on this machine uses.
-func (d *Deployment) takeNetwork() error {
+// TakeNetwork reserves a network 127.N.0.0/16 that no other deployment on this machine uses, until the lock is closed.
+func TakeNetwork() (network byte, lock net.Listener, err error) {
 	const first, count = 16, 224
 	offset := rand.IntN(count)
 	for i := range count {
-		d.network = byte(first + (offset+i)%count)
-		l, err := net.Listen("tcp", d.address(255, 254, lockPort))
+		network = byte(first + (offset+i)%count)
+		l, err := net.Listen("tcp", networkAddress(network, 255, 254, lockPort))
 		if err == nil {
-			d.lock = l
-			return nil
+			return network, l, nil
 		}
 	}
-	return errors.New("all loopback networks are in use by other deployments")
+	return 0, nil, errors.New("all loopback networks are in use by other deployments")
+}
+
+func networkAddress(network, a, b byte, port int) string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, network, a, b}), uint16(port)).String()
 }
 
 func (d *Deployment) address(a, b byte, port int) string {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, d.network, a, b}), uint16(port)).String()
+	return networkAddress(d.network, a, b, port)
 }
 
 func (d *Deployment) platformAddress() string { return d.address(200, 1, platformPort) }
--- /dev/null
+++ b/internal/testbed/ledger.go
@@ -0,0 +1,77 @@
+package testbed
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Ledger counts checks and breaches of promises.
+type Ledger struct {
+	out   io.Writer
+	names []string
+
+	mu       sync.Mutex
+	checked  map[string]int
+	breaches map[string]int
+	facts    map[string]int
+}
+
+// NewLedger returns a ledger that writes breaches to out as they happen. The names of the checks are given in the order of the table.
+func NewLedger(out io.Writer, names ...string) *Ledger {
+	return &Ledger{out: out, names: names, checked: map[string]int{}, breaches: map[string]int{}, facts: map[string]int{}}
+}
+
+// Check counts one check and writes a breach.
+func (l *Ledger) Check(name string, ok bool, format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checked[name]++
+	if !ok {
+		l.breaches[name]++
+		fmt.Fprintf(l.out, "  BREACH of %q: %s\n", name, fmt.Sprintf(format, args...))
+	}
+}
+
+// Report writes a breach that Count has counted.
+func (l *Ledger) Report(name, format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintf(l.out, "  BREACH of %q: %s\n", name, fmt.Sprintf(format, args...))
+}
+
+// Count adds checks and breaches.
+func (l *Ledger) Count(name string, checked, breaches int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checked[name] += checked
+	l.breaches[name] += breaches
+}
+
+// Add counts something that is printed beside the checks.
+func (l *Ledger) Add(fact string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.facts[fact] += n
+}
+
+// Print writes the table and returns the number of breaches.
+func (l *Ledger) Print() (total int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintf(l.out, "  %-38s %8s %8s\n", "check", "checked", "breaches")
+	for _, name := range l.names {
+		note := ""
+		if l.checked[name] == 0 {
+			note = "  not checked in this run"
+		}
+		fmt.Fprintf(l.out, "  %-38s %8d %8d%s\n", name, l.checked[name], l.breaches[name], note)
+		total += l.breaches[name]
+	}
+	for _, fact := range slices.Sorted(maps.Keys(l.facts)) {
+		fmt.Fprintf(l.out, "  %s: %d\n", fact, l.facts[fact])
+	}
+	return total
+}
--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,21 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/soak"
+	"github.com/arbutusspan/arbutusspan/internal/testbed"
+)
+
+// TestSoak plays seeds of the fault soak with entry hosts as processes. It leaves the checks with time bounds to make soak.
+func TestSoak(t *testing.T) {
+	is := is.New(t)
+	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
+	is.NoErr(err)
+	for _, seed := range []uint64{1} {
+		is.NoErr(soak.Run(t.Context(), soak.Config{Seed: seed, Hosts: 3, Length: 8 * time.Second, Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
+	}
+}
