--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -150,9 +150,14 @@
 		h.soak.ledger.Check(staysUp, err == nil || cut, "%s stopped with %v: %s", h.name, err, lastLines(p.Log()))
 		return
 	}
+	h.signal(syscall.SIGQUIT) // the Go runtime writes all stacks, which tell what did not end
+	pause(context.Background(), stackTime)
 	h.kill()
 }
 
+// stackTime lets a process write its stacks.
+const stackTime = 300 * time.Millisecond
+
 func (h *host) ready() error {
 	resp, err := http.Get(h.ready_)
 	if err != nil {
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -100,6 +100,8 @@
 // get returns an idle connection to the endpoint, or nil. The newest is preferred, because it is most likely alive; oldest takes the one
 // that has been idle for longest.
 func (p *Pool) get(id endpoints.ID, now time.Time, oldest bool) *conn {
+	var useless []*conn
+	defer func() { closeAll(useless) }()
 	sh := p.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -115,11 +117,18 @@
 		if now.Sub(c.idleAt) < p.cfg.IdleTimeout && c.http.Err() == nil && c.raw.take() {
 			return c
 		}
-		c.close()
+		useless = append(useless, c)
 	}
 	return nil
 }
 
+// closeAll closes connections. It must not be called under a shard's lock: a closed connection gives its place back under that lock.
+func closeAll(list []*conn) {
+	for _, c := range list {
+		c.close()
+	}
+}
+
 // put keeps a connection whose reader waits for the next answer with nothing left over.
 func (p *Pool) put(id endpoints.ID, c *conn, now time.Time) {
 	c.idleAt = now
@@ -177,6 +186,8 @@
 // CloseIdle closes connections that have been idle for longer than the timeout. Connections to endpoints that are gone
 // are among them before long.
 func (p *Pool) CloseIdle(now time.Time) {
+	var useless []*conn
+	defer func() { closeAll(useless) }()
 	for i := range p.shards {
 		sh := &p.shards[i]
 		sh.mu.Lock()
@@ -184,7 +195,7 @@
 			kept := list[:0]
 			for _, c := range list {
 				if now.Sub(c.idleAt) >= p.cfg.IdleTimeout {
-					c.close()
+					useless = append(useless, c)
 					continue
 				}
 				kept = append(kept, c)
--- a/internal/transport/upstreamconn/send_test.go
+++ b/internal/transport/upstreamconn/send_test.go
@@ -555,3 +555,35 @@
 	defer sh.mu.Unlock()
 	return sh.open[id]
 }
+
+// TestIdleCloseFreesPlaces guards against a lock that is taken twice: a connection that is closed for its age gives its place back.
+func TestIdleCloseFreesPlaces(t *testing.T) {
+	is := is.New(t)
+	u := newRawUpstream(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	p := NewPool(DefaultConfig())
+	idleOne := func() {
+		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: "/x", RequestID: "r", Header: http.Header{}})
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		for p.idle(u.endpoint.ID) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	idleOne()
+	p.CloseIdle(time.Now().Add(time.Hour))
+	is.Equal(p.opened(u.endpoint.ID), 0)
+	idleOne()
+	is.True(p.get(u.endpoint.ID, time.Now().Add(time.Hour), false) == nil)
+	is.Equal(p.opened(u.endpoint.ID), 0)
+}
+
+func (p *Pool) idle(id endpoints.ID) int {
+	sh := p.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return len(sh.idle[id])
+}
