--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -48,23 +48,30 @@
 		if waiter == nil {
 			waiter = queue.Join(r.c.Route.Priority, r.late)
 		}
-		r.wait(ctx, waiter)
+		r.wait(ctx, queue, waiter)
 	}
 }
 
-// wait returns when an endpoint may have room.
-func (r *run) wait(ctx context.Context, w *placement.Waiter) {
+// wait returns when it is this request's turn to look for an endpoint, or when it can wait no longer.
+func (r *run) wait(ctx context.Context, queue *placement.Queue, w *placement.Waiter) {
 	r.result.Waits++
-	timer := time.NewTimer(waitAgain)
+	timer := time.NewTicker(waitAgain)
 	defer timer.Stop()
-	select {
-	case <-w.Wake:
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case <-w.Wake:
+			return
+		case now := <-timer.C:
+			if queue.First(w) || r.late.Sub(now) <= r.work {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// waitAgain is how long a waiting request waits for a wake-up before it looks again: other hosts use the endpoints too.
+// waitAgain is how long the first waiting request waits for a wake-up before it looks again: other hosts use the endpoints too.
 const waitAgain = 15 * time.Millisecond
 
 // refuse notes why no endpoint was found.
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -361,3 +361,69 @@
 	is.Equal(res.Outcome, LostAnswer)
 	is.Equal(reported, []string{"r1 broken"})
 }
+
+// TestBurstAsksForAll answers a burst that fills all endpoints: the first waiting request looks for room for all of them, so that the
+// questions do not grow with the number that waits.
+func TestBurstAsksForAll(t *testing.T) {
+	asked := func(waiting int) (n int) {
+		faketime.Test(t, func(t *testing.T) {
+			full := placement.Load{Running: 2, Waiting: 4, Slots: 2, Slowness: 1}
+			ups := map[string]*upstream{}
+			for i := range 60 {
+				ups[fmt.Sprint(i)] = &upstream{load: full}
+			}
+			f := newFleet(ups)
+			fw := f.forwarder(plenty)
+			fw.cfg.Random = placement.Random
+			var wg sync.WaitGroup
+			for range waiting {
+				wg.Go(func() { fw.Run(t.Context(), request(false)) })
+			}
+			wg.Wait()
+			time.Sleep(time.Minute)
+			for _, u := range f.ups {
+				n += u.asked
+			}
+		})
+		return n
+	}
+	const each = 6 // questions of a request's first look, which uses answers to others; later looks are few
+	is.New(t).True(asked(40) < 40*each)
+}
+
+// TestUrgentFirst answers a burst of less urgent requests: the urgent one that came last gets the slot that another host leaves.
+func TestUrgentFirst(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		full := placement.Load{Running: 2, Waiting: 4, Slots: 2, Slowness: 1}
+		up := &upstream{load: full, takes: usual}
+		f := newFleet(map[string]*upstream{"a": up})
+		fw := f.forwarder(plenty)
+		order := make(chan string, 11)
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Go(func() {
+				c := request(false)
+				c.Route.Name, c.Route.Priority = "stock", 5
+				if fw.Run(t.Context(), c).Outcome == Answered {
+					order <- "stock"
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		wg.Go(func() {
+			c := request(false)
+			c.Route.Name, c.Route.Priority = "recall", 0
+			if fw.Run(t.Context(), c).Outcome == Answered {
+				order <- "recall"
+			}
+		})
+		time.Sleep(5 * time.Millisecond)
+		f.mu.Lock()
+		up.load = placement.Load{Running: 1, Slots: 2, Slowness: 1}
+		f.mu.Unlock()
+		wg.Wait()
+		is.Equal(<-order, "recall")
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -34,13 +34,35 @@
 	return w
 }
 
-// Leave removes a request.
+// Leave removes a request. If it was the first, the next one is woken to look in its place.
 func (q *Queue) Leave(w *Waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if i := slices.Index(q.waiters, w); i >= 0 {
-		q.waiters = slices.Delete(q.waiters, i, i+1)
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return
 	}
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	if i == 0 && len(q.waiters) > 0 {
+		q.waiters[0].wake()
+	}
+}
+
+func (w *Waiter) wake() bool {
+	select {
+	case w.Wake <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// First reports whether the request is the first of the queue. Only the first one looks for an endpoint without being woken: if all did,
+// they would use up the questions that endpoints may be asked, and the order would not decide who gets the next slot.
+func (q *Queue) First(w *Waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiters) > 0 && q.waiters[0] == w
 }
 
 // Released wakes the first request that is not awake yet, because an endpoint may have room.
@@ -48,10 +70,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, w := range q.waiters {
-		select {
-		case w.Wake <- struct{}{}:
+		if w.wake() {
 			return
-		default:
 		}
 	}
 }
