--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -73,10 +74,11 @@
 const (
 	// readTimeout bounds one call. A connection that has gone silent is given up after it.
 	readTimeout = time.Second
-	// retryFirst is the pause after a failed read, doubling up to retryLongest. Together with the ranks it bounds the calls to a store
-	// that refuses them.
-	retryFirst   = 250 * time.Millisecond
-	retryLongest = time.Second
+	// retryFirst is the pause after a failed read, in parts of the age that this host lets its knowledge reach, doubling up to
+	// retryLongest. So hosts that come later in rank also ask a store that is away less often: those that come first, which ask each 2 s,
+	// tell the others of its return.
+	retryFirst   = 0.5
+	retryLongest = 3.0
 	// disturbedFor is how long after its last failure the store counts as disturbed: endpoints that could not renew their entries are
 	// back about two seconds after its return.
 	disturbedFor = 2 * time.Second
@@ -121,15 +123,15 @@
 
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	retry := retryFirst
+	failed := 0
 	for ctx.Err() == nil {
 		wait := f.due(time.Now())
 		if wait <= 0 {
 			if err := f.Refresh(ctx); err != nil {
-				wait = retry
-				retry = min(2*retry, retryLongest)
+				wait = f.retryAfter(failed)
+				failed++
 			} else {
-				retry = retryFirst
+				failed = 0
 				continue
 			}
 		}
@@ -143,6 +145,12 @@
 	}
 }
 
+// retryAfter returns the pause after a failed read, given the number of failed ones before it.
+func (f *Follower) retryAfter(failed int) time.Duration {
+	parts := min(retryFirst*math.Pow(2, float64(failed)), retryLongest)
+	return time.Duration(parts * float64(f.cfg.MaxAge()))
+}
+
 // due returns how long the knowledge may stay as it is.
 func (f *Follower) due(now time.Time) time.Duration {
 	maxAge := f.cfg.MaxAge()
@@ -186,18 +194,23 @@
 	n := f.refreshes
 	f.refreshes++
 	positions := append([]int64(nil), f.positions...)
+	down := !f.downSince.IsZero()
 	f.mu.Unlock()
 	reads := make([]feedRead, len(f.cfg.Feeds))
 	var wg sync.WaitGroup
+	var err error
 	for i, feed := range f.cfg.Feeds {
-		if !full && n%max(1, feed.Every) != 0 {
-			reads[i].skipped = true
-			continue
+		reads[i].skipped = err != nil || !full && n%max(1, feed.Every) != 0
+		switch {
+		case reads[i].skipped:
+		case down: // one call tells whether the store answers again
+			reads[i] = f.read(ctx, feed.Topic, positions[i])
+			err = reads[i].err
+		default:
+			wg.Go(func() { reads[i] = f.read(ctx, feed.Topic, positions[i]) })
 		}
-		wg.Go(func() { reads[i] = f.read(ctx, feed.Topic, positions[i]) })
 	}
 	wg.Wait()
-	var err error
 	for i := range reads {
 		if reads[i].err != nil {
 			err = trace.Wrap(reads[i].err, "read topic %s", f.cfg.Feeds[i].Topic)
