--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 	"github.com/arbutusspan/arbutusspan/internal/transport/admin"
+	"github.com/arbutusspan/arbutusspan/internal/transport/framing"
 	"github.com/arbutusspan/arbutusspan/internal/transport/frontend"
 	"github.com/arbutusspan/arbutusspan/internal/transport/platform"
 	"github.com/arbutusspan/arbutusspan/internal/transport/upstreamconn"
@@ -87,6 +88,7 @@
 	h.executor = h.newExecutor(h.dispatch.granter, wire.RelayClient{Caller: relayCaller{h.dispatch.peers}})
 	h.callers = newServer(h.track(frontend.New(frontend.Config{Host: s.Host, Tenants: h.tenants.Load,
 		Executor: h.executor, Directory: h, Refusals: h.refusals, Admit: h.admit, Metrics: h.metrics})))
+	h.callers.ConnContext = framing.ConnContext
 	view := operatorView{h}
 	operators := admin.New(admin.Config{Operators: s.Operators, Follower: h.follower, Local: view, Cluster: view, Metrics: h.metrics,
 		Upstreams: h.upstreams, Members: h.members, Ready: func() bool { return h.lifecycle.Is(StateServing) }})
@@ -128,7 +130,7 @@
 	g.Go(func() error { h.followHostList(running); return nil })
 	g.Go(func() error { h.sweep(running); return nil })
 	g.Go(func() error { h.noteContact(running); return nil })
-	g.Go(func() error { return ignoreClosed(h.callers.Serve(callers)) })
+	g.Go(func() error { return ignoreClosed(h.callers.Serve(framing.Listener(callers))) })
 	g.Go(func() error { return ignoreClosed(h.operators.Serve(operators)) })
 	if err := h.lifecycle.Event(running, eventListen); err != nil {
 		return trace.Wrap(err)
--- a/internal/transport/frontend/frontend.go
+++ b/internal/transport/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/limits"
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
+	"github.com/arbutusspan/arbutusspan/internal/transport/framing"
 )
 
 // Directory answers which entry hosts a caller may use.
@@ -65,6 +66,11 @@
 
 // serve routes without http.ServeMux, which would answer unclean paths with a redirect instead of a refusal.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if framing.Ambiguous(r) {
+		w.Header().Set("Connection", "close") // what follows on it may not be a request
+		s.refuse(w, r, malformed("the request states both Content-Length and Transfer-Encoding", "state the length in one way"), s.unauthenticated(""))
+		return
+	}
 	// A host that does not know the contracts must not call a customer unknown, so this comes before the credentials.
 	if refusal := s.cfg.Admit(); refusal != nil {
 		s.refuse(w, r, refusal, s.unauthenticated(""))
