--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -56,30 +56,6 @@
 // calmEnd is the scope of the time without faults at the end.
 const calmEnd = "calm end"
 
-// endpointFates keeps when endpoints began to leave, and which ones were killed.
-type endpointFates struct {
-	leaving map[string]time.Time
-	ended   map[string]bool
-}
-
-func (l *requestLog) leaves(endpoint string, at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.fates.leaving == nil {
-		l.fates.leaving = map[string]time.Time{}
-	}
-	l.fates.leaving[endpoint] = at
-}
-
-func (l *requestLog) endpointEnded(endpoint string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.fates.ended == nil {
-		l.fates.ended = map[string]bool{}
-	}
-	l.fates.ended[endpoint] = true
-}
-
 // checkRecovery waits until each host serves, and watches a time without faults.
 func (s *soak) checkRecovery(ctx context.Context) {
 	pause(ctx, settleTime)
--- a/internal/soak/calendar.go
+++ b/internal/soak/calendar.go
@@ -73,11 +73,11 @@
 
 func (c *counter) next() int64 { return c.n.Add(1) }
 
-// multiplier is 1 until it is set.
-type multiplier struct{ extra atomic.Int64 }
+// multiplier is 1 until it is set. It holds the value less 1, so that its zero value is ready for use.
+type multiplier struct{ above atomic.Int64 }
 
-func (m *multiplier) set(v int64) { m.extra.Store(v - 1) }
-func (m *multiplier) get() int64  { return 1 + m.extra.Load() }
+func (m *multiplier) set(v int64) { m.above.Store(v - 1) }
+func (m *multiplier) get() int64  { return 1 + m.above.Load() }
 
 func listen(address netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", address.String()) }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -15,8 +15,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -36,49 +34,6 @@
 	avoidFor       = 2 * time.Second // an address that took no connection
 )
 
-// How a request ended for its caller.
-const (
-	answered = "answered" // a whole answer came
-	closed   = "closed"   // the connection ended without one
-	silent   = "silent"   // nothing came while the caller waited
-	left     = "left"     // the caller closed the connection
-)
-
-// request is one request of a caller. It is written by the caller until end is set.
-type request struct {
-	id, method, target, digest string
-	route                      string
-	idempotent                 bool
-	deadline                   time.Duration
-	host                       *host
-	sent, ended                time.Time
-	end                        string
-	status                     int
-	signed                     bool
-	unread                     bool // it was sent behind an answer that closes the connection, or never in full
-	calm                       bool // sent at the calm end of the run
-}
-
-// requestLog keeps requests and arrivals.
-type requestLog struct {
-	mu       sync.Mutex
-	list     []*request
-	arrivals []platformtest.Arrival
-	fates    endpointFates
-}
-
-func (l *requestLog) add(r *request) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.list = append(l.list, r)
-}
-
-func (l *requestLog) arrived(a platformtest.Arrival) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.arrivals = append(l.arrivals, a)
-}
-
 // caller asks for addresses, keeps them, and sends requests on connections that it keeps.
 type caller struct {
 	soak    *soak
@@ -141,7 +96,7 @@
 	client := http.Client{Timeout: lookupTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for i := range zones {
 		h := c.soak.hosts[(c.index+i)%len(c.soak.hosts)]
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.lookup+"?name="+hostName+"&zone="+zoneName(h.index), nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.lookupURL+"?name="+hostName+"&zone="+zoneName(h.index), nil)
 		if err != nil {
 			continue
 		}
@@ -281,7 +236,7 @@
 	whole := !r.signed && r.status >= http.StatusMultipleChoices ||
 		r.signed && platformtest.IsAnswer(resp.Header, r.status, string(data), platformtest.Arrival{ID: r.id, Method: r.method, Target: r.target, Body: r.digest})
 	c.soak.ledger.Check(ownAnswers, whole, "%s of %s got status %d with a body of %d bytes that is not its own: %.80q", r.id, r.host.name, r.status, len(data), data)
-	if !r.signed && r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable {
+	if !r.signed && (r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable) {
 		_, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		c.soak.ledger.Check(saysWhen, err == nil, "%s of %s was refused with %d without saying when to come back", r.id, r.host.name, r.status)
 	}
@@ -295,10 +250,6 @@
 	return closed
 }
 
-func (r *request) String() string {
-	return strings.Join([]string{r.id, r.route, r.host.name, r.end, strconv.Itoa(r.status)}, " ")
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -16,16 +16,16 @@
 
 // host is one entry host with the relays around it.
 type host struct {
-	soak     *soak
-	index    int
-	name     string
-	settings string // path
-	ready_   string // URL
-	lookup   string // URL
-	callers  *testbed.Relay
-	peers    *testbed.Relay
-	toStore  *testbed.Relay
-	front    *platformtest.Front
+	soak      *soak
+	index     int
+	name      string
+	settings  string // path
+	readyURL  string
+	lookupURL string
+	callers   *testbed.Relay
+	peers     *testbed.Relay
+	toStore   *testbed.Relay
+	front     *platformtest.Front
 
 	mu      sync.Mutex // guards the fields below
 	process *testbed.Process
@@ -39,7 +39,7 @@
 	real := func(port int) netip.AddrPort { return s.address(zone, 1+i, port) }
 	seen := func(port int) netip.AddrPort { return s.address(zone, 101+i, port) }
 	h := &host{soak: s, index: i, name: fmt.Sprintf("%s-%d", zoneName(i), i+1), front: s.store.Front(), ending: map[*testbed.Process]bool{}, cut: map[*testbed.Process]bool{},
-		ready_: "http://" + real(readyPort).String() + "/ready", lookup: "http://" + real(directoryPort).String() + "/resolve"}
+		readyURL: "http://" + real(readyPort).String() + "/ready", lookupURL: "http://" + real(directoryPort).String() + "/resolve"}
 	var err error
 	if h.callers, err = relay(seen(callerPort), real(callerPort)); err != nil {
 		return nil, err
@@ -159,13 +159,13 @@
 const stackTime = 300 * time.Millisecond
 
 func (h *host) ready() error {
-	resp, err := http.Get(h.ready_)
+	resp, err := http.Get(h.readyURL)
 	if err != nil {
 		return err
 	}
 	resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %s", h.ready_, resp.Status)
+		return fmt.Errorf("%s: %s", h.readyURL, resp.Status)
 	}
 	return nil
 }
