--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -79,9 +79,11 @@
 	// tell the others of its return.
 	retryFirst   = 0.5
 	retryLongest = 3.0
-	// disturbedFor is how long after its last failure the store counts as disturbed: endpoints that could not renew their entries are
-	// back about two seconds after its return.
+	// disturbedFor is how long after its return the store counts as disturbed: endpoints that could not renew their entries are back about
+	// two seconds after it.
 	disturbedFor = 2 * time.Second
+	// servedWithin tells a store that is away from one that only this host does not reach: peers read a sound store at least each 1.3 s.
+	servedWithin = 1500 * time.Millisecond
 	// toldBytes bounds the records of one update, which has to fit into a datagram once it is compressed. toldParts bounds the updates
 	// for one read; if they do not hold it, the receivers read for themselves.
 	toldBytes = 24 << 10
@@ -106,9 +108,11 @@
 	positions   []int64             // next offset of each feed; -1 before the first read
 	newest      []map[string]Record // of each feed, the records that the knowledge rests on, by key
 	asOf        time.Time           // the knowledge reflects the store at this time or later
-	lastFailure time.Time
-	downSince   time.Time // zero while the store answers
-	behind      bool      // a peer told of records that this host has missed
+	lastFailure time.Time           // of a read of this host
+	returned    time.Time           // when the store answered again after it had been away for all
+	undisturbed time.Time           // of the newest read by a peer that found the store undisturbed
+	downSince   time.Time           // zero while the store answers
+	behind      bool                // a peer told of records that this host has missed
 	refreshes   int
 }
 
@@ -269,6 +273,9 @@
 		}
 		f.cfg.Failed(now)
 	}
+	if err == nil && !f.downSince.IsZero() && !f.servesOthers() {
+		f.returned = now
+	}
 	disturbed := f.disturbed(now)
 	var told []FeedUpdate
 	for i, r := range reads {
@@ -295,10 +302,15 @@
 	return nil
 }
 
+// disturbed reports whether endpoints may have been unable to renew their entries lately. The lock is held.
 func (f *Follower) disturbed(now time.Time) bool {
-	return !f.lastFailure.IsZero() && now.Sub(f.lastFailure) < disturbedFor
+	away := !f.downSince.IsZero() && !f.servesOthers()
+	return away || (!f.returned.IsZero() && now.Sub(f.returned) < disturbedFor)
 }
 
+// servesOthers reports whether a peer read the store without trouble shortly before this host last failed to.
+func (f *Follower) servesOthers() bool { return f.undisturbed.After(f.lastFailure.Add(-servedWithin)) }
+
 // fold takes in one feed. The lock is held.
 func (f *Follower) fold(i int, r feedRead, disturbed bool, now time.Time) FeedUpdate {
 	feed := &f.cfg.Feeds[i]
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -286,6 +286,65 @@
 	is.Equal(h.Down(time.Now()), time.Duration(0))
 }
 
+// TestOwnLinkIsNoOutage answers a host that alone does not reach the store while an endpoint's entry is removed: its peers read the store all
+// the while, so that the removal counts at once, for it and for those whom it tells. Found by soak seed 515.
+func TestOwnLinkIsNoOutage(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		s.put("x", "1")
+		peer, h := newHost(s, time.Second), newHost(s, time.Second)
+		peer.cfg.Tell = func(u Update) { h.Heard(u, time.Now()) }
+		is.NoErr(peer.Refresh(t.Context()))
+		is.NoErr(h.Refresh(t.Context()))
+		for range 4 {
+			time.Sleep(600 * time.Millisecond)
+			is.NoErr(peer.Refresh(t.Context()))
+			s.down = errors.New("reset")
+			is.True(h.Refresh(t.Context()) != nil)
+			s.down = nil
+		}
+		s.put("x", "")
+		is.NoErr(h.Refresh(t.Context()))
+		is.True(!h.fold.disturbed)
+		is.True(!h.told[len(h.told)-1].Disturbed)
+	})
+}
+
+// TestReturnAfterLongPause answers a long outage, in which a host asks seldom: the store counts as disturbed from its return, not from the
+// host's last failure, for two seconds, and hosts that tell each other of it do not prolong it.
+func TestReturnAfterLongPause(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		s.put("x", "1")
+		h, peer := newHost(s, time.Second), newHost(s, time.Second)
+		both := []*host{h, peer}
+		for i := range both {
+			is.NoErr(both[i].Refresh(t.Context()))
+			both[i].cfg.Tell = func(u Update) {
+				both[i].told = append(both[i].told, u)
+				both[1-i].Heard(u, time.Now())
+			}
+		}
+		s.down = errors.New("503")
+		is.True(h.Refresh(t.Context()) != nil)
+		is.True(peer.Refresh(t.Context()) != nil)
+		time.Sleep(3 * time.Second)
+		s.down = nil
+		s.put("x", "")
+		is.NoErr(h.Refresh(t.Context()))
+		is.True(h.fold.disturbed)
+		is.True(peer.fold.disturbed)
+		for n := range 20 { // 6 s
+			time.Sleep(300 * time.Millisecond)
+			is.NoErr(both[n%2].Refresh(t.Context()))
+		}
+		is.True(!h.told[len(h.told)-1].Disturbed)
+		is.True(!peer.told[len(peer.told)-1].Disturbed)
+	})
+}
+
 // TestRetriesSlowDown guards against a storm of calls to a store that refuses them, and against a host that waits too long: the pause is
 // at most three times the age that the host lets its knowledge reach.
 func TestRetriesSlowDown(t *testing.T) {
--- a/internal/coordination/follow/update.go
+++ b/internal/coordination/follow/update.go
@@ -55,12 +55,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	asOf := sent.Add(-time.Duration(u.AgeMS) * time.Millisecond)
+	f.noteDisturbance(u.Disturbed, asOf)
 	if f.asOf.IsZero() || !asOf.After(f.asOf) {
 		return false
 	}
-	if u.Disturbed {
-		f.lastFailure = now
-	}
 	for _, fu := range u.Feeds {
 		if !f.hear(fu, u.Disturbed, now) {
 			f.behind = true
@@ -76,6 +74,17 @@
 	return true
 }
 
+// noteDisturbance takes in whether a peer found the store disturbed at a time. Hosts that tell each other of one disturbance must not
+// prolong it, so that only the first to tell of it counts. The lock is held.
+func (f *Follower) noteDisturbance(disturbed bool, at time.Time) {
+	switch {
+	case !disturbed && at.After(f.undisturbed):
+		f.undisturbed = at
+	case disturbed && at.Sub(f.returned) > 2*disturbedFor:
+		f.returned = at
+	}
+}
+
 // hear takes in one feed of a peer's update. It fails if records are missing in between.
 func (f *Follower) hear(u FeedUpdate, disturbed bool, now time.Time) bool {
 	for i := range f.cfg.Feeds {
