--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -116,8 +116,8 @@
 	f.cfg.Repeats.Earn(c.Service.Name, now)
 	r := &run{f: f, c: c, start: now, work: f.work.of(c.Route), result: &Result{}, results: make(chan sendResult, 8)}
 	r.late = c.Due
-	if c.Route.TargetLatency > 0 {
-		r.late = c.Arrived.Add(c.Route.TargetLatency - callersDistance)
+	if late := c.Arrived.Add(c.Route.TargetLatency - callersDistance); c.Route.TargetLatency > 0 && late.Before(c.Due) {
+		r.late = late
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Due)
 	r.serve(ctx)
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -391,6 +391,21 @@
 	is.New(t).True(asked(40) < 40*each)
 }
 
+// TestNoTimeLeft answers callers that repeat until their time is over: a request that no endpoint can answer in what is left of its time is
+// refused at once and runs nowhere.
+func TestNoTimeLeft(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(map[string]*upstream{"a": {takes: usual}, "b": {takes: usual}})
+		c := request(false)
+		c.Due = time.Now().Add(10 * time.Millisecond)
+		r := f.forwarder(plenty).Run(t.Context(), c)
+		is.Equal(r.Outcome, RefusedTooLate)
+		is.Equal(f.ran(), 0)
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestUrgentFirst answers a burst of less urgent requests: the urgent one that came last gets the slot that another host leaves.
 func TestUrgentFirst(t *testing.T) {
 	faketime.Test(t, func(t *testing.T) {
