--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -104,13 +104,16 @@
 		return err
 	}
 	s.play(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err() // a run that was ended early proves nothing
+	}
 	s.audit()
 	breaches := s.ledger.Print()
 	fmt.Fprintf(cfg.Out, "soak: seed %d, %.0f s, load average %s\n", cfg.Seed, time.Since(s.began).Seconds(), testbed.LoadAverage())
 	if breaches > 0 {
 		return errors.Join(fmt.Errorf("seed %d: %d breaches; logs are in %s", cfg.Seed, breaches, s.Dir), s.keepLogs())
 	}
-	return ctx.Err()
+	return nil
 }
 
 // play runs callers and faults, and stops the hosts.
