--- a/internal/transport/peerrpc/peerrpc_test.go
+++ b/internal/transport/peerrpc/peerrpc_test.go
@@ -247,6 +247,7 @@
 					return nil
 				}
 				if err := st.Send(message{from + ":" + m.Text}); err != nil {
+					ended <- err // the other side may read the answer and leave before Send returns
 					return err
 				}
 			}
