ingress: send 100 Continue after the earlier answers

A request with "Expect: 100-continue" that came in between got no 100 and its body was waited for in vain.

Change: the connection remembers that a 100 is owed; the writer sends it after the last earlier response, with a new time limit for the body. A body that was sent without waiting cancels it.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -25,6 +25,7 @@
 	pending         int           // requests that were read and whose response is not yet written
 	earlierAnswered chan struct{} // closed when pending becomes 1 or 0; nil if waitForEarlier is not waiting
 	closing         bool          // the connection is closed after the response that is being written
+	continueDue     bool          // the caller of the request being read waits for 100 Continue, which follows the earlier responses
 }
 
 // exchange is a request and the response that its handler will send.
@@ -122,6 +123,7 @@
 func (c *conn) countRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.continueDue = false // the body has arrived
 	if c.closing {
 		return false
 	}
@@ -139,13 +141,21 @@
 // answered counts a request as finished: its response was written, or is not going to be.
 func (c *conn) answered() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.pending--
 	c.server.unanswered.Add(-1)
 	if c.pending <= 1 && c.earlierAnswered != nil {
 		close(c.earlierAnswered)
 		c.earlierAnswered = nil
 	}
+	sendContinue := c.continueDue && c.pending == 0 && !c.closing
+	if sendContinue {
+		c.continueDue = false
+	}
+	c.mu.Unlock()
+	if sendContinue {
+		c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout))
+		c.writeContinue()
+	}
 }
 
 // waitForEarlier waits until all requests before the newest one are answered. It returns false if the newest one must not run, because
@@ -170,16 +180,24 @@
 	return !c.closing
 }
 
-// sendContinue sends 100 Continue to a caller that waits for it before it sends the body. It does so only if no earlier request is
-// unanswered; callers do not wait for it otherwise.
+// sendContinue sends 100 Continue to a caller that waits for it before it sends the body. While earlier requests are unanswered, the
+// writer sends it after their responses.
 func (c *conn) sendContinue() {
-	if c.idle() {
-		c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		// If the write fails, so does the next read.
-		_, _ = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
+	c.mu.Lock()
+	c.continueDue = c.pending > 0
+	now := !c.continueDue
+	c.mu.Unlock()
+	if now {
+		c.writeContinue()
 	}
 }
 
+func (c *conn) writeContinue() {
+	c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	// If the write fails, so does the next read.
+	_, _ = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
+}
+
 // write sends the responses in the order of the requests. It returns when the reader has ended and all requests are answered.
 func (c *conn) write() {
 	bw := bufio.NewWriterSize(c.netConn, 4<<10)
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -190,6 +190,66 @@
 	is.Equal(h.bodies, []string{"abc", "xyz!!", "ok"})
 }
 
+// waitFor returns when the condition holds.
+func waitFor(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// anyContinueDue reports whether a connection of the server owes a 100 Continue.
+func anyContinueDue(s *Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		due := c.continueDue
+		c.mu.Unlock()
+		if due {
+			return true
+		}
+	}
+	return false
+}
+
+// TestContinueAfterEarlierAnswer guards against a caller that waits in vain: its request with Expect: 100-continue comes in while an
+// earlier request of the connection is unanswered. The interim response follows the earlier answer, and none follows a body that was sent
+// without waiting.
+func TestContinueAfterEarlierAnswer(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	server, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	br := bufio.NewReader(c)
+	expect := func(path string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+	}
+	send(t, c, get("/hold"))
+	<-h.started
+	send(t, c, expect("/waits"))
+	waitFor(func() bool { return anyContinueDue(server) })
+	close(h.hold("/hold"))
+	resp, _ := answer(t, br)
+	is.Equal(resp.StatusCode, 200)
+	resp, _ = answer(t, br)
+	is.Equal(resp.StatusCode, 100)
+	send(t, c, "ok")
+	resp, _ = answer(t, br)
+	is.Equal(resp.StatusCode, 200)
+
+	send(t, c, get("/hold-again"))
+	<-h.started // of /waits
+	<-h.started
+	send(t, c, expect("/sends-at-once")+"ok"+get("/last"))
+	waitFor(func() bool { return server.Unanswered() == 2 })
+	close(h.hold("/hold-again"))
+	for _, path := range []string{"/hold-again", "/sends-at-once", "/last"} {
+		resp, body := answer(t, br)
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(body, path)
+	}
+}
+
 // TestRefusedRequests guards against request smuggling by requests whose length is ambiguous, and against requests that exceed the limits.
 // Each is refused without reaching the handler, and its connection is closed.
 func TestRefusedRequests(t *testing.T) {
