forward: reserve the slot before the next request in the queue is woken

Change: EndpointStats.ReserveSlot checks and records the send in one step under the lock of the shard, before the queue is left. A request whose slot is gone looks again.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -12,7 +12,8 @@
 )
 
 // findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait. A repeat does not wait:
-// it gets the best endpoint if that is expected to answer before the deadline. ok is false if no endpoint was found.
+// it gets the best endpoint if that is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the
+// send is recorded at the endpoint: the next request in the queue must not see the same slot free.
 func (r *activeRequest) findEndpoint(ctx context.Context, repeat bool) (view placement.EndpointView, expected time.Duration, ok bool) {
 	queue := r.forwarder.queue(r.call.Service.Name)
 	var waiter *placement.Waiter
@@ -33,6 +34,7 @@
 			if best == nil || expected > timing.UntilDeadline {
 				return placement.EndpointView{}, 0, false
 			}
+			r.forwarder.cfg.EndpointStats.RecordSend(best.ID, now)
 			return *best, expected, true
 		}
 		decision := r.forwarder.cfg.EndpointStats.Config().Admit(best, expected, timing)
@@ -40,7 +42,10 @@
 			decision = placement.Refuse // the service has no endpoint to wait for
 		}
 		if decision == placement.Send {
-			return *best, expected, true
+			if r.forwarder.cfg.EndpointStats.ReserveSlot(best, now) {
+				return *best, expected, true
+			}
+			continue
 		}
 		if decision == placement.Refuse || ctx.Err() != nil {
 			r.setRefusal(best, expected, ctx.Err() != nil)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -275,8 +275,13 @@
 // findAndSend finds an endpoint and starts to send the request to it. It reports whether a send was started.
 func (r *activeRequest) findAndSend(ctx context.Context, hedge bool) bool {
 	view, expected, ok := r.findEndpoint(ctx, hedge || len(r.tried) > 0)
-	if !ok || ctx.Err() != nil {
-		if ok && r.lastFailure == nil && !hedge {
+	if !ok {
+		return false
+	}
+	if ctx.Err() != nil {
+		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
+		r.forwarder.queue(r.call.Service.Name).WakeNext()
+		if r.lastFailure == nil && !hedge {
 			r.result.Outcome, r.result.RetryAfter = RefusedUnsent, defaultRetryAfter
 		}
 		return false
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -12,11 +12,10 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
-// sendOnce sends the request to one endpoint, reads the answer and records the outcome and the reported load in the endpoint statistics.
+// sendOnce sends the request to one endpoint, at which the send is already recorded, reads the answer and records the outcome and the reported load in the endpoint statistics.
 // Then it wakes a waiting request of the service, because the endpoint may have a free slot.
 func (f *Forwarder) sendOnce(ctx context.Context, v placement.EndpointView, c *executor.Call, route *routing.Route) sendResult {
 	start := time.Now()
-	f.cfg.EndpointStats.RecordSend(v.ID, start)
 	got := sendResult{written: true}
 	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
 	if got.err == nil {
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -85,15 +85,34 @@
 
 // View returns what this host knows of one endpoint.
 func (t *EndpointStats) View(e registry.Endpoint, now time.Time) EndpointView {
-	v := EndpointView{Endpoint: e, Local: e.Zone == t.cfg.Zone, LoadAge: -1, WarmUpLeft: max(0, e.WarmUpEnd.Sub(now))}
-	t.update(e.ID, now, func(s *endpointEntry) {
-		if !s.loadReportedAt.IsZero() {
-			v.Load, v.LoadAge = s.load, now.Sub(s.loadReportedAt)
+	v := EndpointView{Endpoint: e, Local: e.Zone == t.cfg.Zone, WarmUpLeft: max(0, e.WarmUpEnd.Sub(now))}
+	t.update(e.ID, now, func(s *endpointEntry) { s.fill(&v, now) })
+	return v
+}
+
+// fill sets the fields of a view that come from this entry.
+func (s *endpointEntry) fill(v *EndpointView, now time.Time) {
+	v.Load, v.LoadAge = Load{}, -1
+	if !s.loadReportedAt.IsZero() {
+		v.Load, v.LoadAge = s.load, now.Sub(s.loadReportedAt)
+	}
+	v.ProbeInFlight = !s.probeStartedAt.IsZero()
+	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
+}
+
+// ReserveSlot records that this host is about to send a request to the endpoint of a view. It returns false, and records nothing, if the
+// endpoint has no free slot any more: another request of this host may have taken the slot since the view was made.
+func (t *EndpointStats) ReserveSlot(v *EndpointView, now time.Time) bool {
+	reserved := false
+	t.update(v.ID, now, func(s *endpointEntry) {
+		current := *v
+		s.fill(&current, now)
+		requests, slots := current.occupancy()
+		if reserved = requests < slots; reserved {
+			s.recordSend()
 		}
-		v.ProbeInFlight = !s.probeStartedAt.IsZero()
-		v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
 	})
-	return v
+	return reserved
 }
 
 // RecordLoad records a load report of an endpoint, which also shows that it can be reached. A report without slots means that the
@@ -143,9 +162,11 @@
 
 // RecordSend records that this host sent a request to an endpoint.
 func (t *EndpointStats) RecordSend(id endpoints.ID, now time.Time) {
-	t.update(id, now, func(s *endpointEntry) { s.inFlight, s.sentSinceLoad = s.inFlight+1, s.sentSinceLoad+1 })
+	t.update(id, now, (*endpointEntry).recordSend)
 }
 
+func (s *endpointEntry) recordSend() { s.inFlight, s.sentSinceLoad = s.inFlight+1, s.sentSinceLoad+1 }
+
 // RecordEnd records the end of a request of this host, and whether it failed.
 func (t *EndpointStats) RecordEnd(id endpoints.ID, failed bool, now time.Time) {
 	t.update(id, now, func(s *endpointEntry) {
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -378,3 +378,18 @@
 	is.Equal(b.Take(4, now.Add(5*time.Millisecond)), 0)
 	is.Equal(b.Take(40, now.Add(20*time.Millisecond)), 10)
 }
+
+// TestReserveSlot guards against two requests that take the last free slot of an endpoint: both saw it free before either was sent.
+func TestReserveSlot(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	stats := NewEndpointStats(DefaultConfig())
+	e := registry.Endpoint{Endpoint: endpoints.Endpoint{ID: endpoints.ID{Address: "a", Incarnation: "a"}, Slots: 2}}
+	stats.RecordLoad(e.Endpoint, Load{Running: 1, Slots: 2, Slowness: 1}, now)
+	first, second := stats.View(e, now), stats.View(e, now)
+	is.True(stats.ReserveSlot(&first, now))
+	is.True(!stats.ReserveSlot(&second, now))
+	is.Equal(stats.View(e, now).InFlight, 1)
+	stats.RecordEnd(e.ID, false, now)
+	is.True(stats.ReserveSlot(&second, now))
+}
