follow: catch up from a peer after a missed update

All hosts of a zone then see the gap in the next update at the same moment and each reads three topics of the store. Hosts that the store refuses stay behind until it serves them. After a restart of all hosts the same happens once more, since the copies begin at different offsets.

Ruled out: retries during the outage (39 hosts, a call each few seconds).

Change: a host that is behind fetches what has changed since its offsets from the host that sent the update, over the state address; removed keys are remembered for that. It reads the store only if that fails. Updates hold the newest record of a key only.

--- /dev/null
+++ b/internal/coordination/follow/catchup.go
@@ -0,0 +1,122 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// maxRemovals is the number of removed keys that a host remembers of each feed, so that peers can catch up from its copy.
+const maxRemovals = 1024
+
+// olderPeerPause is the pause before a host asks again a peer whose copy was older: the peer forwarded the update of another host and is
+// catching up itself.
+const olderPeerPause = 100 * time.Millisecond
+
+// removals remembers which keys of a feed were removed, and at which offsets, so that a peer can be told what has changed since an offset.
+type removals struct {
+	offsets map[string]int64 // by key
+	since   int64            // all removals at this offset and later ones are remembered
+}
+
+func (r *removals) add(key string, offset int64) {
+	if r.offsets == nil || len(r.offsets) >= maxRemovals {
+		r.offsets, r.since = map[string]int64{}, max(r.since, offset+1)
+	}
+	r.offsets[key] = offset
+}
+
+// StateSince returns what has changed in this host's copy since the offsets, one for each feed: the newest record of each key that changed,
+// and a tombstone for each removed one. Feeds whose changes are no longer known are returned whole. It returns false if this host has no
+// copy yet.
+func (f *Follower) StateSince(offsets []int64, now time.Time) (*State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asOf.IsZero() {
+		return nil, false
+	}
+	s := &State{AgeMS: now.Sub(f.asOf).Milliseconds()}
+	for i := range f.cfg.Feeds {
+		fs := FeedState{Topic: f.cfg.Feeds[i].Topic, Next: f.nextOffsets[i]}
+		since := int64(0)
+		if i < len(offsets) && offsets[i] >= f.removed[i].since {
+			since, fs.Changes = offsets[i], true
+		}
+		for _, rec := range f.newest[i] {
+			if rec.Offset >= since {
+				fs.Records = append(fs.Records, rec)
+			}
+		}
+		if fs.Changes {
+			for key, offset := range f.removed[i].offsets {
+				if offset >= since {
+					fs.Records = append(fs.Records, Record{Key: key, Offset: offset})
+				}
+			}
+		}
+		sortByOffset(fs.Records)
+		s.Feeds = append(s.Feeds, fs)
+	}
+	return s, true
+}
+
+// catchUp gets the records that an update did not contain from a peer. It reports whether this host's copy is complete again. The peers
+// have read the store already: if every host read it after a lost or large update, their calls would exceed what the store allows, and a
+// host that the store refuses could not catch up at all.
+func (f *Follower) catchUp(ctx context.Context) bool {
+	f.mu.Lock()
+	offsets := append([]int64(nil), f.nextOffsets...)
+	needed := f.behind && f.cfg.FetchChanges != nil
+	f.mu.Unlock()
+	if !needed {
+		return false
+	}
+	err := f.fetchAndInstall(ctx, offsets)
+	if trace.IsCompareFailed(err) {
+		pause(ctx, olderPeerPause)
+		err = f.fetchAndInstall(ctx, offsets)
+	}
+	if err != nil {
+		f.cfg.OnCatchUpFailed(err)
+	}
+	return err == nil
+}
+
+func (f *Follower) fetchAndInstall(ctx context.Context, offsets []int64) error {
+	s, err := f.cfg.FetchChanges(ctx, offsets)
+	if err != nil {
+		return err
+	}
+	return f.installChanges(s, time.Now())
+}
+
+// pause waits for the given time or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// installChanges brings this host's copy up to a peer's state.
+func (f *Follower) installChanges(s *State, received time.Time) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asOf := received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+	if !asOf.After(f.asOf) {
+		return trace.CompareFailed("the peer's state is older than this host's copy")
+	}
+	recentOutage := f.recentOutage(received)
+	for _, fs := range s.Feeds {
+		for i := range f.cfg.Feeds {
+			if f.cfg.Feeds[i].Topic == fs.Topic && fs.Next > f.nextOffsets[i] {
+				f.applyRead(i, feedRead{complete: !fs.Changes, from: f.nextOffsets[i], next: fs.Next, records: fs.Records}, recentOutage, received)
+			}
+		}
+	}
+	f.asOf, f.behind = asOf, false
+	return nil
+}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -5,11 +5,9 @@
 package follow
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +71,11 @@
 	OnStoreRecovered func(outage time.Duration)
 	// OnRefreshFailed is called after each failed refresh.
 	OnRefreshFailed func(now time.Time)
+	// FetchChanges fetches from a peer what has changed since the offsets, one for each feed. Nil means that a host that missed an update
+	// reads the store.
+	FetchChanges func(ctx context.Context, offsets []int64) (*State, error)
+	// OnCatchUpFailed is called when FetchChanges has failed or returned an older state. The host reads the store instead.
+	OnCatchUpFailed func(error)
 }
 
 const (
@@ -113,19 +116,20 @@
 	mu                  sync.Mutex
 	nextOffsets         []int64             // next offset of each feed; -1 before the first read
 	newest              []map[string]Record // the copy: of each feed, the newest record of each key
+	removed             []removals          // of each feed
 	asOf                time.Time           // the copy contains all changes up to this time; zero if there is no copy yet
 	lastFailure         time.Time           // end of this host's last failed refresh
 	lastOutageEnd       time.Time           // end of the last outage of the store, as observed by this host or reported by a peer
 	lastHealthyPeerRead time.Time           // start of the newest read after which a peer reported no recent outage
 	failingSince        time.Time           // when this host's reads began to fail; zero while they succeed
-	behind              bool                // an update of a peer had a gap, so that this host has to read the store
+	behind              bool                // an update of a peer had a gap: this host has to catch up from a peer or read the store
 	refreshCount        int                 // number of refreshes that were started
 }
 
 // New returns a follower that has no copy yet.
 func New(cfg Config) *Follower {
 	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), nextOffsets: make([]int64, len(cfg.Feeds)),
-		newest: make([]map[string]Record, len(cfg.Feeds))}
+		newest: make([]map[string]Record, len(cfg.Feeds)), removed: make([]removals, len(cfg.Feeds))}
 	for i := range f.nextOffsets {
 		f.nextOffsets[i], f.newest[i] = -1, map[string]Record{}
 	}
@@ -137,6 +141,10 @@
 	failures := 0
 	for ctx.Err() == nil {
 		wait := f.untilRefresh(time.Now())
+		if wait <= 0 && f.catchUp(ctx) {
+			failures = 0
+			continue
+		}
 		if wait <= 0 {
 			if err := f.Refresh(ctx); err != nil {
 				wait = f.retryPause(failures)
@@ -331,11 +339,15 @@
 	feed := &f.cfg.Feeds[i]
 	u := FeedUpdate{Topic: feed.Topic, From: f.nextOffsets[i], Next: r.next}
 	keys := map[string]bool{}
-	for _, rec := range r.records {
+	last := map[string]int{} // index of the last record of each key; earlier ones are superseded
+	for n, rec := range r.records {
+		last[rec.Key] = n
+	}
+	for n, rec := range r.records {
 		if rec.Value != nil {
 			keys[rec.Key] = true
 		}
-		if rec.Offset < f.nextOffsets[i] && !r.complete {
+		if last[rec.Key] != n || (rec.Offset < f.nextOffsets[i] && !r.complete) {
 			continue
 		}
 		if f.apply(i, rec, recentOutage, now) {
@@ -346,7 +358,9 @@
 		for key := range f.newest[i] {
 			if !keys[key] { // the update for the peers contains a tombstone
 				delete(f.newest[i], key)
-				u.Records = append(u.Records, Record{Key: key, Offset: max(u.From, r.next-1)})
+				removed := Record{Key: key, Offset: max(u.From, r.next-1)}
+				f.removed[i].add(key, removed.Offset)
+				u.Records = append(u.Records, removed)
 			}
 		}
 		feed.Handler.RetainKeys(keys, recentOutage, now)
@@ -354,7 +368,10 @@
 		for n := range u.Records {
 			u.Records[n].Offset = max(u.Records[n].Offset, u.From)
 		}
-		slices.SortStableFunc(u.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+		sortByOffset(u.Records)
+		if r.from < 0 {
+			f.removed[i].since = r.next // what was removed before the first read is unknown
+		}
 	}
 	f.nextOffsets[i] = max(f.nextOffsets[i], r.next)
 	return u
@@ -365,8 +382,10 @@
 func (f *Follower) apply(i int, rec Record, recentOutage bool, now time.Time) bool {
 	if rec.Value == nil {
 		delete(f.newest[i], rec.Key)
+		f.removed[i].add(rec.Key, rec.Offset)
 	} else {
 		f.newest[i][rec.Key] = rec
+		delete(f.removed[i].offsets, rec.Key)
 	}
 	return f.cfg.Feeds[i].Handler.Apply(rec, recentOutage, now)
 }
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -66,6 +66,13 @@
 	return slices.Clone(s.log[from:]), int64(len(s.log)), nil
 }
 
+// calls returns the number of calls of Read and Newest.
+func (s *fakeStore) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readCalls + s.newestCalls
+}
+
 func (s *fakeStore) Append(context.Context, string, string, []byte) error { return nil }
 
 // fakeHandler keeps the newest value of each key, and the recentOutage argument of the last call of Apply.
@@ -100,6 +107,7 @@
 	sent                []Update
 	storeLostCalls      int
 	storeRecoveredCalls int
+	catchUpFailures     int
 }
 
 func newHost(s Store, maxAge time.Duration) *host {
--- a/internal/coordination/follow/state.go
+++ b/internal/coordination/follow/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -13,26 +12,20 @@
 	Feeds []FeedState `cbor:"2,keyasint"`
 }
 
-// FeedState holds the newest record of each key of a topic, and the offset at which the next read continues.
+// FeedState holds the newest record of each key of a topic, and the offset at which the next read continues. If Changes is set, it holds only
+// what has changed since the offset that the receiver asked for, removed keys included.
 type FeedState struct {
 	Topic   string   `cbor:"1,keyasint"`
 	Next    int64    `cbor:"2,keyasint"`
 	Records []Record `cbor:"3,keyasint"`
+	Changes bool     `cbor:"4,keyasint,omitempty"`
 }
 
 // State returns this host's copy, or false if it has none yet.
-func (f *Follower) State(now time.Time) (*State, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.asOf.IsZero() {
-		return nil, false
-	}
-	s := &State{AgeMS: now.Sub(f.asOf).Milliseconds()}
-	for i := range f.cfg.Feeds {
-		records := slices.SortedFunc(maps.Values(f.newest[i]), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
-		s.Feeds = append(s.Feeds, FeedState{Topic: f.cfg.Feeds[i].Topic, Next: f.nextOffsets[i], Records: records})
-	}
-	return s, true
+func (f *Follower) State(now time.Time) (*State, bool) { return f.StateSince(nil, now) }
+
+func sortByOffset(records []Record) {
+	slices.SortStableFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 }
 
 // InstallState makes a peer's state this host's copy, unless it has one already. It reports whether the state was installed.
@@ -51,6 +44,7 @@
 				f.apply(i, rec, false, received)
 			}
 			f.nextOffsets[i] = fs.Next
+			f.removed[i].since = fs.Next
 		}
 	}
 	f.asOf = received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,8 +69,10 @@
 	peers         *peers.Table
 	link          *peerlink.Link // exchanges messages with peers; set by Run
 	draining      atomic.Bool
-	received      atomic.Int64 // requests received since the start
-	hasStoreCopy  atomic.Bool  // this host has a copy of the store's topics, from a peer or by reading the store
+	received      atomic.Int64               // requests received since the start
+	hasStoreCopy  atomic.Bool                // this host has a copy of the store's topics, from a peer or by reading the store
+	updateSender  atomic.Pointer[peers.Host] // host that sent the newest update; nil before the first one
+	encodedStates encodedStateCache
 	storedHosts   storedHostList
 	meter         rateMeter // of received
 	started       time.Time
@@ -142,7 +144,9 @@
 		},
 		OnStoreLost:      func(err error) { g.log.Warn("store_lost", "error", err) },
 		OnStoreRecovered: func(outage time.Duration) { g.log.Info("store_regained", "away_ms", outage.Milliseconds()) },
-		OnRefreshFailed:  g.endpoints.RestartGracePeriods})
+		OnRefreshFailed:  g.endpoints.RestartGracePeriods,
+		FetchChanges:     g.fetchChanges,
+		OnCatchUpFailed:  func(err error) { g.log.Warn("changes_not_fetched", "error", err) }})
 	return g
 }
 
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"compress/gzip"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -14,14 +11,11 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
-	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/transport/peerlink"
 )
 
 const (
-	// statePath is the path on the state address that serves this host's copy of the store's topics to starting hosts.
-	statePath = "/v1/state"
 	// firstStartPeerWait is how long a host looks for a peer that has a copy of the store's topics before it reads the store itself, when
 	// all hosts of the deployment start for the first time. Callers arrive only seconds later.
 	firstStartPeerWait = time.Second
@@ -40,10 +34,6 @@
 	// seedRequestEvery the number of such checks between two requests to the seeds.
 	peerPollInterval = 10 * time.Millisecond
 	seedRequestEvery = 4
-	// stateFetchTimeout limits the transfer of a state from a peer.
-	stateFetchTimeout = 250 * time.Millisecond
-	// maxStateBytes limits the size of a state after decompression, in bytes.
-	maxStateBytes = 64 << 20
 )
 
 // followStore gets a copy of the store's topics, from a peer or by reading the store, and then follows the store until the context ends.
@@ -88,7 +78,9 @@
 		if !ok || (!ownZone && time.Since(begin) < time.Duration(ownZoneWaitFraction*float64(peerWait))) {
 			continue
 		}
-		state, err := fetchState(ctx, h)
+		fetchCtx, cancel := context.WithTimeout(ctx, stateFetchTimeout)
+		state, err := fetchState(fetchCtx, h, "")
+		cancel()
 		if err != nil {
 			g.log.Warn("state_not_fetched", "from", h.Name, "error", err)
 			continue
@@ -123,53 +115,6 @@
 	return list
 }
 
-// fetchState fetches the state of the store, as compressed CBOR, from another host.
-func fetchState(ctx context.Context, h peers.Host) (*follow.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, stateFetchTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.StateAddress+statePath, nil)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	req.Header.Set("Accept-Encoding", "gzip")
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, trace.ConnectionProblem(err, "fetch the state of host %s", h.Name)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, trace.ConnectionProblem(nil, "fetch the state of host %s: HTTP status %d", h.Name, resp.StatusCode)
-	}
-	zr, err := gzip.NewReader(resp.Body)
-	if err != nil {
-		return nil, trace.BadParameter("decompress the state of host %s: %v", h.Name, err)
-	}
-	var state follow.State
-	if err := cbor.NewDecoder(io.LimitReader(zr, maxStateBytes)).Decode(&state); err != nil {
-		return nil, trace.BadParameter("decode the state of host %s: %v", h.Name, err)
-	}
-	return &state, nil
-}
-
-// serveState serves this host's copy of the store on statePath, or status 503 if this host has no copy yet.
-func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
-	state, ok := g.follower.State(time.Now())
-	if !ok {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Encoding", "gzip")
-	zw := gzip.NewWriter(w)
-	err := cbor.NewEncoder(zw).Encode(state)
-	if err == nil {
-		err = zw.Close()
-	}
-	if err != nil {
-		g.log.Warn("state_not_sent", "error", err)
-	}
-}
-
 // storedHostList is the list of this zone's hosts that was last read from or written to the store.
 type storedHostList struct {
 	mu    sync.Mutex
