forward: leave nearly full endpoints; a short Retry-After while endpoints shed

In the second bad span endpoints shed 55 in 100 requests at random; callers were told to wait 250 ms, after which the answer was late.

A request that endpoints with free slots refused is answered with Retry-After 20 ms.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -120,6 +120,12 @@
 		if (waiting && n > 0) || (best >= 0 && cfg.GoodEnough(&views[best], expected, r.serviceTime)) || ctx.Err() != nil {
 			break
 		}
+		if best >= 0 && cfg.FastEnough(&views[best], expected, r.serviceTime) {
+			round = slices.DeleteFunc(round, func(i int) bool { return !views[i].Local })
+		}
+		if len(round) == 0 {
+			continue
+		}
 		allowed := r.forwarder.cfg.ProbeBudget.Take(len(round), time.Now())
 		if allowed == 0 {
 			r.result.ProbeRoundsSkipped++
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -84,6 +84,8 @@
 	callerRoundTrip = 20 * time.Millisecond
 	// defaultRetryAfter is the delay stated in a refusal if it is unknown when an endpoint will be usable.
 	defaultRetryAfter = 250 * time.Millisecond
+	// retryAfterShed is the delay stated if an endpoint with free slots refused the request: endpoints have room, so waiting is of no use.
+	retryAfterShed = 20 * time.Millisecond
 )
 
 // activeRequest is the state of one request while it is forwarded.
@@ -261,7 +263,7 @@
 	case mayHaveRun:
 		res.Outcome = LostAnswer
 	case r.lastFailure != nil && r.lastFailure.resp != nil:
-		res.Outcome, res.RetryAfter = RefusedUpstream, defaultRetryAfter
+		res.Outcome, res.RetryAfter = RefusedUpstream, retryAfterUpstreamRefusal(r.lastFailure.resp)
 	case r.lastFailure != nil:
 		res.Outcome, res.RetryAfter = RefusedConnect, defaultRetryAfter
 	case ctx.Err() != nil:
@@ -272,6 +274,14 @@
 	}
 }
 
+// retryAfterUpstreamRefusal returns the delay stated in a refusal after an endpoint refused the request without running it.
+func retryAfterUpstreamRefusal(resp *executor.Response) time.Duration {
+	if load := LoadFromResponse(resp); load.Slots > 0 && load.Running+load.Waiting < load.Slots {
+		return retryAfterShed
+	}
+	return defaultRetryAfter
+}
+
 // findAndSend finds an endpoint and starts to send the request to it. It reports whether a send was started.
 func (r *activeRequest) findAndSend(ctx context.Context, hedge bool) bool {
 	view, expected, ok := r.findEndpoint(ctx, hedge || len(r.tried) > 0)
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -460,3 +460,44 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestBurstLeavesHotEndpoint guards against a burst that stays on few endpoints: each answer frees one slot of a nearly full endpoint and
+// brings its load report, and the next request took that slot without looking for an endpoint that is idle.
+func TestBurstLeavesHotEndpoint(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hot := &fakeUpstream{load: placement.Load{Running: 5, Slots: 6, Slowness: 1}, duration: usualDuration}
+		idle := &fakeUpstream{load: placement.Load{Slots: 6, Slowness: 1}, duration: usualDuration}
+		f := newFakeService(map[string]*fakeUpstream{"hot": hot, "idle": idle})
+		fw := f.forwarder(largeBurst)
+		for _, e := range f.list {
+			if e.Name == "hot" {
+				fw.cfg.EndpointStats.RecordLoad(e.Endpoint, hot.load, time.Now())
+			}
+		}
+		is.Equal(string(fw.Run(t.Context(), request(true)).Body), "idle")
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestRetryAfterUpstreamRefusal guards against callers that wait in vain: endpoints that refuse a part of the requests at random while they
+// have free slots would take the request at once. If they are full, the caller has to wait for a slot.
+func TestRetryAfterUpstreamRefusal(t *testing.T) {
+	for name, c := range map[string]struct {
+		inFlight int
+		want     time.Duration
+	}{"sheds": {1, retryAfterShed}, "full": {2, defaultRetryAfter}} {
+		t.Run(name, func(t *testing.T) {
+			refuse := func() (*executor.Response, error) {
+				r, err := refusedResponse()
+				r.InFlight, r.Slots = c.inFlight, 2
+				return r, err
+			}
+			scenario(t, map[string]*fakeUpstream{"a": {answer: refuse}, "b": {answer: refuse}}, false,
+				func(is *is.I, _ *fakeService, r *Result, _ time.Duration) {
+					is.Equal(r.Outcome, RefusedUpstream)
+					is.Equal(r.RetryAfter, c.want)
+				})
+		})
+	}
+}
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -214,8 +214,17 @@
 // maxGoodFailureRate is the highest failure rate of an endpoint that is good enough.
 const maxGoodFailureRate = 0.05
 
-// GoodEnough reports whether an endpoint with the expected duration is good enough to be chosen without probing further ones.
+// GoodEnough reports whether an endpoint with the expected duration is good enough to be chosen without probing further ones. It is fast
+// enough, and another request would not make it nearly full: a host would go on sending to the endpoints whose answers it has just
+// received, and fill these while others are idle. Endpoints with so few slots that any request makes them nearly full are exempt.
 func (c *Config) GoodEnough(v *EndpointView, expected, serviceTime time.Duration) bool {
+	busy, slots := v.occupancy()
+	leavesRoom := busy == 0 || !isNearlyFull(busy+1, slots) || isNearlyFull(2, slots)
+	return leavesRoom && c.FastEnough(v, expected, serviceTime)
+}
+
+// FastEnough reports whether an endpoint with the expected duration is worth choosing without probing endpoints of other zones.
+func (c *Config) FastEnough(v *EndpointView, expected, serviceTime time.Duration) bool {
 	return float64(expected) <= float64(serviceTime)*c.GoodEnoughFactor && v.FailureRate <= maxGoodFailureRate
 }
 
