placement: a decision considers a sample of the endpoints

Change: EndpointStats.Sample returns the endpoints with a fresh load report and 16 random ones each of the own zone and of the others. Indices are made once for each list of endpoints.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -104,7 +104,7 @@
 	r.result.Candidates = len(list)
 	stats := r.forwarder.cfg.EndpointStats
 	cfg := stats.Config()
-	views := stats.Views(list, now)
+	views := stats.Sample(r.call.Service.Name, list, r.forwarder.cfg.Random, now)
 	avoid := func(id endpoints.ID) bool { return slices.Contains(r.tried, id) }
 	if r.call.Service.HealthPath == "" || stats.ReportsNoLoad(r.call.Service.Name, now) {
 		return r.chooseWithoutProbes(cfg, views, avoid)
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -20,6 +20,7 @@
 	cfg         Config
 	shards      [shardCount]statsShard
 	noLoadUntil sync.Map // service name -> time.Time until which its endpoints are not probed, because they report no load
+	samplers    sync.Map // service name -> *serviceSampler
 }
 
 // statsShard holds the endpoints whose addresses hash to it.
@@ -74,15 +75,6 @@
 	return s.failureRate * math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
 }
 
-// Views returns what this host knows of the endpoints, in their order.
-func (t *EndpointStats) Views(list []registry.Endpoint, now time.Time) []EndpointView {
-	views := make([]EndpointView, len(list))
-	for i, e := range list {
-		views[i] = t.View(e, now)
-	}
-	return views
-}
-
 // View returns what this host knows of one endpoint.
 func (t *EndpointStats) View(e registry.Endpoint, now time.Time) EndpointView {
 	v := EndpointView{Endpoint: e, Local: e.Zone == t.cfg.Zone, WarmUpLeft: max(0, e.WarmUpEnd.Sub(now))}
@@ -126,6 +118,7 @@
 		s.load, s.loadReportedAt, s.sentSinceLoad = l, now, 0
 		s.suspectUntil, s.suspectTime = time.Time{}, 0
 	})
+	t.sampler(e.Service).recordReport(e.ID, t.cfg.MaxLoadAge, now)
 }
 
 // ReportsNoLoad reports whether the endpoints of a service report no load, so that probing them is of no use.
