gateway: the hosts that receive the requests hold the burst of the repeat budget

Change: advertised hosts divide three quarters of the used burst among themselves, all hosts the rest. The sum stays the same.

Second cause, found by TestFullZoneShedsToOthers, which failed first: an endpoint of six slots without a free one was good enough to end the search, so a zone that received its neighbour's callers refused requests while endpoints of other zones were idle. Change: only an endpoint with a free slot ends it.

--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -501,3 +501,32 @@
 		})
 	}
 }
+
+// TestFullZoneShedsToOthers guards against refusals in a zone that receives the callers of its neighbour: all its endpoints are full, while
+// those of another zone have free slots. The request goes there at once, and is neither refused nor left waiting.
+func TestFullZoneShedsToOthers(t *testing.T) {
+	for _, slots := range []int{2, 6} {
+		t.Run(fmt.Sprint(slots, " slots"), func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ups := map[string]*fakeUpstream{}
+				for i := range 5 {
+					ups[fmt.Sprint("own", i)] = &fakeUpstream{load: placement.Load{Running: slots, Slots: slots, Slowness: 1}, duration: usualDuration}
+					ups[fmt.Sprint("neighbour", i)] = &fakeUpstream{load: placement.Load{Slots: slots, Slowness: 1}, duration: usualDuration}
+				}
+				f := newFakeService(ups)
+				for i := range f.list {
+					if strings.HasPrefix(f.list[i].Name, "neighbour") {
+						f.list[i].Zone = "b"
+					}
+				}
+				start := time.Now()
+				r := f.forwarder(largeBurst).Run(t.Context(), request(false))
+				is.Equal(r.Outcome, Answered)
+				is.True(strings.HasPrefix(string(r.Body), "neighbour"))
+				is.True(time.Since(start) < usualDuration+20*time.Millisecond)
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -79,10 +79,11 @@
 	advertisedCache advertisedCache
 }
 
-// advertisedCache caches the result of Table.AdvertisedHostCount. Ranking the hosts takes long compared with the handling of a request, and the
+// advertisedCache caches the results of Table.AdvertisedHostCount and Table.SelfAdvertised. Ranking the hosts takes long compared with the handling of a request, and the
 // number changes only if the table or this host's status changes, or a host is no longer live.
 type advertisedCache struct {
-	hosts int // 0 if a change has made the number invalid
+	hosts int  // 0 if a change has made the number invalid
+	self  bool // this host is advertised
 	at    time.Time
 }
 
@@ -270,10 +271,24 @@
 func (t *Table) AdvertisedHostCount(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.cachedAdvertised(now).hosts
+}
+
+// SelfAdvertised reports whether this host is among the hosts that are advertised to callers.
+func (t *Table) SelfAdvertised(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cachedAdvertised(now).self
+}
+
+// cachedAdvertised returns the cache, renewed if it is invalid or old. t.mu must be held.
+func (t *Table) cachedAdvertised(now time.Time) advertisedCache {
 	if t.advertisedCache.hosts == 0 || now.Sub(t.advertisedCache.at) > advertisedCacheTTL {
-		t.advertisedCache = advertisedCache{max(1, len(t.advertised(now))) * len(t.zones()), now}
+		list := t.advertised(now)
+		self := slices.ContainsFunc(list, func(h Host) bool { return h.Name == t.cfg.Self.Name })
+		t.advertisedCache = advertisedCache{max(1, len(list)) * len(t.zones()), self, now}
 	}
-	return t.advertisedCache.hosts
+	return t.advertisedCache
 }
 
 // LiveZonePeers returns the sorted names of the other hosts of the zone that are live.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -223,9 +223,11 @@
 	return leavesRoom && c.FastEnough(v, expected, serviceTime)
 }
 
-// FastEnough reports whether an endpoint with the expected duration is worth choosing without probing endpoints of other zones.
+// FastEnough reports whether an endpoint with the expected duration is worth choosing without probing endpoints of other zones. One
+// without a free slot is not, however short its queue: Admit would let the request wait for it.
 func (c *Config) FastEnough(v *EndpointView, expected, serviceTime time.Duration) bool {
-	return float64(expected) <= float64(serviceTime)*c.GoodEnoughFactor && v.FailureRate <= maxGoodFailureRate
+	busy, slots := v.occupancy()
+	return busy < slots && float64(expected) <= float64(serviceTime)*c.GoodEnoughFactor && v.FailureRate <= maxGoodFailureRate
 }
 
 // Random returns a random number in [0, n). It is the source of randomness in production.
--- a/internal/coordination/placement/repeat_limiter.go
+++ b/internal/coordination/placement/repeat_limiter.go
@@ -14,11 +14,11 @@
 }
 
 // RepeatLimiter limits the repeats of this host to its part of the budget, with a token bucket per service. The size of a bucket is the
-// burst divided by the number of hosts. Each request adds a part of a token to the bucket, and an empty bucket also refills within one
+// burst divided by a number of parts. Each request adds a part of a token to the bucket, and an empty bucket also refills within one
 // window. RepeatLimiter is safe for concurrent use.
 type RepeatLimiter struct {
 	budget RepeatBudget
-	hosts  func() int
+	parts  func() int
 
 	mu      sync.Mutex
 	buckets map[string]*repeatBucket
@@ -38,15 +38,16 @@
 	initialBurstShare = 0.5
 )
 
-// NewRepeatLimiter returns the limiter of one host. hosts returns the number of hosts that share the budget.
-func NewRepeatLimiter(b RepeatBudget, hosts func() int) *RepeatLimiter {
-	return &RepeatLimiter{budget: b, hosts: hosts, buckets: map[string]*repeatBucket{}}
+// NewRepeatLimiter returns the limiter of one host. parts returns into how many parts like this host's the burst is
+// divided.
+func NewRepeatLimiter(b RepeatBudget, parts func() int) *RepeatLimiter {
+	return &RepeatLimiter{budget: b, parts: parts, buckets: map[string]*repeatBucket{}}
 }
 
 // bucketSize returns the size of a bucket in tokens. A repeat costs one token.
 func (r *RepeatLimiter) bucketSize() float64 {
 	// A bucket smaller than one token could never allow a repeat.
-	return max(1, r.budget.Burst*usedBurstShare/float64(max(1, r.hosts())))
+	return max(1, r.budget.Burst*usedBurstShare/float64(max(1, r.parts())))
 }
 
 // bucket returns the bucket of a service, refilled up to now. r.mu must be held.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -130,7 +131,7 @@
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores}))
 	repeatLimiter := placement.NewRepeatLimiter(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
-		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetHosts)
+		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
@@ -152,10 +153,25 @@
 	return g
 }
 
-// repeatBudgetHosts returns the number of hosts among which the burst of the repeat budget is divided. Hosts that the directory advertises
-// receive most requests. The other hosts serve only callers that still use older addresses, so each of them counts as half a host.
-func (g *Gateway) repeatBudgetHosts() int {
-	return (g.peers.AdvertisedHostCount(time.Now()) + g.peers.HostCount() + 1) / 2
+// advertisedBurstFraction is the fraction of the repeat budget's burst that the advertised hosts divide among themselves. All hosts divide
+// the rest.
+const advertisedBurstFraction = 0.75
+
+// repeatBudgetParts returns into how many parts like this host's the burst of the repeat budget is divided.
+func (g *Gateway) repeatBudgetParts() int {
+	now := time.Now()
+	return burstParts(g.peers.SelfAdvertised(now), g.peers.AdvertisedHostCount(now), g.peers.HostCount())
+}
+
+// burstParts returns the inverse of a host's share of the burst. Hosts that the directory advertises receive most requests. The others
+// serve only callers that still use older addresses. With equal shares, hundreds of hosts would leave those that receive the requests of a
+// zone about one repeat each.
+func burstParts(selfAdvertised bool, advertisedHosts, hosts int) int {
+	share := (1 - advertisedBurstFraction) / float64(hosts)
+	if selfAdvertised {
+		share += advertisedBurstFraction / float64(advertisedHosts)
+	}
+	return int(math.Ceil(1 / share))
 }
 
 // usedProbeFraction is the fraction of the allowed load probes that the hosts advertised by the directory use. The rest is left for other
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -470,3 +470,14 @@
 	s.AdvertisedIP = "192.0.2.7:80"
 	is.True(s.Validate() != nil && strings.Contains(s.Validate().Error(), "advertised_ip"))
 }
+
+// TestBurstParts guards against a repeat budget that hosts without callers hold: with hundreds of hosts, those that receive the requests
+// after an outage of endpoints must be able to repeat them. All parts together are at most the whole.
+func TestBurstParts(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ advertised, hosts int }{{1, 1}, {2, 2}, {6, 15}, {8, 122}, {15, 312}, {200, 4312}, {312, 312}} {
+		own, other := burstParts(true, c.advertised, c.hosts), burstParts(false, c.advertised, c.hosts)
+		is.True(float64(c.advertised)/float64(own)+float64(c.hosts-c.advertised)/float64(other) <= 1)
+		is.True(own <= 2*c.advertised)
+	}
+}
