--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -12,8 +12,8 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
-// sendOnce sends the request to one endpoint, at which the send is already recorded, reads the answer and records the outcome and the reported load in the endpoint statistics.
-// Then it wakes a waiting request of the service, because the endpoint may have a free slot.
+// sendOnce sends the request to one endpoint, at which the send is already recorded. It reads the answer and records the outcome and the
+// reported load in the endpoint statistics. Then it wakes a waiting request of the service, because the endpoint may have a free slot.
 func (f *Forwarder) sendOnce(ctx context.Context, v placement.EndpointView, c *executor.Call, route *routing.Route) sendResult {
 	start := time.Now()
 	got := sendResult{written: true}
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -79,8 +79,8 @@
 	advertisedCache advertisedCache
 }
 
-// advertisedCache caches the results of Table.AdvertisedHostCount and Table.SelfAdvertised. Ranking the hosts takes long compared with the handling of a request, and the
-// number changes only if the table or this host's status changes, or a host is no longer live.
+// advertisedCache caches the results of Table.AdvertisedHostCount and Table.SelfAdvertised. Ranking the hosts takes long compared with the
+// handling of a request, and the results change only if the table or this host's status changes, or a host is no longer live.
 type advertisedCache struct {
 	hosts int  // 0 if a change has made the number invalid
 	self  bool // this host is advertised
