eventlog: drop events that are logged while the log closes

A gateway closes its log at the end of the process, which takes up to 200 ms when the output is slow. Goroutines that have no part in the shutdown log meanwhile: the handlers of SIGHUP and SIGUSR1, servers' handlers, sends to endpoints that the caller no longer waits for. Each of them panicked (send on closed channel): the process ended with status 2 and the lines of the last requests were lost.

Cause: Close closes the channel of lines, and nothing orders that with an event being queued. Both happen under a lock now, and events after Close are counted as dropped.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -27,6 +27,9 @@
 	unreported atomic.Int64 // dropped lines that no log_lines_left_out event has reported yet
 	dropped    atomic.Int64 // lines dropped since the start
 
+	closing sync.RWMutex // held for writing while closed changes, and for reading while a line is queued
+	closed  bool         // lines is closed
+
 	mu            sync.Mutex
 	countedSecond int64          // Unix time to which counts belong
 	counts        map[string]int // events in this second, by event name
@@ -82,7 +85,9 @@
 	if level < l.logger.GetLevel() {
 		return
 	}
-	if !l.allow(event, time.Now().Unix()) {
+	l.closing.RLock()
+	defer l.closing.RUnlock()
+	if l.closed || !l.allow(event, time.Now().Unix()) {
 		l.countDropped()
 		return
 	}
@@ -107,9 +112,13 @@
 // Dropped returns the number of lines dropped since the start.
 func (l *Log) Dropped() int64 { return l.dropped.Load() }
 
-// Close waits until the buffered lines are written, but not longer than the given time. Nothing may be logged after Close.
+// Close waits until the buffered lines are written, but not longer than the given time. Events that are logged from then on are dropped.
+// It must be called only once.
 func (l *Log) Close(wait time.Duration) {
+	l.closing.Lock()
+	l.closed = true
 	close(l.lines)
+	l.closing.Unlock()
 	select {
 	case <-l.done:
 	case <-time.After(wait):
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,3 +71,55 @@
 	is.True(strings.Contains(out.String(), `level=warn msg=store_lost host=h error="no answer"`))
 	is.True(!strings.Contains(out.String(), "hidden"))
 }
+
+// TestEventsDuringClose guards against a process that panics at its exit, and so loses the lines that are still to be written: signal
+// handlers and other goroutines log while the log closes. Each of their lines must be written or counted as dropped.
+func TestEventsDuringClose(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	l := New(out, log.InfoLevel)
+	l.Info("last_request")
+	var logged atomic.Int64
+	closed, stop := make(chan struct{}), make(chan struct{})
+	const writers, linesBeforeClose = 4, 400 // together they fit into the buffer
+	var running sync.WaitGroup
+	for range writers {
+		running.Go(func() {
+			for n := 0; ; n++ {
+				if n == linesBeforeClose {
+					<-closed
+				}
+				l.resetCounts()
+				l.Info("during")
+				logged.Add(1)
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Microsecond):
+				}
+			}
+		})
+	}
+	waitUntil(t, func() bool { return logged.Load() > 10 })
+	l.Close(0) // the output is blocked, so that the lines are still to be written
+	close(closed)
+	atClose := logged.Load()
+	waitUntil(t, func() bool { return logged.Load() > atClose+100 })
+	close(stop)
+	running.Wait()
+	close(out.release)
+	<-l.done
+	is.Equal(strings.Count(out.String(), "msg=last_request"), 1)
+	is.Equal(int64(strings.Count(out.String(), "msg=during")), logged.Load()-l.Dropped())
+	is.True(l.Dropped() > 0)
+}
+
+// waitUntil waits until the condition holds.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition did not hold in time")
+		}
+	}
+}
