arbutusspan gateway: ignore further stop signals until the process ends

A second SIGTERM or SIGINT during the last 200 ms, while the process waits for its log to be written, ended it with the signal's default action: the exit status named a signal after a complete stop, and the lines that were still to be written were lost.

Cause: the handler of stop signals was removed before the log was closed (deferred calls run in reverse order). It stays now.

--- a/cmd/arbutusspan/gateway.go
+++ b/cmd/arbutusspan/gateway.go
@@ -41,8 +41,14 @@
 	}
 	logger := eventlog.New(os.Stdout, settings.Level(), "host", settings.Host)
 	defer logger.Close(logCloseTimeout)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT) // until the process ends, so that a further one does not interrupt the stop
+	go func() {
+		<-stops
+		stop()
+	}()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
