host: decide and begin the drain of a stop in one step

A stop that met an operator's drain gave up: SIGTERM looked whether the host was draining, saw that it was not, and its own drain was then refused because the operator's had begun in between. The host told the others that it leaves, but never shut its servers down: the process went on serving on its ports, without membership and peer connections, until it was killed with the requests in flight.

Cause: the question and the drain were two steps under two locks. They are one now, and the same step rules out a later undrain.

--- a/internal/host/drain.go
+++ b/internal/host/drain.go
@@ -49,6 +49,11 @@
 func (h *Host) Drain() error {
 	h.drain.mu.Lock()
 	defer h.drain.mu.Unlock()
+	return h.drainLocked()
+}
+
+// drainLocked is Drain. h.drain.mu is held.
+func (h *Host) drainLocked() error {
 	wasServing := h.lifecycle.Is(StateServing)
 	if err := h.lifecycle.Event(context.Background(), eventDrain); err != nil {
 		return trace.CompareFailed("the host is %s; only a host that serves or catches up can be drained", h.lifecycle.Current())
@@ -139,6 +144,20 @@
 	return w.ResponseWriter.Write(b)
 }
 
+// beginStop starts to drain the host, unless that has begun already, and makes the drain final. It returns the channel that is closed when no
+// caller may use the host's address any longer.
+func (h *Host) beginStop() (unlisted <-chan struct{}, err error) {
+	h.drain.mu.Lock()
+	defer h.drain.mu.Unlock()
+	h.drain.stopping = true
+	if !h.lifecycle.Is(StateDraining) {
+		if err := h.drainLocked(); err != nil {
+			return nil, err
+		}
+	}
+	return h.drain.unlisted, nil
+}
+
 // stop performs a planned stop. It drains the host unless that has begun already, waits until no caller may use the host's address any
 // longer, closes idle connections and waits for requests in flight. It ends early at the drain deadline or when StopNow is called.
 func (h *Host) stop() error {
@@ -151,22 +170,15 @@
 		case <-bounded.Done():
 		}
 	}()
-	h.drain.mu.Lock()
-	h.drain.stopping = true
-	h.drain.mu.Unlock()
-	if !h.lifecycle.Is(StateDraining) {
-		if err := h.Drain(); err != nil {
-			return trace.Wrap(err)
-		}
+	unlisted, err := h.beginStop()
+	if err != nil {
+		return trace.Wrap(err)
 	}
-	h.drain.mu.Lock()
-	unlisted := h.drain.unlisted
-	h.drain.mu.Unlock()
 	select {
 	case <-unlisted:
 	case <-bounded.Done():
 	}
-	err := h.callers.Shutdown(bounded)
+	err = h.callers.Shutdown(bounded)
 	if err != nil {
 		inFlight := h.drain.inFlight.Load()
 		h.log.Error("drain_cut", "requests", inFlight, "error", err)
--- a/internal/host/lifecycle.go
+++ b/internal/host/lifecycle.go
@@ -25,15 +25,17 @@
 	eventStop     = "stop"
 )
 
+var lifecycleEvents = fsm.Events{
+	{Name: eventListen, Src: []string{StateStarting}, Dst: StateCatchingUp},
+	{Name: eventCaughtUp, Src: []string{StateCatchingUp}, Dst: StateServing},
+	{Name: eventDrain, Src: []string{StateCatchingUp, StateServing}, Dst: StateDraining},
+	{Name: eventUndrain, Src: []string{StateDraining}, Dst: StateServing},
+	{Name: eventStop, Src: []string{StateStarting, StateCatchingUp, StateDraining}, Dst: StateStopped},
+}
+
 // newLifecycle returns the state machine of the lifecycle. It logs each transition.
 func newLifecycle(logger *log.Logger) *fsm.FSM {
-	return fsm.NewFSM(StateStarting, fsm.Events{
-		{Name: eventListen, Src: []string{StateStarting}, Dst: StateCatchingUp},
-		{Name: eventCaughtUp, Src: []string{StateCatchingUp}, Dst: StateServing},
-		{Name: eventDrain, Src: []string{StateCatchingUp, StateServing}, Dst: StateDraining},
-		{Name: eventUndrain, Src: []string{StateDraining}, Dst: StateServing},
-		{Name: eventStop, Src: []string{StateStarting, StateCatchingUp, StateDraining}, Dst: StateStopped},
-	}, fsm.Callbacks{
+	return fsm.NewFSM(StateStarting, lifecycleEvents, fsm.Callbacks{
 		"enter_state": func(_ context.Context, e *fsm.Event) {
 			logger.Info("lifecycle", "event", e.Event, "from", e.Src, "to", e.Dst)
 		},
