peerrpc: a call whose whole reply has arrived succeeds

A call to a host that closed the connection right after its reply failed with "context canceled (may have reached it: true)", although the reply had been read: the caller of a relayed reservation was told that its outcome is unknown. Hosts close connections in this way when they stop.

Cause: drpc's Invoke closes its stream after the reply, and returns the error of that close if the connection has ended meanwhile. The reply decides now, and the connection is not used again.

--- a/internal/transport/peerrpc/peerrpc_test.go
+++ b/internal/transport/peerrpc/peerrpc_test.go
@@ -185,6 +185,61 @@
 	}
 }
 
+// closingListener accepts connections that close right after their next write once armed is set.
+type closingListener struct {
+	net.Listener
+	armed *atomic.Bool
+}
+
+func (l closingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return closingConn{c, l.armed}, err
+}
+
+type closingConn struct {
+	net.Conn
+	armed *atomic.Bool
+}
+
+func (c closingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if c.armed.Load() {
+		c.Conn.Close()
+	}
+	return n, err
+}
+
+// TestConnectionClosedAfterReply guards against a call that fails although its whole reply has arrived, because the peer closes the
+// connection after the reply, as it does when it stops.
+func TestConnectionClosedAfterReply(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var armed atomic.Bool
+	s := NewServer("host-b", []byte(testSecret), nil)
+	replies := map[string]any{"text": message{"hello"}, "nothing": nil}
+	for method, reply := range replies {
+		s.Handle(method, func(context.Context, string, []byte) (any, error) {
+			armed.Store(true)
+			return reply, nil
+		})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- s.Serve(ctx, closingListener{l, &armed}) }()
+	const rounds = 50
+	for range rounds {
+		for method, reply := range replies {
+			armed.Store(false)
+			var out message
+			is.NoErr(peersTo(t, testSecret, l.Addr().String()).Call(t.Context(), "host-b", method, message{}, &out))
+			is.Equal(out.Text != "", reply != nil)
+		}
+	}
+	cancel()
+	is.NoErr(<-ended)
+}
+
 // TestUnauthenticatedPeers guards against a peer without the cluster secret that gets a response, has a handler run or opens more than
 // maxHandshakes connections.
 func TestUnauthenticatedPeers(t *testing.T) {
--- a/internal/transport/peerrpc/peers.go
+++ b/internal/transport/peerrpc/peers.go
@@ -89,14 +89,19 @@
 	before := c.counted.written.Load()
 	request := &callRequest{Method: method, TimeoutMS: max(1, time.Until(deadline).Milliseconds()), Body: body}
 	var reply callReply
-	if err := c.Invoke(ctx, rpcCall, encoding{}, request, &reply); err != nil {
+	err = c.Invoke(ctx, rpcCall, encoding{}, request, &reply)
+	switch {
+	case err == nil:
+		p.putIdle(to, c)
+	case reply.received():
+		c.Close() // Invoke also fails if the peer closes the connection after its reply
+	default:
 		c.Close()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
 		return c.counted.written.Load() > before, trace.Wrap(err)
 	}
-	p.putIdle(to, c)
 	if reply.Err != nil {
 		return true, reply.Err
 	}
--- a/internal/transport/peerrpc/service.go
+++ b/internal/transport/peerrpc/service.go
@@ -56,6 +56,9 @@
 	Body cbor.RawMessage `cbor:"2,keyasint,omitempty"`
 }
 
+// received reports whether the reply was decoded. Each reply has an error or a body, which is a CBOR null if the handler returned nil.
+func (r *callReply) received() bool { return r.Err != nil || len(r.Body) > 0 }
+
 // encoding implements drpc.Encoding with CBOR.
 type encoding struct{}
 
