ingress, gateway: tell a request that this host cut from one whose caller left

Cause: a canceled request was logged with caller=left whoever had canceled it, a response that was not written left no trace, and drained always said cut=0, because the unanswered requests were counted after their handlers had been canceled. Change: the context of a request has a cause; response_undelivered names each response that was not written whole; Server.Close counts the unanswered requests before it cuts them.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -219,8 +220,11 @@
 	if res.Response != nil {
 		fields = append(fields, "status", res.Response.Status)
 	}
-	if ctx.Err() != nil {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ingress.ErrCallerLeft):
 		fields = append(fields, "caller", "left")
+	case cause != nil:
+		fields = append(fields, "cut", cause)
 	}
 	if res.Detail != "" {
 		fields = append(fields, "detail", res.Detail)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,8 @@
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
 		Withdrawn: g.endpoints.Withdrawn})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
-		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic})
+		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		OnUndelivered: g.reportUndelivered})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge:    func() time.Duration { return g.peers.MaxAge(time.Now()) },
 		ReadDelay: func() time.Duration { return g.peers.ReadDelay(time.Now()) },
@@ -220,6 +221,18 @@
 		"reason", reason[:min(maxLoggedReason, len(reason))], "connections", g.callers.Connections())
 }
 
+// reportUndelivered counts a response that did not reach its caller. It logs it unless the caller disconnected, which the line of the request
+// tells.
+func (g *Gateway) reportUndelivered(r *ingress.Request, resp *ingress.Response, cause error) {
+	if errors.Is(cause, ingress.ErrCallerLeft) {
+		g.metrics.Add("responses_undelivered_caller_left_total", 1)
+		return
+	}
+	g.metrics.Add("responses_undelivered_total", 1)
+	g.log.Warn("response_undelivered", "id", r.Header.Get(g.adapter.Dialect.RequestID), "status", resp.Status, "cause", cause,
+		"read_ms_ago", ms(time.Since(r.HeaderReadAt)), "draining", g.draining.Load())
+}
+
 // reportPanic counts and logs a panic that ended a request, a send to an endpoint or a load probe.
 func (g *Gateway) reportPanic(requestID string, value any, stack []byte) {
 	g.metrics.Add("panics_total", 1)
@@ -360,8 +373,8 @@
 	l.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(float64(g.settings.grace())*drainFraction)))
 	defer cancel()
-	g.callers.Close(ctx)
-	g.log.Info("drained", "took_ms", time.Since(start).Milliseconds(), "cut", g.callers.Unanswered())
+	cut := g.callers.Close(ctx)
+	g.log.Info("drained", "took_ms", time.Since(start).Milliseconds(), "cut", cut)
 }
 
 const (
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -18,7 +18,7 @@
 	overloaded bool // the server has too many connections: respond with 503 and close
 
 	ctx    context.Context // canceled when the caller has disconnected, or after the last response
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	queue  chan *exchange // requests without a response, in the order in which they were read
 
 	mu              sync.Mutex
@@ -37,7 +37,7 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, netConn: nc, queue: make(chan *exchange, maxPipelined)}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
 
@@ -47,8 +47,8 @@
 	return c.pending == 0
 }
 
-func (c *conn) abort() {
-	c.cancel()
+func (c *conn) abort(cause error) {
+	c.cancel(cause)
 	c.netConn.Close()
 }
 
@@ -59,7 +59,7 @@
 	c.read()
 	close(c.queue)
 	writer.Wait()
-	c.abort()
+	c.abort(ErrResponded)
 }
 
 func (c *conn) read() {
@@ -68,6 +68,9 @@
 		limits := c.server.cfg.Limits()
 		c.netConn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 		if _, err := br.Peek(1); err != nil {
+			if isTimeout(err) {
+				c.cancel(ErrIdleTimeout)
+			}
 			break
 		}
 		c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
@@ -108,7 +111,7 @@
 			return
 		}
 	}
-	c.cancel()
+	c.cancel(ErrCallerLeft)
 }
 
 // reportRefusal calls OnRefused.
@@ -129,7 +132,7 @@
 	c.netConn.SetReadDeadline(time.Time{})
 	// An error means only that there is nothing more to read.
 	_, _ = io.Copy(io.Discard, br)
-	c.cancel()
+	c.cancel(ErrCallerLeft)
 }
 
 // countRequest counts a request that was read. It returns false if the connection closes after an earlier response.
@@ -222,6 +225,7 @@
 				resp.Stream.Close()
 			}
 			writeEnded = true
+			c.reportUndelivered(x, resp, context.Cause(c.ctx))
 			c.answered()
 			continue
 		}
@@ -230,7 +234,8 @@
 		c.answered()
 		if err != nil {
 			writeEnded = true
-			c.abort()
+			c.reportUndelivered(x, resp, err)
+			c.abort(err)
 			continue
 		}
 		if last {
@@ -240,6 +245,13 @@
 	}
 }
 
+// reportUndelivered calls OnUndelivered.
+func (c *conn) reportUndelivered(x *exchange, resp *Response, cause error) {
+	if c.server.cfg.OnUndelivered != nil && x.request != nil {
+		c.server.cfg.OnUndelivered(x.request, resp, cause)
+	}
+}
+
 // maxWriteBytes is the number of bytes that a caller has to read within writeTimeout.
 const maxWriteBytes = 64 << 10
 
@@ -276,7 +288,7 @@
 		// An error means that the connection is already closed.
 		_ = closer.CloseWrite()
 	}
-	c.cancel() // requests after the one of the last response are treated as not read
+	c.cancel(ErrResponded) // requests after the one of the last response are treated as not read
 	c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	time.AfterFunc(lingerTimeout, c.abort)
+	time.AfterFunc(lingerTimeout, func() { c.abort(ErrResponded) })
 }
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -43,7 +43,8 @@
 
 // Handler answers requests.
 type Handler interface {
-	// Serve must return soon after ctx is canceled, which happens when the caller disconnects or the connection is closed.
+	// Serve must return soon after ctx is canceled, which happens when the caller disconnects or the connection is closed. The cause of
+	// ctx is one of the errors of this package.
 	Serve(ctx context.Context, r *Request) *Response
 	// MayRunConcurrently reports whether the request may run concurrently with earlier requests of its connection that are not yet answered.
 	MayRunConcurrently(r *Request) bool
@@ -63,8 +64,20 @@
 	// OnPanic is called when a handler has panicked. Its request is answered with 500 and the connection closed; other connections are
 	// not affected.
 	OnPanic func(r *Request, value any, stack []byte)
+	// OnUndelivered is called for each request that was read and whose response was not written whole. cause is one of the errors of this
+	// package or the error of the write. Nil means no call.
+	OnUndelivered func(r *Request, resp *Response, cause error)
 }
 
+// Causes for which a response is not delivered.
+var (
+	ErrCallerLeft  = errors.New("the caller disconnected")
+	ErrIdleTimeout = errors.New("the connection was idle for too long")
+	ErrClosedIdle  = errors.New("the server stopped and took the connection for idle")
+	ErrStopped     = errors.New("the server stopped before the request was answered")
+	ErrResponded   = errors.New("the connection closed after the response to an earlier request")
+)
+
 // Limits of a connection.
 const (
 	// maxPipelined is the number of unanswered requests on one connection at which the server stops reading from it.
@@ -156,17 +169,22 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Close closes the connections without unanswered requests now, and the others as soon as they have none or ctx ends. It returns when all
-// are closed and their handlers have returned.
-func (s *Server) Close(ctx context.Context) {
+// are closed and their handlers have returned, with the number of requests that were unanswered when ctx ended.
+func (s *Server) Close(ctx context.Context) (cut int64) {
 	s.draining.Store(true)
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	for {
 		s.mu.Lock()
 		left := len(s.conns)
+		if ctx.Err() != nil {
+			cut = s.unanswered.Load()
+		}
 		for c := range s.conns {
-			if ctx.Err() != nil || c.idle() {
-				c.abort()
+			if ctx.Err() != nil {
+				c.abort(ErrStopped)
+			} else if c.idle() {
+				c.abort(ErrClosedIdle)
 			}
 		}
 		s.mu.Unlock()
@@ -179,4 +197,5 @@
 		}
 	}
 	s.openConns.Wait()
+	return cut
 }
