--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -21,6 +21,7 @@
 type handler struct {
 	mu       sync.Mutex
 	bodies   []string
+	content  []byte // of the responses, if it is not nil
 	started  chan string
 	release  map[string]chan struct{}
 	canceled chan string
@@ -62,6 +63,11 @@
 	if r.Path == "/unknown-length" {
 		return &Response{Status: 200, Length: -1, Stream: io.NopCloser(strings.NewReader(strings.Repeat("x", 9000)))}
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.content != nil {
+		return &Response{Status: 200, Body: h.content}
+	}
 	return &Response{Status: 200, Header: http.Header{"X-Path": {r.Target}}, Body: []byte(r.Target)}
 }
 
