ingress: only the reader of a connection decides that it closes

Cause: a connection was closed by whoever found it idle. Whether it was idle and its close were two steps, bytes that had arrived but were not parsed counted as nothing, and closing with unread bytes made the kernel reset the connection and drop what it had still to send. A connection whose caller sends the next request before the last one is answered was never idle: it took requests until the end of the drain, when all of them were cut together. A panic closed the connection before the responses to later requests. Change: the reader alone decides that no further request is read (lastRead), under the lock that counts requests, after it has read what had arrived; the connection closes after the responses to those that were read, write side first, and stays readable until its caller closes it or for a second. When the server stops, each connection reads at most one more request, so that a pipeline ends. Listeners accept what has arrived before they are closed.

--- a/internal/faketime/link.go
+++ b/internal/faketime/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 	bytesPerSecond float64 // of each connection in each direction
 	conns          chan net.Conn
 	closed         chan struct{}
+	closeOnce      sync.Once
 }
 
 // NewLink returns a link whose connections carry the given number of bytes per second in each direction.
@@ -44,7 +46,7 @@
 
 // Close implements net.Listener. Open connections stay open.
 func (l *Link) Close() error {
-	close(l.closed)
+	l.closeOnce.Do(func() { close(l.closed) })
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -299,7 +299,7 @@
 	group.Go(func() error { g.maintainHostList(runCtx); return nil })
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
 	<-ctx.Done()
-	g.drain(callers)
+	g.drain()
 	stop()
 	for _, s := range servers {
 		s.Close()
@@ -362,7 +362,7 @@
 // drain announces that this host is leaving and answers the requests in progress. For a part of the grace time it still accepts
 // connections, because callers keep host addresses for a while. From the start of the drain, each answer closes its connection. Requests
 // that are still running after drainFraction of the grace time are cut.
-func (g *Gateway) drain(l net.Listener) {
+func (g *Gateway) drain() {
 	start := time.Now()
 	g.draining.Store(true)
 	g.updateStatus()
@@ -370,7 +370,6 @@
 	g.callers.Drain()
 	g.log.Info("draining", "active", g.callers.Unanswered(), "connections", g.callers.Connections(), "grace_ms", g.settings.grace().Milliseconds())
 	sleep(context.Background(), time.Duration(float64(g.settings.grace())*drainAcceptFraction))
-	l.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(float64(g.settings.grace())*drainFraction)))
 	defer cancel()
 	cut := g.callers.Close(ctx)
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -11,28 +11,31 @@
 )
 
 // conn serves one connection with two goroutines: the reader parses requests and starts their handlers, the writer sends the responses in
-// the order of the requests.
+// the order of the requests. The reader alone decides that no further request is read, so that none arrives between this decision and the
+// close.
 type conn struct {
 	server     *Server
 	netConn    net.Conn
 	overloaded bool // the server has too many connections: respond with 503 and close
 
-	ctx    context.Context // canceled when the caller has disconnected, or after the last response
+	ctx    context.Context // canceled when the caller has disconnected or the connection is aborted
 	cancel context.CancelCauseFunc
 	queue  chan *exchange // requests without a response, in the order in which they were read
 
 	mu              sync.Mutex
 	pending         int           // requests that were read and whose response is not yet written
 	earlierAnswered chan struct{} // closed when pending becomes 1 or 0; nil if waitForEarlier is not waiting
-	closing         bool          // the connection is closed after the response that is being written
+	waiting         bool          // the reader waits for the first byte of a request
+	stopping        bool          // the server stops: one more request is read if it has arrived
+	lastRead        bool          // no further request is read; the connection closes after the responses to those that were
+	lingerUntil     time.Time     // when the connection is closed although the caller has not closed it; zero until the write side is closed
 	continueDue     bool          // the caller of the request being read waits for 100 Continue, which follows the earlier responses
 }
 
 // exchange is a request and the response that its handler will send.
 type exchange struct {
-	request   *Request
-	keepAlive bool // the connection may carry further requests after this one
-	response  chan *Response
+	request  *Request
+	response chan *Response
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -41,17 +44,21 @@
 	return c
 }
 
-func (c *conn) idle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pending == 0
-}
-
 func (c *conn) abort(cause error) {
 	c.cancel(cause)
 	c.netConn.Close()
 }
 
+// stop has the connection close after the responses to the requests that have arrived.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	if c.waiting && !c.lastRead {
+		c.netConn.SetReadDeadline(time.Now()) // wakes the reader
+	}
+}
+
 // run serves the connection. It returns when the connection is closed and all its handlers have returned.
 func (c *conn) run() {
 	var writer sync.WaitGroup
@@ -59,59 +66,97 @@
 	c.read()
 	close(c.queue)
 	writer.Wait()
-	c.abort(ErrResponded)
+	c.abort(ErrCallerLeft)
 }
 
 func (c *conn) read() {
 	br := bufio.NewReader(c.netConn)
-	for {
-		limits := c.server.cfg.Limits()
-		c.netConn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-		if _, err := br.Peek(1); err != nil {
-			if isTimeout(err) {
-				c.cancel(ErrIdleTimeout)
-			}
-			break
-		}
-		c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-		p := parser{br: br, limits: limits, server: c.server, sendContinue: c.sendContinue}
-		if c.overloaded {
-			p.refuse(http.StatusServiceUnavailable, "this host has too many connections")
-		} else {
-			p.parse(func() { c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout)) })
-		}
-		if p.disconnected {
-			break
+	for c.awaitRequest(br) && c.readRequest(br) {
+	}
+	c.linger(br)
+}
+
+// awaitRequest waits for the first byte of a request. It returns false if no further request is read: the caller has disconnected, the
+// connection was idle for too long, or the server stops.
+func (c *conn) awaitRequest(br *bufio.Reader) bool {
+	for lastTry := false; ; {
+		var ok bool
+		if lastTry, ok = c.beginWait(lastTry); !ok {
+			return false
 		}
-		x := &exchange{request: p.request, keepAlive: p.keepAlive && p.refusal == nil, response: make(chan *Response, 1)}
-		if !c.countRequest() {
-			c.linger(br)
-			return
+		_, err := br.Peek(1)
+		c.mu.Lock()
+		c.waiting = false
+		if lastTry && isTimeout(err) {
+			c.lastRead = true
 		}
-		if p.refusal != nil {
-			c.reportRefusal(&p)
-			x.response <- p.refusal
-			c.queue <- x
-			c.linger(br)
-			return
+		c.mu.Unlock()
+		if err == nil {
+			return true
 		}
-		concurrent := c.server.cfg.Handler.MayRunConcurrently(x.request)
-		if !concurrent && !c.waitForEarlier() {
-			c.discardRequest(p.bodyBytes)
-			c.linger(br)
-			return
+		if lastTry || !isTimeout(err) {
+			return false
 		}
+		lastTry = true // an expired deadline does not tell whether bytes have arrived
+	}
+}
+
+// beginWait sets the deadline for the first byte of a request. It returns false if no further request is read. lastTry limits the wait to
+// bytes that have arrived; the result tells whether the wait is limited so.
+func (c *conn) beginWait(lastTry bool) (limited, ok bool) {
+	idleTimeout := c.server.cfg.Limits().IdleTimeout
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastRead {
+		return false, false
+	}
+	c.waiting = true
+	limited = lastTry || c.stopping
+	switch {
+	case limited:
+		c.netConn.SetReadDeadline(time.Now().Add(arrivedTimeout))
+	default:
+		c.netConn.SetReadDeadline(time.Now().Add(idleTimeout))
+	}
+	return limited, true
+}
+
+// readRequest reads a request and starts its handler. It returns false if no further request is read.
+func (c *conn) readRequest(br *bufio.Reader) bool {
+	limits := c.server.cfg.Limits()
+	c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	p := parser{br: br, limits: limits, server: c.server, sendContinue: c.sendContinue}
+	if c.overloaded {
+		p.refuse(http.StatusServiceUnavailable, "this host has too many connections")
+	} else {
+		p.parse(func() { c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout)) })
+	}
+	if p.disconnected {
+		return false
+	}
+	keepAlive := p.keepAlive && p.refusal == nil
+	if !c.countRequest(keepAlive) {
+		c.server.totalBodyBytes.Add(-p.bodyBytes)
+		return false
+	}
+	x := &exchange{request: p.request, response: make(chan *Response, 1)}
+	if p.refusal != nil {
+		c.reportRefusal(&p)
+		x.response <- p.refusal
 		c.queue <- x
-		go func() {
-			defer c.server.totalBodyBytes.Add(-p.bodyBytes)
-			x.response <- c.server.handle(c.ctx, x.request)
-		}()
-		if !x.keepAlive {
-			c.linger(br)
-			return
-		}
+		return false
 	}
-	c.cancel(ErrCallerLeft)
+	if !c.server.cfg.Handler.MayRunConcurrently(x.request) && !c.waitForEarlier() {
+		c.server.totalBodyBytes.Add(-p.bodyBytes)
+		c.answered()
+		return false
+	}
+	c.queue <- x
+	go func() {
+		defer c.server.totalBodyBytes.Add(-p.bodyBytes)
+		x.response <- c.server.handle(c.ctx, x.request)
+	}()
+	return keepAlive
 }
 
 // reportRefusal calls OnRefused.
@@ -129,31 +174,30 @@
 // linger reads and discards what the caller still sends: unread bytes would make the kernel reset the connection, and the caller could
 // lose the last response. It cancels the handlers when the caller disconnects.
 func (c *conn) linger(br *bufio.Reader) {
-	c.netConn.SetReadDeadline(time.Time{})
+	c.closeIfFinished()
+	c.mu.Lock()
+	c.netConn.SetReadDeadline(c.lingerUntil)
+	c.mu.Unlock()
 	// An error means only that there is nothing more to read.
 	_, _ = io.Copy(io.Discard, br)
 	c.cancel(ErrCallerLeft)
 }
 
-// countRequest counts a request that was read. It returns false if the connection closes after an earlier response.
-func (c *conn) countRequest() bool {
+// countRequest counts a request that was read. It returns false if the request is not answered, because the connection closes after an
+// earlier response. Without keepAlive, it is the last request.
+func (c *conn) countRequest(keepAlive bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.continueDue = false // the body has arrived
-	if c.closing {
+	if c.lastRead {
 		return false
 	}
+	c.lastRead = !keepAlive || c.stopping
 	c.pending++
 	c.server.unanswered.Add(1)
 	return true
 }
 
-// discardRequest gives up a request that countRequest has counted and whose handler was not started.
-func (c *conn) discardRequest(bodyBytes int64) {
-	c.server.totalBodyBytes.Add(-bodyBytes)
-	c.answered()
-}
-
 // answered counts a request as finished: its response was written, or is not going to be.
 func (c *conn) answered() {
 	c.mu.Lock()
@@ -163,7 +207,7 @@
 		close(c.earlierAnswered)
 		c.earlierAnswered = nil
 	}
-	sendContinue := c.continueDue && c.pending == 0 && !c.closing
+	sendContinue := c.continueDue && c.pending == 0 && !c.lastRead
 	if sendContinue {
 		c.continueDue = false
 	}
@@ -172,10 +216,10 @@
 		c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout))
 		c.writeContinue()
 	}
+	c.closeIfFinished()
 }
 
-// waitForEarlier waits until all requests before the newest one are answered. It returns false if the newest one must not run, because
-// the caller has disconnected or the connection closes after an earlier response.
+// waitForEarlier waits until all requests before the newest one are answered. It returns false if the caller has disconnected.
 func (c *conn) waitForEarlier() bool {
 	c.mu.Lock()
 	var earlierAnswered chan struct{}
@@ -191,9 +235,7 @@
 			return false
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.closing
+	return true
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it before it sends the body. While earlier requests are unanswered, the
@@ -217,31 +259,18 @@
 // write sends the responses in the order of the requests. It returns when the reader has ended and all requests are answered.
 func (c *conn) write() {
 	bw := bufio.NewWriterSize(deadlineWriter{c.netConn}, 4<<10)
-	writeEnded := false
 	for x := range c.queue {
 		resp := <-x.response
-		if writeEnded || c.ctx.Err() != nil {
+		if cause := context.Cause(c.ctx); cause != nil {
 			if resp.Stream != nil {
 				resp.Stream.Close()
 			}
-			writeEnded = true
-			c.reportUndelivered(x, resp, context.Cause(c.ctx))
-			c.answered()
-			continue
-		}
-		last := c.decideLast(x, resp)
-		err := writeResponse(bw, x.request, resp, last)
-		c.answered()
-		if err != nil {
-			writeEnded = true
+			c.reportUndelivered(x, resp, cause)
+		} else if err := writeResponse(bw, x.request, resp, c.decideLast(resp)); err != nil {
 			c.reportUndelivered(x, resp, err)
 			c.abort(err)
-			continue
-		}
-		if last {
-			writeEnded = true
-			c.halfClose()
 		}
+		c.answered()
 	}
 }
 
@@ -269,26 +298,30 @@
 	return written, err
 }
 
-// decideLast reports whether the connection closes after this response, and records it. During a planned stop the connection closes only
-// after the response to the last request that was read.
-func (c *conn) decideLast(x *exchange, r *Response) bool {
+// decideLast reports whether the connection closes after this response. During a planned stop it does so if no other request that was read
+// is unanswered.
+func (c *conn) decideLast(r *Response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	draining := c.server.draining.Load() && c.pending == 1
-	if x.keepAlive && !r.CloseConnection && !draining {
-		return false
+	if r.CloseConnection || c.server.draining.Load() && c.pending == 1 {
+		c.lastRead = true
 	}
-	c.closing = true
-	return true
+	return c.lastRead && c.pending == 1
 }
 
-// halfClose closes the write side of the connection. The reader goes on until the caller closes its side, at most for lingerTimeout.
-func (c *conn) halfClose() {
+// closeIfFinished closes the write side of the connection if no further request is read and all are answered. The reader goes on until the
+// caller closes its side, at most for lingerTimeout.
+func (c *conn) closeIfFinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingerUntil.IsZero() || !c.lastRead || c.pending > 0 {
+		return
+	}
+	c.lingerUntil = time.Now().Add(lingerTimeout)
+	c.netConn.SetReadDeadline(c.lingerUntil)
+	time.AfterFunc(lingerTimeout, func() { c.abort(ErrCallerLeft) })
 	if closer, ok := c.netConn.(interface{ CloseWrite() error }); ok {
 		// An error means that the connection is already closed.
 		_ = closer.CloseWrite()
 	}
-	c.cancel(ErrResponded) // requests after the one of the last response are treated as not read
-	c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	time.AfterFunc(lingerTimeout, func() { c.abort(ErrResponded) })
 }
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -37,7 +38,7 @@
 	// incomplete.
 	Stream io.ReadCloser
 	Length int64 // of Stream; -1 if unknown
-	// CloseConnection closes the connection after this response.
+	// CloseConnection has the connection read no further request and close after the responses to those that were read.
 	CloseConnection bool
 }
 
@@ -71,11 +72,8 @@
 
 // Causes for which a response is not delivered.
 var (
-	ErrCallerLeft  = errors.New("the caller disconnected")
-	ErrIdleTimeout = errors.New("the connection was idle for too long")
-	ErrClosedIdle  = errors.New("the server stopped and took the connection for idle")
-	ErrStopped     = errors.New("the server stopped before the request was answered")
-	ErrResponded   = errors.New("the connection closed after the response to an earlier request")
+	ErrCallerLeft = errors.New("the caller disconnected")
+	ErrStopped    = errors.New("the server stopped before the request was answered")
 )
 
 // Limits of a connection.
@@ -87,6 +85,9 @@
 	// bodyTimeout is the time in which each maxReadBytes of the body of a request must arrive.
 	bodyTimeout  = 15 * time.Second
 	maxReadBytes = 64 << 10
+	// arrivedTimeout is how long the server reads from a connection, or accepts connections, to find out whether something had arrived before
+	// it closes. The read itself does not wait; the time is for a process that does not get a processor at once.
+	arrivedTimeout = 20 * time.Millisecond
 	// lingerTimeout is the time for which the server still reads from a connection after it has closed the write side. Unread bytes
 	// would make the kernel reset the connection, and the caller could lose the last response.
 	lingerTimeout = time.Second
@@ -100,6 +101,9 @@
 	unanswered     atomic.Int64 // requests that were read and not yet answered
 
 	mu        sync.Mutex
+	stopping  bool
+	listeners []net.Listener // of the calls of Serve
+	serving   sync.WaitGroup // calls of Serve
 	conns     map[*conn]struct{}
 	openConns sync.WaitGroup
 }
@@ -112,11 +116,21 @@
 // acceptBackoff is the delay after a failed accept, which usually means that the process has no file descriptors left.
 const acceptBackoff = 20 * time.Millisecond
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed, which Close does too.
 func (s *Server) Serve(l net.Listener) error {
+	defer l.Close()
+	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		return nil
+	}
+	s.listeners = append(s.listeners, l)
+	s.serving.Add(1)
+	s.mu.Unlock()
+	defer s.serving.Done()
 	for {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil {
@@ -142,6 +156,7 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	c.overloaded = len(s.conns) >= s.cfg.MaxConnections
+	c.stopping = s.stopping
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.openConns.Add(1)
@@ -168,34 +183,47 @@
 // open until their next response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Close closes the connections without unanswered requests now, and the others as soon as they have none or ctx ends. It returns when all
-// are closed and their handlers have returned, with the number of requests that were unanswered when ctx ended.
+// Close stops the server. Requests and connections that have arrived are still served, further ones are not read. Close returns when
+// all connections are closed and all handlers have returned. When ctx ends, the requests that are still unanswered are cut; the result is their
+// number.
 func (s *Server) Close(ctx context.Context) (cut int64) {
 	s.draining.Store(true)
+	s.stopAccepting()
+	s.mu.Lock()
+	s.stopping = true
+	for c := range s.conns {
+		c.stop()
+	}
+	s.mu.Unlock()
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
-	for {
-		s.mu.Lock()
-		left := len(s.conns)
-		if ctx.Err() != nil {
-			cut = s.unanswered.Load()
-		}
-		for c := range s.conns {
-			if ctx.Err() != nil {
-				c.abort(ErrStopped)
-			} else if c.idle() {
-				c.abort(ErrClosedIdle)
-			}
-		}
-		s.mu.Unlock()
-		if left == 0 || ctx.Err() != nil {
-			break
-		}
+	for s.Connections() > 0 && ctx.Err() == nil {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 		}
 	}
+	cut = s.unanswered.Load()
+	s.mu.Lock()
+	for c := range s.conns {
+		c.abort(ErrStopped)
+	}
+	s.mu.Unlock()
 	s.openConns.Wait()
 	return cut
 }
+
+// stopAccepting closes the listeners after the connections that have arrived are accepted. The kernel would reset these.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		if d, ok := l.(interface{ SetDeadline(time.Time) error }); ok {
+			// An error means that the listener is already closed.
+			_ = d.SetDeadline(time.Now().Add(arrivedTimeout))
+		} else {
+			l.Close()
+		}
+	}
+	s.mu.Unlock()
+	s.serving.Wait()
+}
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -267,6 +267,7 @@
 		<-h.started
 		waitFor(func() bool { return s.Unanswered() == 0 })
 		stopped := make(chan struct{})
+		s.Drain()
 		send(t, c, get(path+"/next"))
 		go func() {
 			defer close(stopped)
