ingress: the idle timeout counts from the last response

Callers that used a kept connection again within four fifths of the stated idle timeout found it closed, if the request before had taken long. Cause: the deadline was set when the reader began to wait, which is while that request is still running. Change: while requests are unanswered there is no deadline; the last response sets it. Measured: TestIdleTimeoutBeginsAfterResponse failed before.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -115,6 +115,8 @@
 	switch {
 	case limited:
 		c.netConn.SetReadDeadline(time.Now().Add(arrivedTimeout))
+	case c.pending > 0:
+		c.netConn.SetReadDeadline(time.Time{}) // answered sets the deadline
 	default:
 		c.netConn.SetReadDeadline(time.Now().Add(idleTimeout))
 	}
@@ -200,6 +202,7 @@
 
 // answered counts a request as finished: its response was written, or is not going to be.
 func (c *conn) answered() {
+	idleTimeout := c.server.cfg.Limits().IdleTimeout
 	c.mu.Lock()
 	c.pending--
 	c.server.unanswered.Add(-1)
@@ -207,6 +210,9 @@
 		close(c.earlierAnswered)
 		c.earlierAnswered = nil
 	}
+	if c.pending == 0 && c.waiting && !c.stopping && !c.lastRead {
+		c.netConn.SetReadDeadline(time.Now().Add(idleTimeout))
+	}
 	sendContinue := c.continueDue && c.pending == 0 && !c.lastRead
 	if sendContinue {
 		c.continueDue = false
