gateway, ingress: answer the requests that a planned stop cuts

Callers whose request was still unanswered at the end of a drain saw their connection end, and could not tell whether it had run. Cause: the connections were closed with their handlers. Change: the handlers are canceled first and their responses sent for at most 0.2 s: 503 and "not run" for requests that were not sent, 502 for the others. Requests that are read last get the end of the drain as their deadline, so that what cannot be answered until then is refused at once. The drain moves to a file of its own.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -83,12 +83,15 @@
 	}
 	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
 	deadline := r.HeaderReadAt.Add(timeout)
+	if end := g.cutAt.Load(); end != nil && end.Before(deadline) {
+		deadline = *end
+	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: callerapi.EndToEndHeaders(r.Header, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
 	res := g.forwarder.Run(ctx, call)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
-		return g.refuse(r, id, refusalOf(res, route, table))
+		return g.refuse(r, id, refusalOf(res, route, table, errors.Is(context.Cause(ctx), ingress.ErrStopped)))
 	}
 	return responseOf(res)
 }
@@ -129,25 +132,32 @@
 	return out
 }
 
-// refusalOf returns the refusal for a request that no endpoint answered.
-func refusalOf(res *forward.Result, route *routing.Route, table *routing.Table) *refusals.Refusal {
+// stopRetryAfter is the delay stated in refusals of requests that a stopping host has not sent: other hosts may serve them at once.
+const stopRetryAfter = 20 * time.Millisecond
+
+// refusalOf returns the refusal for a request that no endpoint answered. stopped says that this host has cut it because it stops.
+func refusalOf(res *forward.Result, route *routing.Route, table *routing.Table, stopped bool) *refusals.Refusal {
 	r := &refusals.Refusal{Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version, RetryAfter: res.RetryAfter, Detail: res.Detail,
 		Remedy: "send the request again after the stated delay"}
-	switch res.Outcome {
-	case forward.RefusedTooLate:
+	switch outcome := res.Outcome; {
+	case stopped && outcome.GuaranteesNotRun():
+		r.Reason, r.Detail, r.RetryAfter = refusals.HostDraining, "this host stops and has not sent the request to an endpoint", stopRetryAfter
+	case stopped:
+		r.Reason, r.Ran, r.Detail = refusals.UpstreamLost, refusals.RanUnknown, "this host stops and did not wait any longer for the endpoint"
+	case outcome == forward.RefusedTooLate:
 		r.Reason, r.Detail = refusals.DeadlineUnreachable, "no endpoint is expected to answer in the time that is left"
-	case forward.RefusedUnsent:
+	case outcome == forward.RefusedUnsent:
 		r.Reason, r.Detail = refusals.DeadlineUnreachable, "the time passed before an endpoint was found"
-	case forward.RefusedAllRejecting:
+	case outcome == forward.RefusedAllRejecting:
 		r.Reason, r.Detail = refusals.UpstreamRejecting, "every endpoint of the service wants no requests for a while"
-	case forward.RefusedUpstream:
+	case outcome == forward.RefusedUpstream:
 		r.Reason, r.Detail = refusals.UpstreamRefused, "endpoints refused the request without running it"
-	case forward.RefusedConnect, forward.RefusedNoEndpoint:
+	case outcome == forward.RefusedConnect, outcome == forward.RefusedNoEndpoint:
 		r.Reason = refusals.NoUpstream
 		if r.Detail == "" {
 			r.Detail = "no endpoint of the service answers"
 		}
-	case forward.LostAnswer:
+	case outcome == forward.LostAnswer:
 		r.Reason, r.Ran = refusals.UpstreamLost, refusals.RanUnknown
 	default:
 		r.Reason, r.Ran, r.Detail = refusals.DeadlinePassedRunning, refusals.RanUnknown, "no endpoint had answered when the time passed"
@@ -181,7 +191,7 @@
 	}
 	// For refusals with one of these reasons, logRequest has already written a line.
 	if refusal.Reason != refusals.UpstreamRejecting && refusal.Reason != refusals.DeadlineUnreachable && refusal.Reason != refusals.NoUpstream && refusal.Reason != refusals.UpstreamRefused &&
-		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning {
+		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning && refusal.Reason != refusals.HostDraining {
 		g.log.Info("refused", "id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision)
 	}
 	return &ingress.Response{Status: doc.Status, Header: h, Body: body}
--- /dev/null
+++ b/internal/gateway/drain.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// minReadFraction is the fraction of the grace time for which a draining host at least reads requests: callers keep addresses for seconds.
+	minReadFraction = 0.5
+	// drainFraction is the fraction of the grace time that draining may take. The rest is for responses to the requests that are cut and for
+	// ending the process, which is killed when the grace time is over.
+	drainFraction = 0.86
+)
+
+// drain announces that this host is leaving and answers the requests that arrive meanwhile. From its start, responses close their
+// connections. Connections without requests stay open until the last requests are read: a caller that uses one again gets its response
+// instead of a closed connection.
+func (g *Gateway) drain() {
+	start := time.Now()
+	end := start.Add(time.Duration(float64(g.settings.grace()) * drainFraction))
+	readUntil := start.Add(time.Duration(float64(g.settings.grace()) * minReadFraction))
+	g.draining.Store(true)
+	g.updateStatus()
+	g.sendHeartbeat()
+	g.callers.Drain()
+	g.log.Info("draining", "active", g.callers.Unanswered(), "connections", g.callers.Connections(), "grace_ms", ms(g.settings.grace()),
+		"read_ms", ms(readUntil.Sub(start)))
+	sleep(context.Background(), time.Until(readUntil))
+	g.cutAt.Store(&end)
+	g.log.Info("draining_last", "active", g.callers.Unanswered(), "connections", g.callers.Connections(), "left_ms", ms(time.Until(end)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	cut := g.callers.Close(ctx)
+	g.log.Info("drained", "took_ms", ms(time.Since(start)), "cut", cut)
+}
--- /dev/null
+++ b/internal/gateway/drain_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
+	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
+)
+
+// TestCutRequestsAreExplained guards against requests whose connection just ends when a planned stop takes too long: one that was not sent
+// must be refused as not run, and one that was sent must not.
+func TestCutRequestsAreExplained(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 1, "/lots/")
+	h := d.start(t)
+	waitFor(t, "readiness", h.ready)
+	t.Cleanup(func() { close(d.release) })
+	type result struct {
+		status int
+		doc    problem.Document
+	}
+	results := make(chan result, 3)
+	call := func(id string) {
+		status, body, _ := h.call(t, "/lots/held", id)
+		var doc problem.Document
+		if err := json.Unmarshal([]byte(body), &doc); err != nil {
+			t.Error(err)
+		}
+		results <- result{status, doc}
+	}
+	for i := range 2 { // the endpoint has two slots
+		go call(fmt.Sprint("sent-", i))
+		<-d.waiting
+	}
+	go call("unsent")
+	waitFor(t, "the third request", func() bool { return h.gateway.callers.Unanswered() == 3 })
+	h.stop()
+	byStatus := map[int][]problem.Document{}
+	for range 3 {
+		r := <-results
+		byStatus[r.status] = append(byStatus[r.status], r.doc)
+	}
+	is.Equal(len(byStatus[http.StatusBadGateway]), 2)
+	for _, doc := range byStatus[http.StatusBadGateway] {
+		is.Equal(doc.Ran, refusals.RanUnknown)
+	}
+	is.Equal(len(byStatus[http.StatusServiceUnavailable]), 1)
+	is.Equal(byStatus[http.StatusServiceUnavailable][0].Reason, refusals.HostDraining)
+	is.Equal(byStatus[http.StatusServiceUnavailable][0].Ran, refusals.RanNo)
+	is.Equal(d.ran.Load(), int64(2))
+	is.NoErr(<-h.ended)
+	close(h.ended)
+	waitFor(t, "the log lines of the cut", func() bool {
+		return strings.Contains(d.logged(), "cut=3") && strings.Contains(d.logged(), "cut=\"the server stopped")
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,9 +72,10 @@
 	peers         *peers.Table
 	link          *peerlink.Link // exchanges messages with peers; set by Run
 	draining      atomic.Bool
-	received      atomic.Int64 // requests received since the start
-	hasStoreCopy  atomic.Bool  // this host has a copy of the store's topics, from a peer or by reading the store
-	storeLost     atomic.Bool  // this host's reads of the store fail, at the last heartbeat
+	cutAt         atomic.Pointer[time.Time] // when the requests that are still unanswered are cut; nil before the last ones are read
+	received      atomic.Int64              // requests received since the start
+	hasStoreCopy  atomic.Bool               // this host has a copy of the store's topics, from a peer or by reading the store
+	storeLost     atomic.Bool               // this host's reads of the store fail, at the last heartbeat
 	updateSources updateSources
 	storeHealth   storeHealth
 	encodedStates encodedStateCache
@@ -358,28 +359,3 @@
 		}
 	}
 }
-
-// drain announces that this host is leaving and answers the requests in progress. For a part of the grace time it still accepts
-// connections, because callers keep host addresses for a while. From the start of the drain, each answer closes its connection. Requests
-// that are still running after drainFraction of the grace time are cut.
-func (g *Gateway) drain() {
-	start := time.Now()
-	g.draining.Store(true)
-	g.updateStatus()
-	g.sendHeartbeat()
-	g.callers.Drain()
-	g.log.Info("draining", "active", g.callers.Unanswered(), "connections", g.callers.Connections(), "grace_ms", g.settings.grace().Milliseconds())
-	sleep(context.Background(), time.Duration(float64(g.settings.grace())*drainAcceptFraction))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(float64(g.settings.grace())*drainFraction)))
-	defer cancel()
-	cut := g.callers.Close(ctx)
-	g.log.Info("drained", "took_ms", time.Since(start).Milliseconds(), "cut", cut)
-}
-
-const (
-	// drainAcceptFraction is the fraction of the grace time for which new connections are accepted: callers keep addresses for seconds.
-	drainAcceptFraction = 0.5
-	// drainFraction is the fraction of the grace time that draining may take. The rest is for ending the process, which is killed when the
-	// grace time is over.
-	drainFraction = 0.86
-)
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -267,7 +268,7 @@
 	bw := bufio.NewWriterSize(deadlineWriter{c.netConn}, 4<<10)
 	for x := range c.queue {
 		resp := <-x.response
-		if cause := context.Cause(c.ctx); cause != nil {
+		if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, ErrStopped) {
 			if resp.Stream != nil {
 				resp.Stream.Close()
 			}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -88,6 +88,10 @@
 	// arrivedTimeout is how long the server reads from a connection, or accepts connections, to find out whether something had arrived before
 	// it closes. The read itself does not wait; the time is for a process that does not get a processor at once.
 	arrivedTimeout = 20 * time.Millisecond
+	// cutTimeout is the time for sending the responses to requests that are cut when the server stops.
+	cutTimeout = 200 * time.Millisecond
+	// closePollInterval is the interval at which Close checks whether all connections are closed.
+	closePollInterval = 5 * time.Millisecond
 	// lingerTimeout is the time for which the server still reads from a connection after it has closed the write side. Unread bytes
 	// would make the kernel reset the connection, and the caller could lose the last response.
 	lingerTimeout = time.Second
@@ -184,18 +188,31 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Close stops the server. Requests and connections that have arrived are still served, further ones are not read. Close returns when
-// all connections are closed and all handlers have returned. When ctx ends, the requests that are still unanswered are cut; the result is their
-// number.
+// all connections are closed and all handlers have returned. When ctx ends, the handlers of the requests that are still unanswered are canceled
+// with ErrStopped, and their responses are sent for at most cutTimeout; the result is the number of these requests.
 func (s *Server) Close(ctx context.Context) (cut int64) {
 	s.draining.Store(true)
 	s.stopAccepting()
 	s.mu.Lock()
 	s.stopping = true
-	for c := range s.conns {
-		c.stop()
-	}
 	s.mu.Unlock()
-	tick := time.NewTicker(5 * time.Millisecond)
+	s.forEachConn((*conn).stop)
+	s.awaitClosed(ctx)
+	cut = s.unanswered.Load()
+	s.forEachConn(func(c *conn) { c.cancel(ErrStopped) })
+	if cut > 0 {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
+		defer cancel()
+		s.awaitClosed(bounded)
+	}
+	s.forEachConn(func(c *conn) { c.abort(ErrStopped) })
+	s.openConns.Wait()
+	return cut
+}
+
+// awaitClosed waits until all connections are closed or ctx ends.
+func (s *Server) awaitClosed(ctx context.Context) {
+	tick := time.NewTicker(closePollInterval)
 	defer tick.Stop()
 	for s.Connections() > 0 && ctx.Err() == nil {
 		select {
@@ -203,14 +220,14 @@
 		case <-ctx.Done():
 		}
 	}
-	cut = s.unanswered.Load()
+}
+
+func (s *Server) forEachConn(f func(*conn)) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.abort(ErrStopped)
+		f(c)
 	}
-	s.mu.Unlock()
-	s.openConns.Wait()
-	return cut
 }
 
 // stopAccepting closes the listeners after the connections that have arrived are accepted. The kernel would reset these.
