gateway: a drain reads requests as long as each of them can still be answered

Callers on kept connections paid another attempt when a stop closed them at half of the grace time, although a request takes far less than what was left. Change: connections and listeners stay open until the longest timeout of the routes in force is left before the drain ends, and as before at least for half of the grace time. Measured: TestDrainReadsWhileRequestsFit.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -19,7 +19,7 @@
 func (g *Gateway) drain() {
 	start := time.Now()
 	end := start.Add(time.Duration(float64(g.settings.grace()) * drainFraction))
-	readUntil := start.Add(time.Duration(float64(g.settings.grace()) * minReadFraction))
+	readUntil := g.readUntil(start, end)
 	g.draining.Store(true)
 	g.updateStatus()
 	g.sendHeartbeat()
@@ -34,3 +34,17 @@
 	cut := g.callers.Close(ctx)
 	g.log.Info("drained", "took_ms", ms(time.Since(start)), "cut", cut)
 }
+
+// readUntil returns until when a drain from start to end reads requests: as long as each request has the timeout of its route left, and at
+// least for minReadFraction of the grace time.
+func (g *Gateway) readUntil(start, end time.Time) time.Time {
+	earliest := start.Add(time.Duration(float64(g.settings.grace()) * minReadFraction))
+	longest := defaultRequestTimeout
+	if t := g.routes.Load(); t != nil {
+		longest = t.MaxTimeout(defaultRequestTimeout)
+	}
+	if last := end.Add(-longest); last.After(earliest) {
+		return last
+	}
+	return earliest
+}
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
 // TestCutRequestsAreExplained guards against requests whose connection just ends when a planned stop takes too long: one that was not sent
@@ -61,3 +63,32 @@
 		return strings.Contains(d.logged(), "cut=3") && strings.Contains(d.logged(), "cut=\"the server stopped")
 	})
 }
+
+// TestDrainReadsWhileRequestsFit guards against a drain that closes kept connections although every request on them could still be answered, and
+// against one that reads requests which it has no time for.
+func TestDrainReadsWhileRequestsFit(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{settings: &Settings{GraceS: 10}}
+	start := time.Unix(1000, 0)
+	end := start.Add(8 * time.Second)
+	is.Equal(g.readUntil(start, end), start.Add(5*time.Second)) // no configuration
+	for _, c := range []struct {
+		timeouts []time.Duration
+		want     time.Duration
+	}{
+		{[]time.Duration{time.Second, 2 * time.Second}, 6 * time.Second},
+		{[]time.Duration{time.Second, 4 * time.Second}, 5 * time.Second},
+		{[]time.Duration{time.Second, 0}, 5 * time.Second}, // a route without a timeout
+		{nil, 8 * time.Second},
+	} {
+		cfg := routing.Config{Version: 1, Services: []routing.Service{{Name: "lotdesk"}}}
+		for i, timeout := range c.timeouts {
+			cfg.Routes = append(cfg.Routes, routing.Route{Name: fmt.Sprint(i), Host: "shop.example", Prefix: fmt.Sprintf("/%d/", i), Timeout: timeout, MaxAttempts: 1,
+				Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}})
+		}
+		table, err := routing.New(cfg)
+		is.NoErr(err)
+		g.routes.Store(table)
+		is.Equal(g.readUntil(start, end).Sub(start), c.want)
+	}
+}
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -151,6 +151,17 @@
 	return n
 }
 
+// MaxTimeout returns the longest timeout of the routes. It takes unstated as the timeout of routes that state none.
+func (t *Table) MaxTimeout(unstated time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, list := range t.routes {
+		for _, r := range list {
+			longest = max(longest, cmp.Or(r.Timeout, unstated))
+		}
+	}
+	return longest
+}
+
 // ServiceAt returns the service of the split that u selects. u is in [0, 1); the weights divide this range into one part per service.
 func (r *Route) ServiceAt(u float64) string {
 	total := 0
