testbed: relays pass on resets

A relay turned the reset of a connection into its end, after the bytes that were still delayed. A host that closes a connection with unread bytes of its caller resets it, and a caller may then lose a response it has not read (RFC 9112, section 9.6): no run through a relay could show that. A reset now discards what the relay still delays in that direction and resets the other side.

TestReset failed before (the second read returned the delayed bytes).

--- a/internal/testbed/relay.go
+++ b/internal/testbed/relay.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -31,7 +33,9 @@
 
 // Relay forwards TCP and UDP traffic from a port to the target, a port of an entry host. It adds a one-way delay in each direction
 // and simulates network failures, as selected by its Mode. Once bytes of a TCP connection are dropped in one direction, all later
-// bytes of that direction are dropped too, because real networks never deliver a TCP stream with a gap.
+// bytes of that direction are dropped too, because real networks never deliver a TCP stream with a gap. A reset of a TCP connection
+// discards the bytes of its direction that are still delayed, because a receiver may discard what it has not read when a reset arrives
+// (RFC 9112 section 9.6).
 type Relay struct {
 	target netip.AddrPort
 	delay  func(source netip.Addr) time.Duration
@@ -259,9 +263,10 @@
 }
 
 // forwardStream forwards one direction of a connection with the delay. At the end of the stream it closes the write side of the
-// connection to, unless traffic of that direction was dropped.
+// connection to, or resets it if the stream ended with a reset, unless traffic of that direction was dropped.
 func (r *Relay) forwardStream(to, from net.Conn, delay time.Duration, forward bool, silenced <-chan struct{}) {
 	queue := make(chan chunk, maxQueuedChunks)
+	var reset atomic.Bool
 	go func() {
 		defer close(queue)
 		for {
@@ -271,6 +276,7 @@
 				queue <- chunk{time.Now().Add(delay), buf[:n]}
 			}
 			if err != nil {
+				reset.Store(errors.Is(err, syscall.ECONNRESET))
 				return
 			}
 		}
@@ -282,7 +288,7 @@
 			time.Sleep(time.Until(r.transferred(forward, len(c.data))))
 		}
 		silent = !r.admit(forward, len(c.data)) || silent || isClosed(silenced)
-		if silent {
+		if silent || reset.Load() {
 			continue
 		}
 		size := r.forwardedSize(forward, len(c.data))
@@ -298,11 +304,25 @@
 	if silent {
 		return
 	}
+	if reset.Load() {
+		if r.admit(forward, 0) && !isClosed(silenced) {
+			resetConn(to)
+		}
+		return
+	}
 	if writeCloser, ok := to.(interface{ CloseWrite() error }); ok {
 		writeCloser.CloseWrite()
 	}
 }
 
+// resetConn closes a connection with a reset.
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- a/internal/testbed/relay_test.go
+++ b/internal/testbed/relay_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,3 +204,43 @@
 		is.Equal(transfer(), time.Duration(0))
 	})
 }
+
+// TestReset guards against a relay that turns the reset of a connection into its end, or delivers bytes that were still delayed when the
+// connection was reset.
+func TestReset(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		buf := make([]byte, 1)
+		c.Read(buf)
+		c.Write(buf)
+		c.Read(buf) // the caller has received the first byte
+		c.Write([]byte("discarded"))
+		resetConn(c)
+	}()
+	r, err := NewRelay(netip.MustParseAddrPort("127.0.0.1:0"), l.Addr().(*net.TCPAddr).AddrPort(), func(netip.Addr) time.Duration { return 50 * time.Millisecond })
+	is.NoErr(err)
+	defer r.Close()
+	c, err := net.Dial("tcp", r.Address().String())
+	is.NoErr(err)
+	defer c.Close()
+	buf := make([]byte, 20)
+	for range 2 {
+		_, err = c.Write([]byte("x"))
+		is.NoErr(err)
+		if err != nil {
+			return
+		}
+		var n int
+		if n, err = c.Read(buf); err == nil {
+			is.Equal(string(buf[:n]), "x")
+		}
+	}
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
