gateway: a list of hosts that was read during a write may replace it

The list of a zone's hosts could stay out of date in the store: the host that maintains it took its own write for the newest list, although another host had replaced it before the acknowledgement arrived, and wrote it again only after the next change. A host that starts and reaches no seed then lacks hosts.

Cause: the write and the record of it are two steps, and a list that was read in between was overwritten by the latter. The acknowledgement is now ignored in this case; if the list that was read differs, it is written again after the usual interval.

--- a/internal/gateway/epoch_test.go
+++ b/internal/gateway/epoch_test.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
@@ -99,3 +101,51 @@
 		}
 	})
 }
+
+// overtakenStore is a store in which another host's list is written right after the first one of this host, and reaches this host before the
+// store's acknowledgement.
+type overtakenStore struct {
+	*memoryStore
+	g    *Gateway
+	list []byte
+	once sync.Once
+}
+
+func (s *overtakenStore) Append(ctx context.Context, topic, key string, value []byte) (epoch int64, err error) {
+	epoch, err = s.memoryStore.Append(ctx, topic, key, value)
+	s.once.Do(func() {
+		_, err = s.memoryStore.Append(ctx, topic, key, s.list)
+		hostListHandler{s.g}.Apply(follow.Record{Key: key, Value: s.list, Offset: 1}, false, time.Now())
+	})
+	return epoch, err
+}
+
+// TestOvertakenHostList guards against a list of the zone's hosts that stays out of date in the store, because the host that maintains it takes
+// its own write for the newest one after another host has replaced it.
+func TestOvertakenHostList(t *testing.T) {
+	logger := eventlog.New(io.Discard, log.InfoLevel) // its goroutine never ends
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &deployment{store: &memoryStore{logs: map[string][]follow.Record{}}}
+		d.configure(t, 3, "/lots/")
+		list, err := cbor.Marshal([]peers.Host{})
+		is.NoErr(err)
+		store := &overtakenStore{memoryStore: d.store, list: list}
+		adapter := d.adapter()
+		adapter.Store = store
+		g := New(&Settings{Host: "host", Zone: "a", CallerAddress: "127.0.0.1:1", StoreAddress: "127.0.0.1:1"}, adapter, logger)
+		store.g = g
+		link, err := peerlink.Listen("127.0.0.1:0")
+		is.NoErr(err)
+		defer link.Close()
+		g.link = link
+		is.NoErr(g.follower.Refresh(t.Context()))
+		go g.maintainHostList(t.Context())
+		time.Sleep(2*hostListStableTime + hostListWriteInterval + 2*sweepInterval)
+		d.store.mu.Lock()
+		defer d.store.mu.Unlock()
+		records := d.store.logs["hosts"]
+		is.Equal(len(records), 3) // this host's, the other one's, and this host's again
+		is.Equal(records[2].Value, records[0].Value)
+	})
+}
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -120,6 +120,8 @@
 	mu    sync.Mutex
 	hosts []peers.Host
 	epoch int64
+	// readSinceWrite says that a list was read after this host began its last write. The order of the two in the store is not known.
+	readSinceWrite bool
 }
 
 const (
@@ -136,14 +138,21 @@
 func (l *storedHostList) set(hosts []peers.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts = hosts
+	l.hosts, l.readSinceWrite = hosts, true
 }
 
-// setWritten records a list that the store has acknowledged in an epoch, unless that epoch has ended.
+// beginWrite is called before a list is written.
+func (l *storedHostList) beginWrite() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readSinceWrite = false
+}
+
+// setWritten records a list that the store has acknowledged in an epoch, unless that epoch has ended or another list was read meanwhile.
 func (l *storedHostList) setWritten(hosts []peers.Host, epoch int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if epoch == l.epoch {
+	if epoch == l.epoch && !l.readSinceWrite {
 		l.hosts = hosts
 	}
 }
@@ -188,6 +197,7 @@
 			continue
 		}
 		lastWrite = now
+		g.storedHosts.beginWrite()
 		epoch, err := g.writeHostList(ctx, hosts)
 		if err != nil {
 			g.log.Warn("hosts_not_written", "error", err)
