peers: starting hosts fetch the state from a host that stays

A starting host could fetch its first copy of the store from a host that was stopping, although another host of its zone had one.

Of the hosts of one zone those that are not leaving come first now.

--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -182,19 +182,22 @@
 	return append(t.rankReaders(live), t.rankReaders(rest)...)
 }
 
-// HostWithStoreCopy returns a live host that has a copy of the store's topics, preferably one of this zone.
+// HostWithStoreCopy returns a live host that has a copy of the store's topics, preferably one of this zone, and of these one that is not
+// leaving.
 func (t *Table) HostWithStoreCopy(now time.Time) (h Host, ownZone, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	leaving := false
 	for _, p := range t.hosts {
 		if !p.Status.HasStoreCopy || !t.isLive(p, now) {
 			continue
 		}
-		if own := p.Zone == t.cfg.Self.Zone; own || !ok {
-			h, ownZone, ok = p.Host, own, true
-			if own {
-				break
-			}
+		own := p.Zone == t.cfg.Self.Zone
+		if !ok || own && !ownZone || own == ownZone && leaving && !p.Status.Leaving {
+			h, ownZone, leaving, ok = p.Host, own, p.Status.Leaving, true
+		}
+		if ownZone && !leaving {
+			break
 		}
 	}
 	return h, ownZone, ok
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -208,6 +208,24 @@
 	is.Equal(h.Name, "a-3")
 }
 
+// TestStoreCopyOfStayingHost guards against a starting host that fetches its first state from a host that is about to end, which cuts a long
+// transfer, although another host of the zone stays.
+func TestStoreCopyOfStayingHost(t *testing.T) {
+	is := is.New(t)
+	for range 50 { // the order of the hosts in the table is random
+		table := NewTable(DefaultConfig(host(0, "a")))
+		table.RecordMessage(host(1, "a"), Status{HasStoreCopy: true, Leaving: true}, start)
+		table.RecordMessage(host(2, "b"), Status{HasStoreCopy: true}, start)
+		h, own, ok := table.HostWithStoreCopy(start)
+		is.True(ok && own)
+		is.Equal(h.Name, "a-1") // the only one of the zone
+		table.RecordMessage(host(3, "a"), Status{HasStoreCopy: true}, start)
+		h, own, ok = table.HostWithStoreCopy(start)
+		is.True(ok && own)
+		is.Equal(h.Name, "a-3")
+	}
+}
+
 // TestZoneHostListHasOneWriter guards against needless calls to the store: of the hosts of a zone that receive each other's heartbeats,
 // only one writes the list of the zone's hosts.
 func TestZoneHostListHasOneWriter(t *testing.T) {
