host: an undrained host serves only after it has caught up

A host that an operator drained and undrained while it caught up announced itself as serving at once. Callers got its address and their requests were refused: customer_unknown for the contracts that it had not read yet, or by outdated ones.

Cause: undrain led to serving whatever the state before the drain was; the end of catching up was noticed only in the state catching_up. Whether the host has caught up is now kept beside the lifecycle, under the lock of both decisions: an early undrain returns to catching up, and a host that catches up while it is drained serves when it is undrained.

--- a/internal/host/drain.go
+++ b/internal/host/drain.go
@@ -31,16 +31,21 @@
 
 	mu             sync.Mutex
 	stopping       bool               // the process is stopping; Undrain is no longer possible
+	caughtUp       bool               // the host knows the contracts in force, so that it may serve
 	unlisted       chan struct{}      // closed when all address responses that list this host have expired
 	cancelUnlisted context.CancelFunc // ends the wait for unlisted
 }
 
-// startServing makes the host serve after it has caught up, unless an operator or a signal has started to drain it
-// already.
+// startServing makes the host serve after it has caught up, unless an operator or a signal has started to drain it already. If it is undrained
+// later, it serves then.
 func (h *Host) startServing(ctx context.Context) {
 	h.drain.mu.Lock()
 	defer h.drain.mu.Unlock()
-	if ctx.Err() == nil && h.lifecycle.Event(ctx, eventCaughtUp) == nil {
+	if ctx.Err() != nil {
+		return
+	}
+	h.drain.caughtUp = true
+	if h.lifecycle.Event(ctx, eventCaughtUp) == nil {
 		h.member.node.SetState(membership.Serving)
 	}
 }
@@ -79,12 +84,16 @@
 	if h.drain.stopping {
 		return trace.CompareFailed("the host is stopping; start it again instead")
 	}
-	if err := h.lifecycle.Event(context.Background(), eventUndrain); err != nil {
+	event, state := eventUndrain, membership.Serving
+	if !h.drain.caughtUp {
+		event, state = eventUndrainEarly, membership.CatchingUp
+	}
+	if err := h.lifecycle.Event(context.Background(), event); err != nil {
 		return trace.CompareFailed("the host is %s; only a draining host can be undrained", h.lifecycle.Current())
 	}
 	h.drain.cancelUnlisted()
 	h.drain.active.Store(false)
-	h.member.node.SetState(membership.Serving)
+	h.member.node.SetState(state)
 	return nil
 }
 
--- a/internal/host/drain_test.go
+++ b/internal/host/drain_test.go
@@ -12,10 +12,20 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/membership"
+	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 )
 
 // newServingHost returns a host that serves without other hosts. Its servers are not started.
 func newServingHost(t *testing.T) *Host {
+	t.Helper()
+	h := newCatchingUpHost(t)
+	h.startServing(context.Background())
+	is.New(t).True(h.lifecycle.Is(StateServing))
+	return h
+}
+
+// newCatchingUpHost returns a host that has joined and has not caught up.
+func newCatchingUpHost(t *testing.T) *Host {
 	t.Helper()
 	is := is.New(t)
 	h := New(&Settings{Host: "a", Zone: "z", Address: "127.0.0.1", ClusterSecret: "0123456789abcdef", DispatchPolicy: PolicyQueue,
@@ -23,8 +33,6 @@
 	t.Cleanup(h.dispatch.router.Close)
 	is.NoErr(h.listenGossip())
 	is.NoErr(h.lifecycle.Event(context.Background(), eventListen))
-	h.startServing(context.Background())
-	is.True(h.lifecycle.Is(StateServing))
 	return h
 }
 
@@ -54,3 +62,27 @@
 		is.Equal(h.member.node.Current().Member("a").State, membership.Leaving)
 	}
 }
+
+// TestUndrainWhileCatchingUp guards against a host that serves callers before it knows the contracts in force, because an operator has drained
+// and undrained it while it caught up. It must serve as soon as it has caught up, also if that happens while it is drained.
+func TestUndrainWhileCatchingUp(t *testing.T) {
+	is := is.New(t)
+	state := func(h *Host) membership.State { return h.member.node.Current().Member("a").State }
+	h := newCatchingUpHost(t)
+	is.NoErr(h.Drain())
+	is.Equal(state(h), membership.Leaving)
+	is.NoErr(h.Undrain())
+	is.Equal(state(h), membership.CatchingUp)
+	is.Equal(h.admit().Reason, refusals.HostCatchingUp)
+	h.startServing(t.Context())
+	is.Equal(state(h), membership.Serving)
+	is.True(h.lifecycle.Is(StateServing))
+
+	h = newCatchingUpHost(t)
+	is.NoErr(h.Drain())
+	h.startServing(t.Context())
+	is.Equal(state(h), membership.Leaving)
+	is.NoErr(h.Undrain())
+	is.Equal(state(h), membership.Serving)
+	is.True(h.lifecycle.Is(StateServing))
+}
--- a/internal/host/lifecycle.go
+++ b/internal/host/lifecycle.go
@@ -23,6 +23,8 @@
 	eventDrain    = "drain"
 	eventUndrain  = "undrain"
 	eventStop     = "stop"
+	// eventUndrainEarly ends the drain of a host that has not caught up.
+	eventUndrainEarly = "undrain_early"
 )
 
 var lifecycleEvents = fsm.Events{
@@ -30,6 +32,7 @@
 	{Name: eventCaughtUp, Src: []string{StateCatchingUp}, Dst: StateServing},
 	{Name: eventDrain, Src: []string{StateCatchingUp, StateServing}, Dst: StateDraining},
 	{Name: eventUndrain, Src: []string{StateDraining}, Dst: StateServing},
+	{Name: eventUndrainEarly, Src: []string{StateDraining}, Dst: StateCatchingUp},
 	{Name: eventStop, Src: []string{StateStarting, StateCatchingUp, StateDraining}, Dst: StateStopped},
 }
 
