ingress: give back the memory of a refused body once

Seen in a property test of stops: the reserved body memory became negative, so that the limit for all bodies grew. Cause: a body that was refused in its middle gave back its memory, and again if the last response of the connection had been decided before it was refused. Change: one method gives it back and forgets it. Measured: TestBodyMemoryIsReleasedOnce failed before (-3 bytes); 10 of 10 runs pass with the race detector.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -139,7 +139,7 @@
 	}
 	keepAlive := p.keepAlive && p.refusal == nil
 	if !c.countRequest(keepAlive) {
-		c.server.totalBodyBytes.Add(-p.bodyBytes)
+		p.release()
 		return false
 	}
 	x := &exchange{request: p.request, response: make(chan *Response, 1)}
@@ -150,13 +150,13 @@
 		return false
 	}
 	if !c.server.cfg.Handler.MayRunConcurrently(x.request) && !c.waitForEarlier() {
-		c.server.totalBodyBytes.Add(-p.bodyBytes)
+		p.release()
 		c.answered()
 		return false
 	}
 	c.queue <- x
 	go func() {
-		defer c.server.totalBodyBytes.Add(-p.bodyBytes)
+		defer p.release()
 		x.response <- c.server.handle(c.ctx, x.request)
 	}()
 	return keepAlive
--- a/internal/transport/ingress/parse.go
+++ b/internal/transport/ingress/parse.go
@@ -190,10 +190,16 @@
 		p.disconnected = true
 	}
 	if p.refusal != nil || p.disconnected {
-		p.server.totalBodyBytes.Add(-p.bodyBytes)
+		p.release()
 	}
 }
 
+// release gives back the memory that is reserved for the body.
+func (p *parser) release() {
+	p.server.totalBodyBytes.Add(-p.bodyBytes)
+	p.bodyBytes = 0
+}
+
 // reserve reserves memory for n bytes of the body. It refuses the request if the limit for all bodies is exceeded.
 func (p *parser) reserve(n int64) bool {
 	if p.server.totalBodyBytes.Add(n) > p.server.cfg.MaxTotalBodyBytes {
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -457,3 +457,23 @@
 	c.Close()
 	is.Equal(<-cut, int64(2))
 }
+
+// TestBodyMemoryIsReleasedOnce guards against a limit for request bodies that grows with each request that is refused after the last response of
+// its connection was decided.
+func TestBodyMemoryIsReleasedOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+	<-h.started
+	waitFor(func() bool { return s.totalBodyBytes.Load() == 3 })
+	s.Drain()
+	close(h.hold("/hold/1"))
+	resp, _ := answer(t, bufio.NewReader(c))
+	is.True(resp.Close)
+	send(t, c, "no chunk\r\n")
+	c.Close()
+	waitFor(func() bool { return s.Connections() == 0 })
+	is.Equal(s.totalBodyBytes.Load(), int64(0))
+}
