ingress: callers get time to read their last responses also if no request is cut

Callers whose response was sent right before the end of a planned stop could lose it, if they had sent another request on the connection. Cause: if no request was unanswered, Close closed all connections at once at the end of its time; bytes that arrive at such a connection make the kernel reset it. Change: cutTimeout is for all connections, whether requests were cut or not. A stop that reaches its end takes at most 0.2 s longer, which the grace time has.

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -88,7 +88,7 @@
 	// arrivedTimeout is how long the server reads from a connection, or accepts connections, to find out whether something had arrived before
 	// it closes. The read itself does not wait; the time is for a process that does not get a processor at once.
 	arrivedTimeout = 20 * time.Millisecond
-	// cutTimeout is the time for sending the responses to requests that are cut when the server stops.
+	// cutTimeout is the time that callers get for reading their last responses when the time for stopping is over.
 	cutTimeout = 200 * time.Millisecond
 	// closePollInterval is the interval at which Close checks whether all connections are closed.
 	closePollInterval = 5 * time.Millisecond
@@ -189,7 +189,7 @@
 
 // Close stops the server. Requests and connections that have arrived are still served, further ones are not read. Close returns when
 // all connections are closed and all handlers have returned. When ctx ends, the handlers of the requests that are still unanswered are canceled
-// with ErrStopped, and their responses are sent for at most cutTimeout; the result is the number of these requests.
+// with ErrStopped, and the result is the number of these requests. Callers then get cutTimeout to read their responses.
 func (s *Server) Close(ctx context.Context) (cut int64) {
 	s.draining.Store(true)
 	s.stopAccepting()
@@ -200,11 +200,9 @@
 	s.awaitClosed(ctx)
 	cut = s.unanswered.Load()
 	s.forEachConn(func(c *conn) { c.cancel(ErrStopped) })
-	if cut > 0 {
-		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
-		defer cancel()
-		s.awaitClosed(bounded)
-	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
+	defer cancel()
+	s.awaitClosed(bounded)
 	s.forEachConn(func(c *conn) { c.abort(ErrStopped) })
 	s.openConns.Wait()
 	return cut
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -477,3 +477,37 @@
 	waitFor(func() bool { return s.Connections() == 0 })
 	is.Equal(s.totalBodyBytes.Load(), int64(0))
 }
+
+// TestLastResponseSurvivesEndOfStop guards against a stop that resets a connection whose response has just been sent: at the end of the stop, a
+// caller that has sent a further request meanwhile lost it.
+func TestLastResponseSurvivesEndOfStop(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &recordingHandler{ran: map[string]bool{}, delay: func() time.Duration { return 20 * time.Millisecond }}
+		s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		network := newMemNetwork(8 * time.Millisecond)
+		go func() { _ = s.Serve(network) }() // returns when Close has closed the listener
+		c := network.dial()
+		defer c.Close()
+		time.Sleep(time.Millisecond) // until the connection is accepted
+		begin := time.Now()
+		_, err := io.WriteString(c, get("/1"))
+		is.NoErr(err)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			ctx, cancel := context.WithDeadline(context.Background(), begin.Add(30*time.Millisecond)) // the response is sent after 28 ms
+			defer cancel()
+			is.Equal(s.Close(ctx), int64(0)) // requests that were cut
+		}()
+		time.Sleep(24 * time.Millisecond)
+		_, err = io.WriteString(c, get("/2")) // arrives 2 ms after the end
+		is.NoErr(err)
+		time.Sleep(30 * time.Millisecond)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.True(resp.Close)
+		c.Close()
+		<-closed
+	})
+}
