ingress: answer a request that waits for an earlier one when a stop ends

Callers of a request that must not run beside an earlier one of its connection saw the connection end when the stop cut both. Cause: waitForEarlier took the cut for a caller who has left, and gave the request up without a response. Change: it goes to the handler, which refuses it as not run because its context is canceled.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -226,7 +226,8 @@
 	c.closeIfFinished()
 }
 
-// waitForEarlier waits until all requests before the newest one are answered. It returns false if the caller has disconnected.
+// waitForEarlier waits until all requests before the newest one are answered, or the stopping server cancels them all. It returns false if the
+// caller has disconnected.
 func (c *conn) waitForEarlier() bool {
 	c.mu.Lock()
 	var earlierAnswered chan struct{}
@@ -239,7 +240,7 @@
 		select {
 		case <-earlierAnswered:
 		case <-c.ctx.Done():
-			return false
+			return errors.Is(context.Cause(c.ctx), ErrStopped)
 		}
 	}
 	return true
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -44,8 +44,8 @@
 
 // Handler answers requests.
 type Handler interface {
-	// Serve must return soon after ctx is canceled, which happens when the caller disconnects or the connection is closed. The cause of
-	// ctx is one of the errors of this package.
+	// Serve must return soon after ctx is canceled, which happens when the caller disconnects, the connection is closed or the server stops.
+	// A request whose ctx is canceled at the call must not be run. The cause of ctx is one of the errors of this package.
 	Serve(ctx context.Context, r *Request) *Response
 	// MayRunConcurrently reports whether the request may run concurrently with earlier requests of its connection that are not yet answered.
 	MayRunConcurrently(r *Request) bool
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -511,3 +511,26 @@
 		<-closed
 	})
 }
+
+// TestCutRequestsThatWaitAreRefused guards against a request without a response: it waits for an earlier one of its connection when the stop ends.
+func TestCutRequestsThatWaitAreRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+"POST /hold/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+	<-h.started
+	waitFor(func() bool { return s.Unanswered() == 2 })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	cut := make(chan int64)
+	go func() { cut <- s.Close(ctx) }()
+	br := bufio.NewReader(c)
+	_, body := answer(t, br)
+	is.Equal(body, "/hold/1")
+	resp, body := answer(t, br)
+	is.Equal(body, "/hold/2")
+	is.True(resp.Close)
+	c.Close()
+	is.Equal(<-cut, int64(2))
+}
