ingress: no call of Serve goes on after a Close that began at the same time

Seen in a test: Close and Serve at the same time, and the process does not end, because the listener stays open. Cause: Close gave the listeners their deadline and forbade further calls of Serve in two steps. Change: one step. Connections are told of the stop when all calls of Serve have returned.

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -105,7 +105,7 @@
 	unanswered     atomic.Int64 // requests that were read and not yet answered
 
 	mu        sync.Mutex
-	stopping  bool
+	stopping  bool           // no further call of Serve accepts connections
 	listeners []net.Listener // of the calls of Serve
 	serving   sync.WaitGroup // calls of Serve
 	conns     map[*conn]struct{}
@@ -160,7 +160,6 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	c.overloaded = len(s.conns) >= s.cfg.MaxConnections
-	c.stopping = s.stopping
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.openConns.Add(1)
@@ -193,9 +192,6 @@
 func (s *Server) Close(ctx context.Context) (cut int64) {
 	s.draining.Store(true)
 	s.stopAccepting()
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
 	s.forEachConn((*conn).stop)
 	s.awaitClosed(ctx)
 	cut = s.unanswered.Load()
@@ -231,6 +227,7 @@
 // stopAccepting closes the listeners after the connections that have arrived are accepted. The kernel would reset these.
 func (s *Server) stopAccepting() {
 	s.mu.Lock()
+	s.stopping = true
 	for _, l := range s.listeners {
 		if d, ok := l.(interface{ SetDeadline(time.Time) error }); ok {
 			// An error means that the listener is already closed.
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -534,3 +534,21 @@
 	c.Close()
 	is.Equal(<-cut, int64(2))
 }
+
+// TestServeBesideClose guards against a Serve that goes on after a Close that began at the same time, so that the process does not end.
+func TestServeBesideClose(t *testing.T) {
+	is := is.New(t)
+	var group sync.WaitGroup
+	var networks []*memNetwork
+	for range 2000 {
+		s := New(Config{Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		network := newMemNetwork(0)
+		networks = append(networks, network)
+		group.Go(func() { _ = s.Serve(network) }) // returns nil
+		group.Go(func() { s.Close(context.Background()) })
+	}
+	group.Wait()
+	for _, network := range networks {
+		is.True(network.dial() == nil) // the listener is closed
+	}
+}
