ingress: no 100 Continue after the last response

Cause: between the last response and the close of the connection, a request with Expect: 100-continue was still told to send its body, which is not read. The window is some microseconds. Measured: TestNoContinueAfterLastResponse failed before.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -251,7 +251,7 @@
 func (c *conn) sendContinue() {
 	c.mu.Lock()
 	c.continueDue = c.pending > 0
-	now := !c.continueDue
+	now := c.pending == 0 && !c.lastRead
 	c.mu.Unlock()
 	if now {
 		c.writeContinue()
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -552,3 +552,17 @@
 		is.True(network.dial() == nil) // the listener is closed
 	}
 }
+
+// TestNoContinueAfterLastResponse guards against a 100 Continue behind a response that closes the connection: it belongs to no response, and its
+// caller would send a body that is not read.
+func TestNoContinueAfterLastResponse(t *testing.T) {
+	is := is.New(t)
+	network := newMemNetwork(0)
+	network.dial()
+	accepted, err := network.Accept()
+	is.NoErr(err)
+	c := newConn(New(Config{}), accepted)
+	c.lastRead = true // and the response is written
+	c.sendContinue()
+	is.Equal(accepted.(*memConn).peer.unread, 0)
+}
