--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -139,7 +139,7 @@
 	}
 	keepAlive := p.keepAlive && p.refusal == nil
 	if !c.countRequest(keepAlive) {
-		c.server.totalBodyBytes.Add(-p.bodyBytes)
+		p.release()
 		return false
 	}
 	x := &exchange{request: p.request, response: make(chan *Response, 1)}
@@ -150,13 +150,13 @@
 		return false
 	}
 	if !c.server.cfg.Handler.MayRunConcurrently(x.request) && !c.waitForEarlier() {
-		c.server.totalBodyBytes.Add(-p.bodyBytes)
+		p.release()
 		c.answered()
 		return false
 	}
 	c.queue <- x
 	go func() {
-		defer c.server.totalBodyBytes.Add(-p.bodyBytes)
+		defer p.release()
 		x.response <- c.server.handle(c.ctx, x.request)
 	}()
 	return keepAlive
@@ -226,7 +226,8 @@
 	c.closeIfFinished()
 }
 
-// waitForEarlier waits until all requests before the newest one are answered. It returns false if the caller has disconnected.
+// waitForEarlier waits until all requests before the newest one are answered, or the stopping server cancels them all. It returns false if the
+// caller has disconnected.
 func (c *conn) waitForEarlier() bool {
 	c.mu.Lock()
 	var earlierAnswered chan struct{}
@@ -239,7 +240,7 @@
 		select {
 		case <-earlierAnswered:
 		case <-c.ctx.Done():
-			return false
+			return errors.Is(context.Cause(c.ctx), ErrStopped)
 		}
 	}
 	return true
@@ -250,7 +251,7 @@
 func (c *conn) sendContinue() {
 	c.mu.Lock()
 	c.continueDue = c.pending > 0
-	now := !c.continueDue
+	now := c.pending == 0 && !c.lastRead
 	c.mu.Unlock()
 	if now {
 		c.writeContinue()
