--- a/internal/soak/auditlosses.go
+++ b/internal/soak/auditlosses.go
@@ -108,7 +108,7 @@
 	}
 	var b strings.Builder
 	seconds := func(at time.Time) string { return fmt.Sprintf("%+.3f s", at.Sub(base).Seconds()) }
-	fmt.Fprintf(&b, "%s of %s connection %d, %d ahead, relative to %s (%.2f s): sent %s, ended %s (%s), unread %t", r, r.kind, r.connection, r.ahead, name,
+	fmt.Fprintf(&b, "%s of %s connection %d (%s away), %d ahead, relative to %s (%.2f s): sent %s, ended %s (%s), unread %t", r, r.kind, r.connection, s.callerDelay(r.host.index), r.ahead, name,
 		base.Sub(s.startTime).Seconds(), seconds(r.sent), seconds(r.ended), r.failure, r.unread)
 	for _, a := range arrivals {
 		fmt.Fprintf(&b, "; at %s %s (ran %t)", a.Endpoint, seconds(a.At), a.Ran)
