--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -37,13 +38,14 @@
 	// incomplete.
 	Stream io.ReadCloser
 	Length int64 // of Stream; -1 if unknown
-	// CloseConnection closes the connection after this response.
+	// CloseConnection has the connection read no further request and close after the responses to those that were read.
 	CloseConnection bool
 }
 
 // Handler answers requests.
 type Handler interface {
-	// Serve must return soon after ctx is canceled, which happens when the caller disconnects or the connection is closed.
+	// Serve must return soon after ctx is canceled, which happens when the caller disconnects or the connection is closed. The cause of
+	// ctx is one of the errors of this package.
 	Serve(ctx context.Context, r *Request) *Response
 	// MayRunConcurrently reports whether the request may run concurrently with earlier requests of its connection that are not yet answered.
 	MayRunConcurrently(r *Request) bool
@@ -63,8 +65,17 @@
 	// OnPanic is called when a handler has panicked. Its request is answered with 500 and the connection closed; other connections are
 	// not affected.
 	OnPanic func(r *Request, value any, stack []byte)
+	// OnUndelivered is called for each request that was read and whose response was not written whole. cause is one of the errors of this
+	// package or the error of the write. Nil means no call.
+	OnUndelivered func(r *Request, resp *Response, cause error)
 }
 
+// Causes for which a response is not delivered.
+var (
+	ErrCallerLeft = errors.New("the caller disconnected")
+	ErrStopped    = errors.New("the server stopped before the request was answered")
+)
+
 // Limits of a connection.
 const (
 	// maxPipelined is the number of unanswered requests on one connection at which the server stops reading from it.
@@ -74,6 +85,13 @@
 	// bodyTimeout is the time in which each maxReadBytes of the body of a request must arrive.
 	bodyTimeout  = 15 * time.Second
 	maxReadBytes = 64 << 10
+	// arrivedTimeout is how long the server reads from a connection, or accepts connections, to find out whether something had arrived before
+	// it closes. The read itself does not wait; the time is for a process that does not get a processor at once.
+	arrivedTimeout = 20 * time.Millisecond
+	// cutTimeout is the time for sending the responses to requests that are cut when the server stops.
+	cutTimeout = 200 * time.Millisecond
+	// closePollInterval is the interval at which Close checks whether all connections are closed.
+	closePollInterval = 5 * time.Millisecond
 	// lingerTimeout is the time for which the server still reads from a connection after it has closed the write side. Unread bytes
 	// would make the kernel reset the connection, and the caller could lose the last response.
 	lingerTimeout = time.Second
@@ -87,6 +105,9 @@
 	unanswered     atomic.Int64 // requests that were read and not yet answered
 
 	mu        sync.Mutex
+	stopping  bool
+	listeners []net.Listener // of the calls of Serve
+	serving   sync.WaitGroup // calls of Serve
 	conns     map[*conn]struct{}
 	openConns sync.WaitGroup
 }
@@ -99,11 +120,21 @@
 // acceptBackoff is the delay after a failed accept, which usually means that the process has no file descriptors left.
 const acceptBackoff = 20 * time.Millisecond
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed, which Close does too.
 func (s *Server) Serve(l net.Listener) error {
+	defer l.Close()
+	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		return nil
+	}
+	s.listeners = append(s.listeners, l)
+	s.serving.Add(1)
+	s.mu.Unlock()
+	defer s.serving.Done()
 	for {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil {
@@ -129,6 +160,7 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	c.overloaded = len(s.conns) >= s.cfg.MaxConnections
+	c.stopping = s.stopping
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.openConns.Add(1)
@@ -155,28 +187,60 @@
 // open until their next response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Close closes the connections without unanswered requests now, and the others as soon as they have none or ctx ends. It returns when all
-// are closed and their handlers have returned.
-func (s *Server) Close(ctx context.Context) {
+// Close stops the server. Requests and connections that have arrived are still served, further ones are not read. Close returns when
+// all connections are closed and all handlers have returned. When ctx ends, the handlers of the requests that are still unanswered are canceled
+// with ErrStopped, and their responses are sent for at most cutTimeout; the result is the number of these requests.
+func (s *Server) Close(ctx context.Context) (cut int64) {
 	s.draining.Store(true)
-	tick := time.NewTicker(5 * time.Millisecond)
+	s.stopAccepting()
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	s.forEachConn((*conn).stop)
+	s.awaitClosed(ctx)
+	cut = s.unanswered.Load()
+	s.forEachConn(func(c *conn) { c.cancel(ErrStopped) })
+	if cut > 0 {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
+		defer cancel()
+		s.awaitClosed(bounded)
+	}
+	s.forEachConn(func(c *conn) { c.abort(ErrStopped) })
+	s.openConns.Wait()
+	return cut
+}
+
+// awaitClosed waits until all connections are closed or ctx ends.
+func (s *Server) awaitClosed(ctx context.Context) {
+	tick := time.NewTicker(closePollInterval)
 	defer tick.Stop()
-	for {
-		s.mu.Lock()
-		left := len(s.conns)
-		for c := range s.conns {
-			if ctx.Err() != nil || c.idle() {
-				c.abort()
-			}
-		}
-		s.mu.Unlock()
-		if left == 0 || ctx.Err() != nil {
-			break
-		}
+	for s.Connections() > 0 && ctx.Err() == nil {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 		}
 	}
-	s.openConns.Wait()
+}
+
+func (s *Server) forEachConn(f func(*conn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		f(c)
+	}
+}
+
+// stopAccepting closes the listeners after the connections that have arrived are accepted. The kernel would reset these.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		if d, ok := l.(interface{ SetDeadline(time.Time) error }); ok {
+			// An error means that the listener is already closed.
+			_ = d.SetDeadline(time.Now().Add(arrivedTimeout))
+		} else {
+			l.Close()
+		}
+	}
+	s.mu.Unlock()
+	s.serving.Wait()
 }
