eventlog: a line after Close is dropped

A process that got SIGHUP after its log was closed ended with a panic (send on a closed channel), status 2, instead of status 0. Close no longer closes the channel of the lines.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -23,9 +23,10 @@
 type Log struct {
 	logger     *log.Logger
 	lines      chan []byte
-	done       chan struct{}
-	unreported atomic.Int64 // dropped lines that no log_lines_left_out event has reported yet
-	dropped    atomic.Int64 // lines dropped since the start
+	closing    chan struct{} // closed by Close
+	done       chan struct{} // closed when the lines that were queued before Close are written
+	unreported atomic.Int64  // dropped lines that no log_lines_left_out event has reported yet
+	dropped    atomic.Int64  // lines dropped since the start
 
 	mu            sync.Mutex
 	countedSecond int64          // Unix time to which counts belong
@@ -35,7 +36,7 @@
 // New returns a log that writes to w and starts its goroutine, which runs until Close. The fields, alternating keys and values, are
 // added to each line.
 func New(w io.Writer, level log.Level, fields ...any) *Log {
-	l := &Log{lines: make(chan []byte, maxQueuedLines), done: make(chan struct{}), counts: map[string]int{}}
+	l := &Log{lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{}), counts: map[string]int{}}
 	l.logger = log.NewWithOptions(lineQueue{l}, log.Options{Level: level, ReportTimestamp: true, TimeFormat: "15:04:05.000",
 		Formatter: log.LogfmtFormatter}).With(fields...)
 	go l.writeLines(w)
@@ -64,8 +65,16 @@
 // report them.
 func (l *Log) writeLines(w io.Writer) {
 	defer close(l.done)
-	for line := range l.lines {
-		_, _ = w.Write(line)
+	for {
+		select {
+		case line := <-l.lines:
+			_, _ = w.Write(line)
+		case <-l.closing:
+			for len(l.lines) > 0 {
+				_, _ = w.Write(<-l.lines)
+			}
+			return
+		}
 	}
 }
 
@@ -107,9 +116,9 @@
 // Dropped returns the number of lines dropped since the start.
 func (l *Log) Dropped() int64 { return l.dropped.Load() }
 
-// Close waits until the buffered lines are written, but not longer than the given time. Nothing may be logged after Close.
+// Close waits until the buffered lines are written, but not longer than the given time. Later lines are dropped.
 func (l *Log) Close(wait time.Duration) {
-	close(l.lines)
+	close(l.closing)
 	select {
 	case <-l.done:
 	case <-time.After(wait):
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -69,3 +69,15 @@
 	is.True(strings.Contains(out.String(), `level=warn msg=store_lost host=h error="no answer"`))
 	is.True(!strings.Contains(out.String(), "hidden"))
 }
+
+// TestLogAfterClose guards against a panic when a goroutine that still runs while the process ends logs an event.
+func TestLogAfterClose(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := New(&out, log.InfoLevel)
+	l.Info("before")
+	l.Close(time.Minute)
+	l.Info("after")
+	is.True(strings.Contains(out.String(), "before"))
+	is.True(!strings.Contains(out.String(), "after"))
+}
