cmd: a further SIGTERM does not end a process that has drained

signal.NotifyContext's stop was the first deferred call, before the log was written: a further SIGTERM in that time ended the process by the signal, and its last lines were lost. The handler now stays installed.

TestSignalsUntilEnd/terminated failed before with "signal: terminated".

--- a/cmd/arbutusspan/gateway.go
+++ b/cmd/arbutusspan/gateway.go
@@ -41,8 +41,15 @@
 	}
 	logger := eventlog.New(os.Stdout, settings.Level(), "host", settings.Host)
 	defer logger.Close(logCloseTimeout)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	// The handler stays installed until the process exits, so that a further signal does not end it before the log is written.
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stops
+		stop()
+	}()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
