soak: a stop that is over does not kill the next process

Two stops of a host may overlap. The one that found its process still running at the end of the grace time killed the process that the other one had started.

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -178,18 +178,22 @@
 
 // kill kills the current process and waits until it has ended.
 func (h *host) kill() {
+	if p := h.currentProcess(); p != nil {
+		h.killProcess(p)
+	}
+}
+
+// killProcess kills a process and waits until it has ended.
+func (h *host) killProcess(p *testbed.Process) {
 	h.mu.Lock()
-	p := h.process
-	if p != nil && !p.Ended() {
+	if !p.Ended() {
 		h.expectedEnd[p], h.killed[p] = true, true
 		if s := h.stopOf(p); s != nil {
 			s.cut = true
 		}
 	}
 	h.mu.Unlock()
-	if p != nil {
-		p.Kill()
-	}
+	p.Kill()
 }
 
 // stop sends SIGTERM to the process and kills it if it still runs after gracePeriod. With checked, it checks that the process ends in
@@ -211,9 +215,9 @@
 		h.soak.ledger.Check(expectedExits, err == nil || cut || endedBeforeStart(p, err), "%s exited with %v: %s", h.name, err, lastLines(p.Log()))
 		return
 	}
-	h.signal(syscall.SIGQUIT) // makes the Go runtime write all stacks, which show the goroutines that did not end
+	h.signalProcess(p, syscall.SIGQUIT) // makes the Go runtime write all stacks, which show the goroutines that did not end
 	pause(context.Background(), stackTime)
-	h.kill()
+	h.killProcess(p)
 }
 
 // endedBeforeStart reports whether SIGTERM ended a process that had not yet installed its handlers, and so had not read any request. err is
