--- a/cmd/arbutusspan/gateway.go
+++ b/cmd/arbutusspan/gateway.go
@@ -43,9 +43,8 @@
 	defer logger.Close(logCloseTimeout)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	// The handler stays installed until the process exits, so that a further signal does not end it before the log is written.
 	stops := make(chan os.Signal, 1)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT) // until the process ends, so that a further one does not interrupt the stop
 	go func() {
 		<-stops
 		stop()
