--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -32,6 +32,7 @@
 			rng := rand.New(rand.NewPCG(rng.Uint64(), 1))
 			disturbances.Go(func() { s.disturbStop(ctx, rng, h, p) })
 		}
+		s.ledger.Add("planned stops", 1)
 		h.stop(ctx, true)
 		s.stops.Add(-1)
 		disturbances.Wait()
