--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -175,6 +176,9 @@
 		}
 		routes := c.soak.configs.newestRoutes()
 		batch := []*request{c.request(conn, routes[c.rng.IntN(len(routes))])}
+		if c.kind == returning && c.soak.stopping() {
+			batch[0] = c.longRequest(conn, routes)
+		}
 		if batch[0].idempotent && c.rng.Float64() < pipelineShare {
 			for range c.rng.IntN(maxPipelined) {
 				if r := c.request(conn, routes[c.rng.IntN(len(routes))]); r.idempotent {
@@ -188,6 +192,15 @@
 	}
 }
 
+// longRequest returns a request on longRoute that runs for most of the time that it has.
+func (c *caller) longRequest(conn *connection, routes []routing.Route) *request {
+	i := slices.IndexFunc(routes, func(r routing.Route) bool { return r.Name == longRoute })
+	r := c.request(conn, routes[i])
+	work := min(maxExtraWork, r.deadline*2/3)
+	r.target += fmt.Sprintf("&%s=%d", extraWorkParameter, time.Duration(c.rng.Float64()*float64(work)).Milliseconds())
+	return r
+}
+
 func (c *caller) request(conn *connection, r routing.Route) *request {
 	c.serial++
 	return &request{id: fmt.Sprintf("%04x%08x", c.index, c.serial), method: http.MethodGet, target: fmt.Sprintf("/%s/%d?n=%d", r.Name, c.index, c.serial),
--- a/internal/soak/contract.go
+++ b/internal/soak/contract.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net/url"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,12 +28,44 @@
 		name       string
 		idempotent bool
 		service    string
-	}{{"lookup", true, services[0]}, {"reserve", false, services[0]}, {"check", true, services[1]}, {"pay", false, services[1]}} {
+	}{{"lookup", true, services[0]}, {"reserve", false, services[0]}, {"check", true, services[1]}, {"pay", false, services[1]}, {longRoute, true, services[1]}} {
 		cfg.Routes = append(cfg.Routes, route(r.name, i, r.idempotent, r.service))
 	}
 	return cfg
 }
 
+const (
+	// longRoute is a route to which callers also send requests with up to maxExtraWork of work while hosts stop.
+	longRoute    = "report"
+	longTimeout  = 5 * time.Second // timeout of longRoute in half of the runs, instead of routeTimeout
+	maxExtraWork = 4500 * time.Millisecond
+	// extraWorkParameter is the query parameter with the additional work of a request in milliseconds.
+	extraWorkParameter = "work"
+)
+
+// publishFirst publishes the first configuration of the run.
+func (s *soak) publishFirst() {
+	s.publish(func(cfg *routing.Config) {
+		*cfg = firstConfig()
+		if rand.New(rand.NewPCG(s.Seed, 15)).IntN(2) == 0 {
+			cfg.Routes[len(cfg.Routes)-1].Timeout = longTimeout
+		}
+	})
+}
+
+// extraWork returns the additional work that the target of a request states.
+func extraWork(target string) time.Duration {
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return 0
+	}
+	ms, err := strconv.Atoi(u.Query().Get(extraWorkParameter))
+	if err != nil {
+		return 0 // most requests state none
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func route(name string, priority int, idempotent bool, service string) routing.Route {
 	return routing.Route{Name: name, Host: virtualHost, Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: routeTimeout, TargetLatency: targetLatency,
 		Priority: priority, MaxAttempts: maxAttempts, Split: []routing.WeightedService{{Service: service, Weight: 1}}}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,7 +19,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 	"github.com/arbutusspan/arbutusspan/internal/testbed"
 	"github.com/arbutusspan/arbutusspan/platform/platformtest"
 )
@@ -158,7 +157,7 @@
 		return err
 	}
 	s.startTime = time.Now()
-	s.publish(func(cfg *routing.Config) { *cfg = firstConfig() })
+	s.publishFirst()
 	for i, service := range services {
 		for j := range endpointsPerService {
 			e, err := s.newEndpoint(service, 100+i, j)
@@ -249,7 +248,7 @@
 		return nil, err
 	}
 	cfg := platformtest.EndpointConfig{Service: service, Zone: zoneName(i), Listen: real.String(), Address: advertised.String(), Slots: endpointSlots,
-		Work: serviceTime, Record: s.requests.arrived, Completed: s.requests.runCompleted}
+		Work: serviceTime, ExtraWork: extraWork, Record: s.requests.arrived, Completed: s.requests.runCompleted}
 	if i == 0 {
 		cfg.Idle = 700 * time.Millisecond // this endpoint closes idle connections earlier than hosts do
 	}
