gateway: a stop answers the address lookups and state transfers in progress

The end of a planned stop cut lookups of addresses, readiness checks and state transfers that other hosts had begun: callers saw EOF.

Cause: the servers for these were closed right after the drain, without a look at what they were serving. They are now shut down: what is in progress is completed, and cut only at 92% of the grace time (the drain may take 86%).

--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -34,6 +36,22 @@
 	return servers
 }
 
+// auxStopFraction is the fraction of the grace time after which responses of these servers are cut when the host stops.
+const auxStopFraction = 0.92
+
+// stopAuxServers stops the servers. Responses in progress are completed unless ctx ends first.
+func stopAuxServers(ctx context.Context, servers []*http.Server) {
+	var stopping sync.WaitGroup
+	for _, s := range servers {
+		stopping.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				s.Close()
+			}
+		})
+	}
+	stopping.Wait()
+}
+
 // registerGauges registers the metrics that are computed when they are read.
 func (g *Gateway) registerGauges() {
 	g.metrics.Gauge("configuration_version", func() any {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -300,11 +300,11 @@
 	group.Go(func() error { g.maintainHostList(runCtx); return nil })
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
 	<-ctx.Done()
+	auxCtx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(g.settings.grace())*auxStopFraction))
+	defer cancel()
 	g.drain()
 	stop()
-	for _, s := range servers {
-		s.Close()
-	}
+	stopAuxServers(auxCtx, servers)
 	g.link.Close()
 	err = group.Wait()
 	g.log.Info("stopped", "error", err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -485,3 +485,58 @@
 		is.True(own <= 2*c.advertised)
 	}
 }
+
+// TestStopAnswersLookups guards against an address lookup that is cut by a planned stop: one that is in progress when the drain ends is answered.
+// Lookups that take too long must not delay the end of the process.
+func TestStopAnswersLookups(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		is := is.New(t)
+		d := deploy(t)
+		started, release := make(chan struct{}, 1), make(chan struct{})
+		adapter := d.adapter()
+		adapter.Directory = func(func() ([]string, time.Duration)) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				started <- struct{}{}
+				<-release
+				_, _ = io.WriteString(w, "addresses") // fails if the stop has cut the lookup
+			})
+		}
+		n := nextHost.Add(1)
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%256, n)
+		const grace = 2 * time.Second // half of it is less than auxServerTimeout
+		s := &Settings{Host: fmt.Sprintf("host-%d", n), Zone: "a", CallerAddress: ip + ":18080", ReadyAddress: ip + ":18081", DirectoryAddress: ip + ":18082",
+			PeerAddress: ip + ":18083", StateAddress: ip + ":18084", StoreAddress: "127.0.0.1:1", GraceS: grace.Seconds()}
+		is.NoErr(s.Validate())
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		ended := make(chan error, 1)
+		g := New(s, adapter, eventlog.New(d, log.InfoLevel, "host", s.Host))
+		go func() { ended <- g.Run(ctx) }()
+		waitFor(t, "the start", func() bool { return strings.Contains(d.logged(), "msg=started") })
+		got := make(chan string, 1)
+		go func() {
+			resp, err := http.Get("http://" + s.DirectoryAddress + "/resolve")
+			if err != nil {
+				got <- err.Error()
+				return
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			got <- fmt.Sprint(string(body), err)
+		}()
+		<-started
+		stop()
+		waitFor(t, "the drain", func() bool { return strings.Contains(d.logged(), "msg=drained") })
+		if answered {
+			close(release)
+			is.Equal(<-got, "addresses<nil>")
+			is.NoErr(<-ended)
+			continue
+		}
+		drained := time.Now()
+		is.NoErr(<-ended)
+		is.True(time.Since(drained) < grace) // the handler still waits
+		close(release)
+		is.True(<-got != "addresses<nil>")
+	}
+}
