--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -13,6 +13,7 @@
 // TestSoak runs seeds of the randomized fault test of package soak with entry hosts as processes. The checks with time limits run
 // only under make soak.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
 	is.NoErr(err)
@@ -24,6 +25,7 @@
 // TestSoakPlannedStops guards against requests that a host passed on to an endpoint and that end without a response around its planned
 // stop, in particular those of callers that send further requests before earlier ones are answered.
 func TestSoakPlannedStops(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
 	is.NoErr(err)
