--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -44,8 +44,8 @@
 
 // Handler answers requests.
 type Handler interface {
-	// Serve must return soon after ctx is canceled, which happens when the caller disconnects or the connection is closed. The cause of
-	// ctx is one of the errors of this package.
+	// Serve must return soon after ctx is canceled, which happens when the caller disconnects, the connection is closed or the server stops.
+	// A request whose ctx is canceled at the call must not be run. The cause of ctx is one of the errors of this package.
 	Serve(ctx context.Context, r *Request) *Response
 	// MayRunConcurrently reports whether the request may run concurrently with earlier requests of its connection that are not yet answered.
 	MayRunConcurrently(r *Request) bool
@@ -88,7 +88,7 @@
 	// arrivedTimeout is how long the server reads from a connection, or accepts connections, to find out whether something had arrived before
 	// it closes. The read itself does not wait; the time is for a process that does not get a processor at once.
 	arrivedTimeout = 20 * time.Millisecond
-	// cutTimeout is the time for sending the responses to requests that are cut when the server stops.
+	// cutTimeout is the time that callers get for reading their last responses when the time for stopping is over.
 	cutTimeout = 200 * time.Millisecond
 	// closePollInterval is the interval at which Close checks whether all connections are closed.
 	closePollInterval = 5 * time.Millisecond
@@ -105,7 +105,7 @@
 	unanswered     atomic.Int64 // requests that were read and not yet answered
 
 	mu        sync.Mutex
-	stopping  bool
+	stopping  bool           // no further call of Serve accepts connections
 	listeners []net.Listener // of the calls of Serve
 	serving   sync.WaitGroup // calls of Serve
 	conns     map[*conn]struct{}
@@ -160,7 +160,6 @@
 	c := newConn(s, nc)
 	s.mu.Lock()
 	c.overloaded = len(s.conns) >= s.cfg.MaxConnections
-	c.stopping = s.stopping
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.openConns.Add(1)
@@ -189,22 +188,17 @@
 
 // Close stops the server. Requests and connections that have arrived are still served, further ones are not read. Close returns when
 // all connections are closed and all handlers have returned. When ctx ends, the handlers of the requests that are still unanswered are canceled
-// with ErrStopped, and their responses are sent for at most cutTimeout; the result is the number of these requests.
+// with ErrStopped, and the result is the number of these requests. Callers then get cutTimeout to read their responses.
 func (s *Server) Close(ctx context.Context) (cut int64) {
 	s.draining.Store(true)
 	s.stopAccepting()
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
 	s.forEachConn((*conn).stop)
 	s.awaitClosed(ctx)
 	cut = s.unanswered.Load()
 	s.forEachConn(func(c *conn) { c.cancel(ErrStopped) })
-	if cut > 0 {
-		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
-		defer cancel()
-		s.awaitClosed(bounded)
-	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutTimeout)
+	defer cancel()
+	s.awaitClosed(bounded)
 	s.forEachConn(func(c *conn) { c.abort(ErrStopped) })
 	s.openConns.Wait()
 	return cut
@@ -233,6 +227,7 @@
 // stopAccepting closes the listeners after the connections that have arrived are accepted. The kernel would reset these.
 func (s *Server) stopAccepting() {
 	s.mu.Lock()
+	s.stopping = true
 	for _, l := range s.listeners {
 		if d, ok := l.(interface{ SetDeadline(time.Time) error }); ok {
 			// An error means that the listener is already closed.
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -457,3 +457,112 @@
 	c.Close()
 	is.Equal(<-cut, int64(2))
 }
+
+// TestBodyMemoryIsReleasedOnce guards against a limit for request bodies that grows with each request that is refused after the last response of
+// its connection was decided.
+func TestBodyMemoryIsReleasedOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+	<-h.started
+	waitFor(func() bool { return s.totalBodyBytes.Load() == 3 })
+	s.Drain()
+	close(h.hold("/hold/1"))
+	resp, _ := answer(t, bufio.NewReader(c))
+	is.True(resp.Close)
+	send(t, c, "no chunk\r\n")
+	c.Close()
+	waitFor(func() bool { return s.Connections() == 0 })
+	is.Equal(s.totalBodyBytes.Load(), int64(0))
+}
+
+// TestLastResponseSurvivesEndOfStop guards against a stop that resets a connection whose response has just been sent: at the end of the stop, a
+// caller that has sent a further request meanwhile lost it.
+func TestLastResponseSurvivesEndOfStop(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &recordingHandler{ran: map[string]bool{}, delay: func() time.Duration { return 20 * time.Millisecond }}
+		s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		network := newMemNetwork(8 * time.Millisecond)
+		go func() { _ = s.Serve(network) }() // returns when Close has closed the listener
+		c := network.dial()
+		defer c.Close()
+		time.Sleep(time.Millisecond) // until the connection is accepted
+		begin := time.Now()
+		_, err := io.WriteString(c, get("/1"))
+		is.NoErr(err)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			ctx, cancel := context.WithDeadline(context.Background(), begin.Add(30*time.Millisecond)) // the response is sent after 28 ms
+			defer cancel()
+			is.Equal(s.Close(ctx), int64(0)) // requests that were cut
+		}()
+		time.Sleep(24 * time.Millisecond)
+		_, err = io.WriteString(c, get("/2")) // arrives 2 ms after the end
+		is.NoErr(err)
+		time.Sleep(30 * time.Millisecond)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.True(resp.Close)
+		c.Close()
+		<-closed
+	})
+}
+
+// TestCutRequestsThatWaitAreRefused guards against a request without a response: it waits for an earlier one of its connection when the stop ends.
+func TestCutRequestsThatWaitAreRefused(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+"POST /hold/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+	<-h.started
+	waitFor(func() bool { return s.Unanswered() == 2 })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	cut := make(chan int64)
+	go func() { cut <- s.Close(ctx) }()
+	br := bufio.NewReader(c)
+	_, body := answer(t, br)
+	is.Equal(body, "/hold/1")
+	resp, body := answer(t, br)
+	is.Equal(body, "/hold/2")
+	is.True(resp.Close)
+	c.Close()
+	is.Equal(<-cut, int64(2))
+}
+
+// TestServeBesideClose guards against a Serve that goes on after a Close that began at the same time, so that the process does not end.
+func TestServeBesideClose(t *testing.T) {
+	is := is.New(t)
+	var group sync.WaitGroup
+	var networks []*memNetwork
+	for range 2000 {
+		s := New(Config{Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		network := newMemNetwork(0)
+		networks = append(networks, network)
+		group.Go(func() { _ = s.Serve(network) }) // returns nil
+		group.Go(func() { s.Close(context.Background()) })
+	}
+	group.Wait()
+	for _, network := range networks {
+		is.True(network.dial() == nil) // the listener is closed
+	}
+}
+
+// TestNoContinueAfterLastResponse guards against a 100 Continue behind a response that closes the connection: it belongs to no response, and its
+// caller would send a body that is not read.
+func TestNoContinueAfterLastResponse(t *testing.T) {
+	is := is.New(t)
+	network := newMemNetwork(0)
+	network.dial()
+	accepted, err := network.Accept()
+	is.NoErr(err)
+	c := newConn(New(Config{}), accepted)
+	c.lastRead = true // and the response is written
+	c.sendContinue()
+	is.Equal(accepted.(*memConn).peer.unread, 0)
+}
