gateway: a drain follows configurations that arrive meanwhile

A configuration with longer timeouts that came into force during a drain let the host read requests until less than their timeout was left, so that they were cut. Measured: TestDrainFollowsLongerTimeouts, which cannot be built before: it calls awaitReadEnd.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -92,3 +93,25 @@
 		is.Equal(g.readUntil(start, end).Sub(start), c.want)
 	}
 }
+
+// TestDrainFollowsLongerTimeouts guards against a drain that goes on reading requests which it has no time for, because a configuration with longer
+// timeouts came into force after its start.
+func TestDrainFollowsLongerTimeouts(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := &Gateway{settings: &Settings{GraceS: 10}}
+		configure := func(timeout time.Duration) {
+			table, err := routing.New(routing.Config{Version: 1, Services: []routing.Service{{Name: "lotdesk"}},
+				Routes: []routing.Route{{Name: "lookup", Host: "shop.example", Prefix: "/", Timeout: timeout, MaxAttempts: 1,
+					Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}}}})
+			is.NoErr(err)
+			g.routes.Store(table)
+		}
+		configure(time.Second) // which would allow reading for 7 s
+		start := time.Now()
+		time.AfterFunc(6*time.Second, func() { configure(3 * time.Second) })
+		g.awaitReadEnd(start, start.Add(8*time.Second))
+		is.True(time.Since(start) >= 6*time.Second)
+		is.True(time.Since(start) <= 6*time.Second+readEndCheckInterval)
+	})
+}
