ingress: a drain serves requests that wait in the reader's buffer

Callers that pipeline requests which must not run concurrently had one dropped when a drain began: its connection closed after the response to the request before it, although the server had received it. Cause: the writer looked only at the requests that were counted; the reader waits for the earlier response before it parses the next one. Change: the reader records whether it has bytes of a further request.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -27,6 +27,7 @@
 	pending         int           // requests that were read and whose response is not yet written
 	earlierAnswered chan struct{} // closed when pending becomes 1 or 0; nil if waitForEarlier is not waiting
 	waiting         bool          // the reader waits for the first byte of a request
+	arrived         bool          // bytes of a further request were received, which is not yet counted
 	stopping        bool          // the server stops: one more request is read if it has arrived
 	lastRead        bool          // no further request is read; the connection closes after the responses to those that were
 	lingerUntil     time.Time     // when the connection is closed although the caller has not closed it; zero until the write side is closed
@@ -87,7 +88,7 @@
 		}
 		_, err := br.Peek(1)
 		c.mu.Lock()
-		c.waiting = false
+		c.waiting, c.arrived = false, err == nil
 		if lastTry && isTimeout(err) {
 			c.lastRead = true
 		}
@@ -138,7 +139,7 @@
 		return false
 	}
 	keepAlive := p.keepAlive && p.refusal == nil
-	if !c.countRequest(keepAlive) {
+	if !c.countRequest(keepAlive, br.Buffered() > 0) {
 		p.release()
 		return false
 	}
@@ -187,11 +188,12 @@
 }
 
 // countRequest counts a request that was read. It returns false if the request is not answered, because the connection closes after an
-// earlier response. Without keepAlive, it is the last request.
-func (c *conn) countRequest(keepAlive bool) bool {
+// earlier response. Without keepAlive, it is the last request. arrived says that bytes of another one were received.
+func (c *conn) countRequest(keepAlive, arrived bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.continueDue = false // the body has arrived
+	c.arrived = arrived
 	if c.lastRead {
 		return false
 	}
@@ -306,12 +308,12 @@
 	return written, err
 }
 
-// decideLast reports whether the connection closes after this response. During a planned stop it does so if no other request that was read
-// is unanswered.
+// decideLast reports whether the connection closes after this response. During a planned stop it does so if no other request that has
+// arrived is unanswered.
 func (c *conn) decideLast(r *Response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.CloseConnection || c.server.draining.Load() && c.pending == 1 {
+	if r.CloseConnection || c.server.draining.Load() && c.pending == 1 && !c.arrived {
 		c.lastRead = true
 	}
 	return c.lastRead && c.pending == 1
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -566,3 +567,31 @@
 	c.sendContinue()
 	is.Equal(accepted.(*memConn).peer.unread, 0)
 }
+
+// TestDrainServesBufferedRequests guards against a drain that drops a request which the server has received, because the one before it was
+// answered before the reader came to it.
+func TestDrainServesBufferedRequests(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	var slowReader atomic.Bool
+	s := New(Config{Handler: h, MaxConnections: 1, MaxTotalBodyBytes: 1, Limits: func() routing.Limits {
+		if slowReader.Load() {
+			time.Sleep(20 * time.Millisecond) // the reader asks for the limits before it reads
+		}
+		return routing.DefaultLimits
+	}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.Serve(l)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	post := func(path string) string { return "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" }
+	send(t, c, post("/hold/a")+post("/b")+post("/c"))
+	<-h.started
+	s.Drain()
+	slowReader.Store(true)
+	close(h.hold("/hold/a"))
+	is.Equal(readAnswers(c), map[string]bool{"/hold/a": true, "/b": true, "/c": true})
+}
