gateway: a drain accepts no request that it might cut once its time for these is over

Cause: requests that are read last got the end of the drain as their deadline, so that they were cut there. They were read for some milliseconds after half of the grace time: the signal, the requests and the drain itself arrive late at a busy host.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -83,8 +83,10 @@
 	}
 	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
 	deadline := r.HeaderReadAt.Add(timeout)
-	if end := g.cutAt.Load(); end != nil && end.Before(deadline) {
-		deadline = *end
+	if g.mayBeCut(r.HeaderReadAt, deadline) {
+		g.log.Info("refused", "id", id, "reason", refusals.HostDraining, "path", r.Path, "version", table.Version)
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
+			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: callerapi.EndToEndHeaders(r.Header, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -115,3 +115,30 @@
 		is.True(time.Since(start) <= 6*time.Second+readEndCheckInterval)
 	})
 }
+
+// TestDrainRefusesWhatItMayCut guards against a drain that cuts a request which it read at its end: the request is refused as not run, unless its
+// deadline lies before the end.
+func TestDrainRefusesWhatItMayCut(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 1, "/lots/") // with a timeout of one minute
+	h := d.start(t)
+	waitFor(t, "readiness", h.ready)
+	now := time.Now()
+	h.gateway.drainTimes.Store(&drainTimes{cuttable: now.Add(time.Hour), end: now.Add(2 * time.Hour)})
+	status, _, _ := h.call(t, "/lots/1", "early")
+	is.Equal(status, http.StatusOK)
+	h.gateway.drainTimes.Store(&drainTimes{cuttable: now, end: now.Add(time.Hour)})
+	status, _, _ = h.call(t, "/lots/2", "short")
+	is.Equal(status, http.StatusOK)
+	h.gateway.drainTimes.Store(&drainTimes{cuttable: now, end: now.Add(30 * time.Second)})
+	status, body, header := h.call(t, "/lots/3", "late")
+	is.Equal(status, http.StatusServiceUnavailable)
+	var doc problem.Document
+	is.NoErr(json.Unmarshal([]byte(body), &doc))
+	is.Equal(doc.Reason, refusals.HostDraining)
+	is.Equal(doc.Ran, refusals.RanNo)
+	is.True(header.Get("Retry-After") != "")
+	is.Equal(d.ran.Load(), int64(2))
+	waitFor(t, "the log line of the refusal", func() bool { return strings.Contains(d.logged(), "id=late reason=host_draining") })
+}
