gateway: a drain reads all requests for 2.8 s, and longer only while callers have connections

Cause: the drain read all requests for half of the grace time, and for some milliseconds more; with a grace time of 10 s for even longer. What is read late and takes long is cut. A drain also waited for the longest timeout when nobody was connected any more. Change: one plan holds the times of a drain. All requests are read for 2.8 s (at most 47% of the grace time), later only those whose deadline lies before its end, and only as long as there are connections. Measured: TestDrainReadsWhileRequestsFit (2.8 s instead of 5 s with a grace time of 10 s), TestDrainRefusesWhatItMayCut.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -68,49 +68,59 @@
 // TestDrainReadsWhileRequestsFit guards against a drain that closes kept connections although every request on them could still be answered, and
 // against one that reads requests which it has no time for.
 func TestDrainReadsWhileRequestsFit(t *testing.T) {
-	is := is.New(t)
-	g := &Gateway{settings: &Settings{GraceS: 10}}
-	start := time.Unix(1000, 0)
-	end := start.Add(8 * time.Second)
-	is.Equal(g.readUntil(start, end), start.Add(5*time.Second)) // no configuration
 	for _, c := range []struct {
-		timeouts []time.Duration
-		want     time.Duration
+		name           string
+		grace, longest time.Duration
+		connections    int
+		want           time.Duration
 	}{
-		{[]time.Duration{time.Second, 2 * time.Second}, 6 * time.Second},
-		{[]time.Duration{time.Second, 4 * time.Second}, 5 * time.Second},
-		{[]time.Duration{time.Second, 0}, 5 * time.Second}, // a route without a timeout
-		{nil, 8 * time.Second},
+		{"all requests fit", 10 * time.Second, 2 * time.Second, 1, 6600 * time.Millisecond},
+		{"nobody is connected", 10 * time.Second, 2 * time.Second, 0, minReadTime},
+		{"long requests", 10 * time.Second, 8 * time.Second, 1, minReadTime},
+		{"requests longer than the grace time", 10 * time.Second, time.Minute, 1, minReadTime},
+		{"short grace time", time.Second, time.Minute, 1, 470 * time.Millisecond},
 	} {
-		cfg := routing.Config{Version: 1, Services: []routing.Service{{Name: "lotdesk"}}}
-		for i, timeout := range c.timeouts {
-			cfg.Routes = append(cfg.Routes, routing.Route{Name: fmt.Sprint(i), Host: "shop.example", Prefix: fmt.Sprintf("/%d/", i), Timeout: timeout, MaxAttempts: 1,
-				Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}})
-		}
-		table, err := routing.New(cfg)
-		is.NoErr(err)
-		g.routes.Store(table)
-		is.Equal(g.readUntil(start, end).Sub(start), c.want)
+		t.Run(c.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			is.New(t).Equal(planDrain(start, c.grace).readUntil(c.longest, c.connections).Sub(start), c.want)
+		})
 	}
 }
 
+// TestLongestTimeout guards against a drain that does not know how long the requests of some route may take.
+func TestLongestTimeout(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{}
+	is.Equal(g.longestTimeout(), defaultRequestTimeout) // no configuration
+	configureTimeouts(t, g, time.Second, 4*time.Second, 2*time.Second)
+	is.Equal(g.longestTimeout(), 4*time.Second)
+	configureTimeouts(t, g, time.Second, 0)
+	is.Equal(g.longestTimeout(), defaultRequestTimeout) // of the route without a timeout
+}
+
+// configureTimeouts puts a configuration in force whose routes have the given timeouts.
+func configureTimeouts(t *testing.T, g *Gateway, timeouts ...time.Duration) {
+	t.Helper()
+	cfg := routing.Config{Version: 1, Services: []routing.Service{{Name: "lotdesk"}}}
+	for i, timeout := range timeouts {
+		cfg.Routes = append(cfg.Routes, routing.Route{Name: fmt.Sprint(i), Host: "shop.example", Prefix: fmt.Sprintf("/%d/", i), Timeout: timeout, MaxAttempts: 1,
+			Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}})
+	}
+	table, err := routing.New(cfg)
+	is.New(t).NoErr(err)
+	g.routes.Store(table)
+}
+
 // TestDrainFollowsLongerTimeouts guards against a drain that goes on reading requests which it has no time for, because a configuration with longer
 // timeouts came into force after its start.
 func TestDrainFollowsLongerTimeouts(t *testing.T) {
 	faketime.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := &Gateway{settings: &Settings{GraceS: 10}}
-		configure := func(timeout time.Duration) {
-			table, err := routing.New(routing.Config{Version: 1, Services: []routing.Service{{Name: "lotdesk"}},
-				Routes: []routing.Route{{Name: "lookup", Host: "shop.example", Prefix: "/", Timeout: timeout, MaxAttempts: 1,
-					Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}}}})
-			is.NoErr(err)
-			g.routes.Store(table)
-		}
-		configure(time.Second) // which would allow reading for 7 s
+		g := &Gateway{}
+		configureTimeouts(t, g, time.Second) // which would allow reading for 7.6 s
 		start := time.Now()
-		time.AfterFunc(6*time.Second, func() { configure(3 * time.Second) })
-		g.awaitReadEnd(start, start.Add(8*time.Second))
+		time.AfterFunc(6*time.Second, func() { configureTimeouts(t, g, 3*time.Second) })
+		g.awaitReadEnd(planDrain(start, 10*time.Second), func() int { return 1 })
 		is.True(time.Since(start) >= 6*time.Second)
 		is.True(time.Since(start) <= 6*time.Second+readEndCheckInterval)
 	})
@@ -125,13 +135,13 @@
 	h := d.start(t)
 	waitFor(t, "readiness", h.ready)
 	now := time.Now()
-	h.gateway.drainTimes.Store(&drainTimes{cuttable: now.Add(time.Hour), end: now.Add(2 * time.Hour)})
+	h.gateway.drainPlan.Store(&drainPlan{minRead: now.Add(time.Hour), end: now.Add(2 * time.Hour)})
 	status, _, _ := h.call(t, "/lots/1", "early")
 	is.Equal(status, http.StatusOK)
-	h.gateway.drainTimes.Store(&drainTimes{cuttable: now, end: now.Add(time.Hour)})
+	h.gateway.drainPlan.Store(&drainPlan{minRead: now, end: now.Add(time.Hour)})
 	status, _, _ = h.call(t, "/lots/2", "short")
 	is.Equal(status, http.StatusOK)
-	h.gateway.drainTimes.Store(&drainTimes{cuttable: now, end: now.Add(30 * time.Second)})
+	h.gateway.drainPlan.Store(&drainPlan{minRead: now, end: now.Add(30 * time.Second)})
 	status, body, header := h.call(t, "/lots/3", "late")
 	is.Equal(status, http.StatusServiceUnavailable)
 	var doc problem.Document
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,10 +72,10 @@
 	peers         *peers.Table
 	link          *peerlink.Link // exchanges messages with peers; set by Run
 	draining      atomic.Bool
-	drainTimes    atomic.Pointer[drainTimes] // nil before a drain
-	received      atomic.Int64               // requests received since the start
-	hasStoreCopy  atomic.Bool                // this host has a copy of the store's topics, from a peer or by reading the store
-	storeLost     atomic.Bool                // this host's reads of the store fail, at the last heartbeat
+	drainPlan     atomic.Pointer[drainPlan] // nil before a drain
+	received      atomic.Int64              // requests received since the start
+	hasStoreCopy  atomic.Bool               // this host has a copy of the store's topics, from a peer or by reading the store
+	storeLost     atomic.Bool               // this host's reads of the store fail, at the last heartbeat
 	updateSources updateSources
 	storeHealth   storeHealth
 	encodedStates encodedStateCache
