--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		if c.kind == pipelines {
-			c.pipeline(ctx, conn)
+			c.sendPipeline(ctx, conn)
 		} else {
 			c.sendBatches(ctx, conn)
 		}
--- a/internal/soak/pipelines.go
+++ b/internal/soak/pipelines.go
@@ -31,12 +31,12 @@
 	closed     chan struct{} // closed when no more responses are read
 }
 
-// pipeline sends requests in a pipeline of random depth.
-func (c *caller) pipeline(ctx context.Context, conn *connection) {
-	c.pipelineOf(ctx, conn, minDepth+c.rng.IntN(maxDepth-minDepth+1))
+// sendPipeline sends requests in a pipeline of random depth until the host closes the connection.
+func (c *caller) sendPipeline(ctx context.Context, conn *connection) {
+	c.sendPipelineOf(ctx, conn, minDepth+c.rng.IntN(maxDepth-minDepth+1))
 }
 
-func (c *caller) pipelineOf(ctx context.Context, conn *connection, depth int) {
+func (c *caller) sendPipelineOf(ctx context.Context, conn *connection, depth int) {
 	p := pipeline{connection: conn, depth: depth, interval: minInterval + time.Duration(c.rng.Int64N(int64(maxInterval-minInterval))), sent: make(chan *request, depth), answers: make(chan struct{}, depth), closed: make(chan struct{})}
 	go p.sendRequests(ctx)
 	var previous *request
--- a/internal/soak/pipelines_test.go
+++ b/internal/soak/pipelines_test.go
@@ -53,7 +53,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		conn.caller.pipelineOf(t.Context(), conn, depth)
+		conn.caller.sendPipelineOf(t.Context(), conn, depth)
 		conn.Close()
 	}()
 	is.True(<-received <= depth+2) // the last one may be under way when the response is read
