soak: a process that another stop has made write its stacks counts as killed

It ended with status 2 before the other stop killed it (TestSoakPlannedStops beside TestSoak and two other runs, load average 68: a-4 still ran 6 s after SIGTERM).

--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -185,15 +185,20 @@
 
 // killProcess kills a process and waits until it has ended.
 func (h *host) killProcess(p *testbed.Process) {
+	h.recordKill(p)
+	p.Kill()
+}
+
+// recordKill records that a process is about to be ended other than as planned.
+func (h *host) recordKill(p *testbed.Process) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if !p.Ended() {
 		h.expectedEnd[p], h.killed[p] = true, true
 		if s := h.stopOf(p); s != nil {
 			s.cut = true
 		}
 	}
-	h.mu.Unlock()
-	p.Kill()
 }
 
 // stop sends SIGTERM to the process and kills it if it still runs after gracePeriod. With checked, it checks that the process ends in
@@ -215,6 +220,7 @@
 		h.soak.ledger.Check(expectedExits, err == nil || cut || endedBeforeStart(p, err), "%s exited with %v: %s", h.name, err, lastLines(p.Log()))
 		return
 	}
+	h.recordKill(p)
 	h.signalProcess(p, syscall.SIGQUIT) // makes the Go runtime write all stacks, which show the goroutines that did not end
 	pause(context.Background(), stackTime)
 	h.killProcess(p)
