soak: stalls of the soak are no fault of hosts that read a request late

The check of requests that were read took 0.2 s after their sending for the time by which a host has read them. Relays are in the soak's process: at a load average of 63 three requests that no log names were sent 135 ms before, or just after, their host stopped reading, and counted.

--- a/internal/soak/calendar.go
+++ b/internal/soak/calendar.go
@@ -19,6 +19,7 @@
 	scopeNetwork   = "network" // all unplanned faults
 	scopeLinks     = "links of endpoints"
 	scopeOverload  = "overload"
+	scopeStalls    = "stalls of this process"
 )
 
 // timeline records the spans of time in which each scope was affected by a fault or was in some other state.
@@ -46,6 +47,13 @@
 	}
 }
 
+// add records a span that has ended.
+func (c *timeline) add(scope string, from, to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.spans[scope] = append(c.spans[scope], &span{from, to})
+}
+
 // undisturbed reports whether a scope had no fault between from and to, nor within stabilityTime before from.
 func (c *timeline) undisturbed(scope string, from, to time.Time) bool {
 	c.mu.Lock()
