upstreamconn: bound the texts of errors that quote an upstream

Seen: net/http quotes a malformed status line or header field in full. A line of 60 KB that is no response made an error of 240,096 bytes, which went into the caller's refusal, the log line of the request and the kept refusals (2,048 of them, hosts have from 64 MiB).

Cause: the head is bounded to 64 KiB, the text about it to nothing.

Change: errtext.Bound cuts the text after 200 bytes and keeps the cause. Send and the body's Read use it.

The new tests play responses without end, fast and a byte at a time, over TCP: heads, interim responses, bodies in all framings, bytes after a response. TestEndlessResponse failed before in the four cases with a malformed long line or field (12 KB of text where 400 bytes are allowed). In all other cases the bounds held: an error, by size if it is fast and at the deadline if it is slow, the connection closed and not used again.

--- /dev/null
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -0,0 +1,160 @@
+package upstreamconn
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// endlessResponse is a response that consists of start and of unit, again and again, until the other side closes the connection.
+type endlessResponse struct{ name, start, unit string }
+
+// endlessHeads are responses whose head never ends or is malformed.
+var endlessHeads = []endlessResponse{
+	{"status line", "HTTP/1.1 200 ", "O"},
+	{"no status line", "", "\x00"},
+	{"lines", "", "hello\r\n"},
+	{"malformed long line", strings.Repeat("\x00", 3<<10) + "\r\n", "\x00"},
+	{"malformed long field", okHead + strings.Repeat("\x00", 3<<10) + "\r\n", "\x00"},
+	{"header line", okHead + "X: ", "x"},
+	{"header fields", okHead, "X: x\r\n"},
+	{"continuation lines", okHead + "X: x\r\n", " x\r\n"},
+	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{"interim head", "HTTP/1.1 103 Early Hints\r\n", "X: x\r\n"},
+	{"huge length", okHead + "Content-Length: 9223372036854775807\r\n\r\n", "x"},
+	{"length above int64", okHead + "Content-Length: 9223372036854775808\r\n\r\n", "x"},
+}
+
+// endlessBodies are responses whose body never ends or is malformed.
+var endlessBodies = []endlessResponse{
+	{"length", okHead + "Content-Length: 1048576\r\n\r\n", "x"},
+	{"chunks", chunkedHead, "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n"},
+	{"huge chunk", chunkedHead + "7fffffffffffffff\r\n", "x"},
+	{"one-byte chunks", chunkedHead, "1\r\nx\r\n"},
+	{"chunk size", chunkedHead, "0"},
+	{"chunk extension", chunkedHead + "1;", "x"},
+	{"chunks with extensions", chunkedHead, "1;" + strings.Repeat("x", 100) + "\r\nx\r\n"},
+	{"trailer line", chunkedHead + "0\r\nX: ", "x"},
+	{"trailer", chunkedHead + "0\r\n", "X: x\r\n"},
+	{"until close", okHead + "Connection: close\r\n\r\n", "x"},
+	{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", "x"},
+}
+
+// afterResponse is a whole response that is followed by bytes without end.
+var afterResponse = endlessResponse{"after a response", okHead + "Content-Length: 2\r\n\r\nok", "x"}
+
+// endlessUpstream sends endless responses and counts the connections that the other side has not closed.
+type endlessUpstream struct {
+	*rawUpstream
+	open atomic.Int64
+	sent atomic.Int64 // bytes that the kernel has accepted
+}
+
+// slowInterval is the interval at which a slow endless response sends a byte. It is shorter than any time-out on inactivity.
+const slowInterval = 5 * time.Millisecond
+
+// newEndlessUpstream starts an upstream that answers each request with r. If slow is true, what follows r.start is sent a byte at a time.
+func newEndlessUpstream(t *testing.T, r endlessResponse, slow bool) *endlessUpstream {
+	t.Helper()
+	u := &endlessUpstream{}
+	size, pause := 32<<10, time.Duration(0)
+	if slow {
+		size, pause = 1, slowInterval
+	}
+	repeated := strings.Repeat(r.unit, 1+(32<<10)/len(r.unit))
+	u.rawUpstream = newRawUpstream(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+		u.open.Add(1)
+		defer u.open.Add(-1)
+		_, err := io.WriteString(c, r.start)
+		for rest := repeated; err == nil; {
+			var n int
+			n, err = io.WriteString(c, rest[:min(size, len(rest))])
+			u.sent.Add(int64(n))
+			if rest = rest[n:]; rest == "" {
+				rest = repeated
+			}
+			time.Sleep(pause)
+		}
+		return false
+	})
+	return u
+}
+
+// waitForClose waits until the other side has closed all connections.
+func (u *endlessUpstream) waitForClose(t *testing.T) {
+	t.Helper()
+	for begin := time.Now(); u.open.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatalf("%d connections are still open", u.open.Load())
+		}
+	}
+}
+
+const (
+	endlessDeadline = 150 * time.Millisecond // of requests to endless upstreams
+	// endlessSlack is the time that the end of a request may take beyond its deadline on a busy machine.
+	endlessSlack = 2 * time.Second
+	// maxErrorText is the size in bytes of the longest text of an error that may get into log lines and refusals.
+	maxErrorText = 400
+)
+
+// forEachEndless runs check with each of the responses, sent fast and slowly.
+func forEachEndless(t *testing.T, responses []endlessResponse, check func(t *testing.T, u *endlessUpstream, slow bool)) {
+	for _, r := range responses {
+		for _, slow := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/slow=%t", r.name, slow), func(t *testing.T) { check(t, newEndlessUpstream(t, r, slow), slow) })
+		}
+	}
+}
+
+// TestEndlessResponse guards against responses without end that look whole, outlive the deadline, or keep or reuse their connection, and
+// against errors that quote kilobytes of them.
+func TestEndlessResponse(t *testing.T) {
+	forEachEndless(t, append(endlessHeads, endlessBodies...), func(t *testing.T, u *endlessUpstream, slow bool) {
+		is := is.New(t)
+		p := testPool()
+		for i := 1; i <= 2; i++ {
+			ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
+			begin := time.Now()
+			_, _, err := exchange(ctx, p, u.endpoint, call(fmt.Sprint("r", i), "GET", nil))
+			is.True(err != nil)
+			is.True(time.Since(begin) < endlessDeadline+endlessSlack)
+			is.True(slow || ctx.Err() == nil) // a limit on the size ends a fast one
+			is.True(len(err.Error()) <= maxErrorText)
+			cancel()
+			u.waitForClose(t)
+			conns, requests := u.counts()
+			is.Equal(conns, i)
+			is.Equal(requests, i)
+		}
+	})
+}
+
+// TestEndlessBytesAfterResponse guards against a connection that stays open or is used again while bytes without end follow a response.
+func TestEndlessBytesAfterResponse(t *testing.T) {
+	forEachEndless(t, []endlessResponse{afterResponse}, func(t *testing.T, u *endlessUpstream, _ bool) {
+		is := is.New(t)
+		p := testPool()
+		for i := 1; i <= 2; i++ {
+			_, text, err := exchange(t.Context(), p, u.endpoint, call(fmt.Sprint("r", i), "GET", nil))
+			is.NoErr(err)
+			is.Equal(text, "ok")
+			u.waitForClose(t)
+			conns, _ := u.counts()
+			is.Equal(conns, i)
+		}
+	})
+}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -16,6 +16,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/transport/errtext"
 )
 
 var (
@@ -29,7 +30,7 @@
 func (p *Pool) Send(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*executor.Response, error) {
 	req, err := p.newRequest(ctx, e, c)
 	if err != nil {
-		return nil, &executor.SendError{Err: err}
+		return nil, sendError(false, err)
 	}
 	cn, resp, err := p.roundTrip(ctx, e, req, c)
 	if err != nil {
@@ -53,7 +54,7 @@
 	}
 	if err != nil {
 		cn.close()
-		return nil, &executor.SendError{Written: true, Err: err}
+		return nil, sendError(true, err)
 	}
 	b := &responseBody{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, remaining: p.cfg.MaxBodyBytes}
 	if resp.Body == http.NoBody {
@@ -63,11 +64,16 @@
 	return out, nil
 }
 
+// sendError returns a SendError. Its text quotes a bounded part of what the upstream has sent.
+func sendError(written bool, err error) error {
+	return &executor.SendError{Written: written, Err: errtext.Bound(err)}
+}
+
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
 // before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn meanwhile.
 func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (*conn, *http.Response, error) {
 	if p.withdrawn(e.ID) {
-		return nil, nil, &executor.SendError{Err: executor.ErrWithdrawn}
+		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
 	if cn := p.get(e.ID, time.Now(), c.UseOldestConnection); cn != nil {
 		resp, err := cn.http.RoundTrip(req)
@@ -76,22 +82,22 @@
 		}
 		cn.close()
 		if cn.guarded.requestWritten() || ctx.Err() != nil {
-			return nil, nil, &executor.SendError{Written: cn.guarded.requestWritten(), Err: err}
+			return nil, nil, sendError(cn.guarded.requestWritten(), err)
 		}
 		setBody(req, c)
 	}
 	cn, err := p.dial(ctx, e)
 	if err != nil {
-		return nil, nil, &executor.SendError{Err: err}
+		return nil, nil, sendError(false, err)
 	}
 	if p.withdrawn(e.ID) {
 		cn.close()
-		return nil, nil, &executor.SendError{Err: executor.ErrWithdrawn}
+		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
 	resp, err := cn.http.RoundTrip(req)
 	if err != nil {
 		cn.close()
-		return nil, nil, &executor.SendError{Written: cn.guarded.requestWritten(), Err: err}
+		return nil, nil, sendError(cn.guarded.requestWritten(), err)
 	}
 	return cn, resp, nil
 }
@@ -178,7 +184,7 @@
 	if err == io.EOF {
 		b.finish()
 	}
-	return n, err
+	return n, errtext.Bound(err)
 }
 
 // finish lets the connection return to the pool.
