upstreamconn: bound the body that a probe reads

Seen: ProbeLoad and Probe read a body without end for as long as it came, up to 1 GiB: a trial on loopback read 300 MB in 0.3 s, while a load probe has 150 ms. A Probe whose context has no deadline never ended if the bytes came slowly.

Cause: io.Copy to io.Discard, bounded only by the limit of responses to callers' requests; Probe stated its deadline to the upstream, but did not keep it itself. (Both callers of Probe pass a deadline today.)

Change: a body of more than 8 KiB fails the probe and closes the connection, so the endpoint becomes suspect as after garbage. Probe keeps its deadline.

TestEndlessProbe failed before: five bodies were read until the deadline or to their end, and the first slow probe without a deadline ran into the time limit of the test.

--- a/internal/transport/upstreamconn/endless_test.go
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -115,7 +115,10 @@
 func forEachEndless(t *testing.T, responses []endlessResponse, check func(t *testing.T, u *endlessUpstream, slow bool)) {
 	for _, r := range responses {
 		for _, slow := range []bool{false, true} {
-			t.Run(fmt.Sprintf("%s/slow=%t", r.name, slow), func(t *testing.T) { check(t, newEndlessUpstream(t, r, slow), slow) })
+			t.Run(fmt.Sprintf("%s/slow=%t", r.name, slow), func(t *testing.T) {
+				t.Parallel()
+				check(t, newEndlessUpstream(t, r, slow), slow)
+			})
 		}
 	}
 }
@@ -158,3 +161,46 @@
 		}
 	})
 }
+
+// TestEndlessProbe guards against probes that read a body for as long as it comes: 300 MB in 0.3 s. Only the limit of a probe may end a fast
+// body, since the limit on responses to callers' requests is much higher. A probe whose context has no deadline ends by its own.
+func TestEndlessProbe(t *testing.T) {
+	forEachEndless(t, append(endlessHeads, endlessBodies...), func(t *testing.T, u *endlessUpstream, slow bool) {
+		is := is.New(t)
+		p := NewPool(DefaultConfig())
+		ctx, cancel := context.WithTimeout(t.Context(), endlessDeadline)
+		defer cancel()
+		begin := time.Now()
+		_, err := p.ProbeLoad(ctx, u.endpoint, "/health")
+		is.True(err != nil)
+		is.True(slow || ctx.Err() == nil)
+		is.True(time.Since(begin) < endlessDeadline+endlessSlack)
+		begin = time.Now()
+		_, err = p.Probe(t.Context(), u.endpoint)
+		is.True(err != nil)
+		is.True(time.Since(begin) < probeTimeout+endlessSlack)
+		u.waitForClose(t)
+		conns, _ := u.counts()
+		is.Equal(conns, 2)
+	})
+}
+
+// TestProbeBody checks that a probe reads the body of a response to its end, so that the connection can be used again.
+func TestProbeBody(t *testing.T) {
+	is := is.New(t)
+	u := newRawUpstream(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+		fmt.Fprintf(c, okHead+"Upstream-Load: 1/4\r\nContent-Length: %d\r\n\r\n%s", maxProbeBodyBytes, strings.Repeat("x", maxProbeBodyBytes))
+		return true
+	})
+	p := NewPool(DefaultConfig())
+	for range 3 {
+		load, err := p.ProbeLoad(t.Context(), u.endpoint, "/health")
+		is.NoErr(err)
+		is.Equal(load.Slots, 4)
+		for idleCount(p, u.endpoint.ID) == 0 {
+			time.Sleep(time.Millisecond) // until net/http has called Read again, so that the connection is idle
+		}
+	}
+	conns, _ := u.counts()
+	is.Equal(conns, 1)
+}
--- a/internal/transport/upstreamconn/probe.go
+++ b/internal/transport/upstreamconn/probe.go
@@ -23,6 +23,8 @@
 	// probeTimeout is the timeout of a probe whose context has no deadline. It is short, because an endpoint that takes longer to respond
 	// is not a good choice.
 	probeTimeout = 500 * time.Millisecond
+	// maxProbeBodyBytes is the size of the largest body that a response to a probe may have. The body is not used.
+	maxProbeBodyBytes = 8 << 10
 )
 
 var (
@@ -37,7 +39,7 @@
 		return placement.Load{}, err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if err := discardProbeBody(resp.Body); err != nil {
 		return placement.Load{}, err
 	}
 	switch {
@@ -49,13 +51,16 @@
 	return forward.LoadFromResponse(resp), nil
 }
 
-// Probe checks an endpoint's health and returns its load. It uses a pooled connection, because a new connection for each probe would
+// Probe checks an endpoint's health and returns its load. Without a deadline of ctx it ends after probeTimeout. It uses a pooled connection, because a new connection for each probe would
 // cost the upstream more than the request. A response from another incarnation is an error, because it does not describe the endpoint.
 func (p *Pool) Probe(ctx context.Context, e endpoints.Endpoint) (prequal.Load, error) {
 	start := time.Now()
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = start.Add(probeTimeout)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
 	}
 	id := rand.Text()
 	if p.cfg.Host != "" {
@@ -66,9 +71,18 @@
 		return prequal.Load{}, trace.ConnectionProblem(err, "probe %s", e.ID)
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
+	err = discardProbeBody(resp.Body)
 	if err != nil || resp.Status >= http.StatusInternalServerError || resp.Replaced {
 		return prequal.Load{}, trace.ConnectionProblem(err, "probe %s: status %d, replaced %t", e.ID, resp.Status, resp.Replaced)
 	}
 	return prequal.Load{InFlight: resp.InFlight, Latency: time.Since(start)}, nil
 }
+
+// discardProbeBody reads a body to its end, so that its connection can be used again. It fails if the body has more than maxProbeBodyBytes.
+func discardProbeBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxProbeBodyBytes+1))
+	if err == nil && n > maxProbeBodyBytes {
+		return errTooLarge
+	}
+	return err
+}
