forward: a refusal's body does not hold up its request

Seen: an endpoint that refuses a request as not run and then sends a body without end. The gateway read the body, up to 256 KiB, before it looked at the refusal: a slow one kept the request until its deadline, and the caller got 504 (may have run) for a request that no endpoint had run. The body of a large one stayed open, unread, until the request had ended. The contract-based host bounded the size, but not the time.

Cause: the body of a refusal is not used, and was read like that of an answer.

Change: Response.Discard reads at most 4 KiB for at most 20 ms, so that usual connections are still reused, and closes the body. The forwarder and the executor use it for refusals. Close of a response body may now be called during a Read, which it ends.

TestEndlessRefusal failed before in both cases: the slow refusal took the request beyond its deadline, the connection of the fast one was open when the next endpoint had answered.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -47,7 +47,7 @@
 type Response struct {
 	Status     int
 	Header     http.Header
-	Body       io.ReadCloser // complete only if it is read to io.EOF
+	Body       io.ReadCloser // complete only if it is read to io.EOF; Close ends a Read in progress
 	Length     int64         // of Body in bytes; -1 if the upstream did not state it
 	NotRun     bool          // the response states, by the upstream's protocol, that the request was not run
 	Leaving    bool          // the response states that the endpoint is leaving
@@ -63,6 +63,25 @@
 	MalformedDelay string
 }
 
+const (
+	// maxDiscardedBytes is the size in bytes of the largest body that is read and discarded so that its connection can be reused.
+	maxDiscardedBytes = 4 << 10
+	// discardTimeout bounds this read. A short body usually arrives together with the header.
+	discardTimeout = 20 * time.Millisecond
+)
+
+// Discard closes the body of a response that is not used. It reads a short body to its end first, so that its connection can be reused.
+func (r *Response) Discard() {
+	defer r.Body.Close()
+	if r.Length == 0 || r.Length > maxDiscardedBytes {
+		return
+	}
+	timer := time.AfterFunc(discardTimeout, func() { r.Body.Close() })
+	defer timer.Stop()
+	// An error means only that the connection is not reused.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes+1))
+}
+
 // ErrWithdrawn is the cause of a SendError if the endpoint must not get new requests any more, or not yet, and nothing was written.
 var ErrWithdrawn = errors.New("the endpoint takes no new requests now")
 
@@ -150,9 +169,6 @@
 	// defaultRetryAfter is the default delay that refusals state. An ejected endpoint is tried again after 500 ms at the latest,
 	// so an endpoint is likely to be usable by then.
 	defaultRetryAfter = 500 * time.Millisecond
-	// maxDiscardedBytes is the maximum body size of an upstream's refusal that is read and discarded so that its connection can
-	// be reused.
-	maxDiscardedBytes = 4 << 10
 )
 
 // Execute runs the call. It leaves the fields of the refusal that only the front end knows empty.
@@ -293,10 +309,7 @@
 	}
 	outcome := dispatch.Outcome{Leaving: resp.Leaving || resp.Replaced, InFlight: resp.InFlight, Slots: resp.Slots}
 	if resp.NotRun {
-		if resp.Length >= 0 && resp.Length <= maxDiscardedBytes {
-			io.Copy(io.Discard, resp.Body) // the error is ignored: it only means that the connection is not reused
-		}
-		resp.Body.Close()
+		resp.Discard()
 		outcome.Result = dispatch.ResultRefused
 		x.cfg.Granter.Release(grant, outcome)
 		return nil, &refusals.Refusal{Reason: refusals.UpstreamRefused, Ran: refusals.RanNo, RetryAfter: upstreamRetryAfter(resp.Header),
--- /dev/null
+++ b/internal/coordination/forward/endless_test.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
+)
+
+// endlessBody is a body without end. It delivers size bytes at each interval until it is closed or the context of its request ends.
+type endlessBody struct {
+	ctx      context.Context
+	size     int
+	interval time.Duration
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	select {
+	case <-time.After(b.interval):
+		return min(b.size, len(p)), nil
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	case <-b.closed:
+		return 0, errors.New("read of a closed body")
+	}
+}
+
+func (b *endlessBody) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return nil
+}
+
+// endlessResponse returns the response of an endpoint whose body sends size bytes each interval, without end.
+func endlessResponse(status, size int, interval time.Duration) *executor.Response {
+	return &executor.Response{Status: status, Header: http.Header{}, Length: -1,
+		Body: &endlessBody{ctx: context.Background(), size: size, interval: interval, closed: make(chan struct{})}}
+}
+
+// TestEndlessRefusal guards against a refusal whose body never ends and that keeps the request from the next endpoint, or its connection open
+// while the request is with the next endpoint.
+func TestEndlessRefusal(t *testing.T) {
+	for name, size := range map[string]int{"slow": 1, "fast": 64 << 10} {
+		t.Run(name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				refusal := endlessResponse(http.StatusServiceUnavailable, size, time.Millisecond)
+				refusal.NotRun = true
+				f := newFakeService(map[string]*fakeUpstream{"a": {answer: func() (*executor.Response, error) { return refusal, nil }},
+					"b": {duration: usualDuration, load: placement.Load{Slots: 2, Slowness: 1.2}, answer: func() (*executor.Response, error) {
+						select {
+						case <-refusal.Body.(*endlessBody).closed:
+							return completeResponse(http.StatusOK, "closed")
+						default:
+							return completeResponse(http.StatusOK, "open")
+						}
+					}}})
+				start := time.Now()
+				r := f.forwarder(largeBurst).Run(t.Context(), request(false))
+				is.True(time.Since(start) < usualDuration+100*time.Millisecond)
+				is.Equal(string(r.Body), "closed")
+				is.Equal(f.received(), 2)
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -96,7 +96,13 @@
 	if u.answer == nil {
 		return completeResponse(200, e.Address)
 	}
-	return u.answer()
+	resp, err := u.answer()
+	if err == nil {
+		if body, ok := resp.Body.(*endlessBody); ok {
+			body.ctx = ctx
+		}
+	}
+	return resp, err
 }
 
 func (f *fakeService) received() int {
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -18,7 +18,11 @@
 	start := time.Now()
 	got := sendResult{written: true}
 	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
-	if got.err == nil {
+	switch {
+	case got.err != nil:
+	case got.resp.NotRun:
+		got.resp.Discard()
+	default:
 		got.body, got.stream, got.err = readAnswer(got.resp)
 	}
 	now := time.Now()
--- a/internal/transport/upstreamconn/endless_test.go
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -204,3 +204,21 @@
 	conns, _ := u.counts()
 	is.Equal(conns, 1)
 }
+
+// TestEndlessDiscardedResponse guards against discarding the body of an unused response for as long as it comes.
+func TestEndlessDiscardedResponse(t *testing.T) {
+	forEachEndless(t, append(endlessBodies, afterResponse), func(t *testing.T, u *endlessUpstream, _ bool) {
+		is := is.New(t)
+		p := NewPool(DefaultConfig())
+		for i := 1; i <= 2; i++ {
+			resp, err := p.Send(t.Context(), u.endpoint, call(fmt.Sprint("r", i), "GET", nil))
+			is.NoErr(err)
+			begin := time.Now()
+			resp.Discard()
+			is.True(time.Since(begin) < endlessSlack)
+			u.waitForClose(t)
+			conns, _ := u.counts()
+			is.Equal(conns, i)
+		}
+	})
+}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
@@ -172,8 +173,8 @@
 	conn      *conn
 	id        endpoints.ID
 	remaining int64
-	fullyRead bool
-	closed    bool
+	fullyRead atomic.Bool
+	closed    atomic.Bool
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -189,19 +190,17 @@
 
 // finish lets the connection return to the pool.
 func (b *responseBody) finish() {
-	if !b.fullyRead {
-		b.fullyRead = true
+	if !b.fullyRead.Swap(true) {
 		b.conn.guarded.finishResponse(func() { b.pool.put(b.id, b.conn, time.Now()) })
 	}
 }
 
-// Close implements io.Closer. It must not be called concurrently with Read.
+// Close implements io.Closer. A Read in progress fails, because the connection is closed first.
 func (b *responseBody) Close() error {
-	if b.closed {
+	if b.closed.Swap(true) {
 		return nil
 	}
-	b.closed = true
-	if !b.fullyRead {
+	if !b.fullyRead.Load() {
 		b.conn.close()
 	}
 	return b.ReadCloser.Close()
