forward: an answer that is ready at the deadline goes out

Seen: a host that gets no processor time around a request's deadline finds both the whole answer and the end of the context. In half of the cases the caller got 504 instead of the answer.

Cause: select picks one of two ready events at random.

Change: when the context has ended, the results that have arrived are recorded first.

TestAnswerReadyAtDeadline (20 tries) failed before.

--- a/internal/coordination/forward/endless_test.go
+++ b/internal/coordination/forward/endless_test.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/faketime"
+	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
 // endlessBody is a body without end. It delivers size bytes at each interval until it is closed or the context of its request ends.
@@ -74,3 +75,28 @@
 		})
 	}
 }
+
+// TestAnswerReadyAtDeadline guards against the loss of a whole answer that is ready when its host, which has got no processor time meanwhile,
+// notices that the deadline has passed.
+func TestAnswerReadyAtDeadline(t *testing.T) {
+	for range 20 { // one of the two events is picked at random
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeService(map[string]*fakeUpstream{"a": {duration: 400 * time.Millisecond},
+				"b": {duration: usualDuration, load: placement.Load{Slots: 2, Slowness: 1.2}}})
+			fw := f.forwarder(largeBurst)
+			c := request(true)
+			endpointsOf := fw.cfg.Endpoints
+			fw.cfg.Endpoints = func() *registry.Snapshot {
+				if f.received() == 1 { // the request is being hedged
+					time.Sleep(time.Until(c.Due.Add(time.Millisecond)))
+				}
+				return endpointsOf()
+			}
+			r := fw.Run(t.Context(), c)
+			is.Equal(r.Outcome, Answered)
+			is.Equal(string(r.Body), "a")
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -181,7 +181,6 @@
 	for {
 		select {
 		case got := <-r.sendResults:
-			r.inFlight--
 			if r.recordSendResult(got) {
 				return
 			}
@@ -198,14 +197,31 @@
 				hedgeTimer.Reset(delay)
 			}
 		case <-ctx.Done():
-			r.setFailure(ctx)
+			if !r.recordReadyResults() {
+				r.setFailure(ctx)
+			}
 			return
 		}
 	}
 }
 
+// recordReadyResults records the results that have arrived already and reports whether one of them ends the request.
+func (r *activeRequest) recordReadyResults() bool {
+	for {
+		select {
+		case got := <-r.sendResults:
+			if r.recordSendResult(got) {
+				return true
+			}
+		default:
+			return false
+		}
+	}
+}
+
 // recordSendResult records the result of a send and reports whether it ends the request.
 func (r *activeRequest) recordSendResult(got sendResult) bool {
+	r.inFlight--
 	a := &r.result.Attempts[got.attempt]
 	a.Duration = time.Since(r.start) - a.StartedAfter
 	switch {
