forward: do not pass on a stream that the deadline has cut

Seen: an endpoint answers an idempotent request with an error status and a large or endless body, the repeat goes to an endpoint that does not answer, and the deadline passes. The caller got the header of the error response and then a broken connection, instead of 504.

Cause: the failure that was kept for the caller has a stream whose context ends with the request.

Change: once the context has ended, a result with a stream counts as unanswered.

TestStreamOfFailureAfterDeadline failed before: answered instead of timed_out.

--- a/internal/coordination/forward/endless_test.go
+++ b/internal/coordination/forward/endless_test.go
@@ -76,6 +76,26 @@
 	}
 }
 
+// TestStreamOfFailureAfterDeadline guards against passing on a streamed error response that the deadline has already cut: its caller would get a
+// success or failure status and a broken connection instead of a timeout.
+func TestStreamOfFailureAfterDeadline(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeService(map[string]*fakeUpstream{
+			"a": {answer: func() (*executor.Response, error) {
+				return endlessResponse(http.StatusInternalServerError, 64<<10, time.Millisecond), nil
+			}},
+			"b": {duration: time.Minute, load: placement.Load{Slots: 2, Slowness: 1.2}}})
+		c := request(true)
+		r := f.forwarder(largeBurst).Run(t.Context(), c)
+		is.Equal(f.received(), 2)
+		is.Equal(r.Outcome, TimedOut)
+		is.Equal(r.Stream, nil)
+		is.Equal(time.Since(c.Due), time.Duration(0))
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestAnswerReadyAtDeadline guards against the loss of a whole answer that is ready when its host, which has got no processor time meanwhile,
 // notices that the deadline has passed.
 func TestAnswerReadyAtDeadline(t *testing.T) {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -181,7 +181,7 @@
 	for {
 		select {
 		case got := <-r.sendResults:
-			if r.recordSendResult(got) {
+			if r.recordSendResult(ctx, got) {
 				return
 			}
 			if r.inFlight > 0 {
@@ -197,7 +197,7 @@
 				hedgeTimer.Reset(delay)
 			}
 		case <-ctx.Done():
-			if !r.recordReadyResults() {
+			if !r.recordReadyResults(ctx) {
 				r.setFailure(ctx)
 			}
 			return
@@ -206,11 +206,11 @@
 }
 
 // recordReadyResults records the results that have arrived already and reports whether one of them ends the request.
-func (r *activeRequest) recordReadyResults() bool {
+func (r *activeRequest) recordReadyResults(ctx context.Context) bool {
 	for {
 		select {
 		case got := <-r.sendResults:
-			if r.recordSendResult(got) {
+			if r.recordSendResult(ctx, got) {
 				return true
 			}
 		default:
@@ -219,9 +219,14 @@
 	}
 }
 
-// recordSendResult records the result of a send and reports whether it ends the request.
-func (r *activeRequest) recordSendResult(got sendResult) bool {
+// recordSendResult records the result of a send and reports whether it ends the request. The rest of a streamed answer cannot be read any
+// more once ctx has ended.
+func (r *activeRequest) recordSendResult(ctx context.Context, got sendResult) bool {
 	r.inFlight--
+	if got.stream != nil && ctx.Err() != nil {
+		got.stream.Close()
+		got = sendResult{attempt: got.attempt, err: ctx.Err(), written: true}
+	}
 	a := &r.result.Attempts[got.attempt]
 	a.Duration = time.Since(r.start) - a.StartedAfter
 	switch {
@@ -285,7 +290,7 @@
 	mayHaveRun := r.mayHaveRun || r.inFlight > 0
 	r.usableEndpoints(time.Now())
 	switch {
-	case r.lastFailure != nil && r.lastFailure.resp != nil && !r.lastFailure.resp.NotRun:
+	case r.lastFailure != nil && r.lastFailure.resp != nil && !r.lastFailure.resp.NotRun && (r.lastFailure.stream == nil || ctx.Err() == nil):
 		r.setAnswer(*r.lastFailure) // the caller gets the endpoint's error response
 	case mayHaveRun && ctx.Err() != nil:
 		res.Outcome = TimedOut
