upstreamconn: TestConnectionBound waits until ended connections are known

Cause, from a run that printed the pool: the connection that the upstream has closed no longer counts as open, but net/http has not reported its end yet, so the second request for /last takes it, fails before a byte is written, and goes out on a new connection. The remaining idle connection then never ends, and the test waits for it. The pool does what its comment says; the test assumed that the request takes the other idle connection.

Change: the test also waits until the connection has ended for net/http. It checks what it checked before.

--- a/internal/transport/upstreamconn/send_test.go
+++ b/internal/transport/upstreamconn/send_test.go
@@ -558,13 +558,27 @@
 	// The upstream closes the connection of each request for /last after its response.
 	for left := 1; left >= 0; left-- {
 		is.NoErr(send("/last"))
-		for p.openCount(u.endpoint.ID) != left {
+		// A connection that has ended may be among the idle ones until net/http reports its end. A request that takes it opens a new one.
+		for p.openCount(u.endpoint.ID) != left || p.liveIdleCount(u.endpoint.ID) != left {
 			time.Sleep(time.Millisecond)
 		}
 	}
 	is.NoErr(send("/again"))
 }
 
+// liveIdleCount returns the number of idle connections that have not ended.
+func (p *Pool) liveIdleCount(id endpoints.ID) (n int) {
+	sh := p.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for _, c := range sh.idle[id] {
+		if c.http.Err() == nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Pool) openCount(id endpoints.ID) int {
 	sh := p.shard(id)
 	sh.mu.Lock()
