upstreamconn: bound the lines of a response's head

Seen: an endpoint sends 60 KB of header fields of a few bytes and then a byte now and then.

Cause: the head is bounded by its size alone, and net/http keeps many times the size of short fields.

Change: a head, including those of interim responses, may have 256 lines. The connection counts them in what it reads, before net/http parses it, up to the end of the head; what follows costs nothing.

TestHeaderLines failed before in the four cases with too many lines, which waited until the deadline.

--- a/internal/transport/upstreamconn/endless_test.go
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -222,3 +222,49 @@
 		}
 	})
 }
+
+// TestHeaderLines guards against a header of many short fields, which takes 17 times its size in memory while the rest of it is awaited. Lines of
+// the body do not count, nor does the size of the fields.
+func TestHeaderLines(t *testing.T) {
+	fields := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "%x:\n", i)
+		}
+		return b.String()
+	}
+	lines := strings.Repeat("\n", 2*maxHeaderLines)
+	for _, c := range []struct {
+		name, raw string
+		ok        bool
+	}{
+		{"fields", okHead + fields(maxHeaderLines), false},
+		{"continuation lines", okHead + "X: x\r\n" + strings.Repeat(" x\n", maxHeaderLines), false},
+		{"interim responses", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxHeaderLines), false},
+		{"fields after interim responses", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 10) + okHead + fields(maxHeaderLines-10), false},
+		{"most fields", okHead + fields(maxHeaderLines-3) + // the status line, the length and the empty line
+			fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(lines), lines), true},
+		{"most fields after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + okHead + fields(maxHeaderLines-5) +
+			fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(lines), lines), true},
+		{"large fields", okHead + strings.Repeat("X: "+strings.Repeat("x", 1000)+"\r\n", 50) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(lines), lines), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			u := newRawUpstream(t, func(conn net.Conn, _ *http.Request, _, _ int) bool {
+				io.WriteString(conn, c.raw)
+				return true
+			})
+			p := NewPool(DefaultConfig())
+			for i := range 2 { // the second response may come on the same connection
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				_, text, err := exchange(ctx, p, u.endpoint, call(fmt.Sprint("r", i), "GET", nil))
+				is.NoErr(ctx.Err()) // the rest of the header was not awaited
+				cancel()
+				is.Equal(err == nil, c.ok)
+				if c.ok {
+					is.Equal(text, lines)
+				}
+			}
+		})
+	}
+}
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -1,6 +1,7 @@
 package upstreamconn
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"sync"
@@ -18,6 +19,58 @@
 	unsolicited                       // bytes arrived that belong to no request
 )
 
+// maxHeaderLines is the maximum number of lines in a response's status line and header, including those of interim (1xx) responses.
+const maxHeaderLines = 256
+
+// errHeaderLines is returned by Read of a connection on which a response has a longer header.
+var errHeaderLines = errors.New("the header of the response has too many lines")
+
+// headScanner finds the end of the head of a response, which consists of interim responses and the final status line and header, in the bytes
+// of a connection, and counts its lines. Many short lines take many times their size in memory when they are parsed.
+type headScanner struct {
+	lines   int
+	start   [len("HTTP/1.1 1")]byte // of the current status line
+	column  int                     // length of the current line so far
+	inHead  bool                    // the current line belongs to a header; otherwise it is a status line
+	ended   bool
+	interim bool // the current header is that of an interim response
+}
+
+// scan scans the next bytes. It returns false if the head has more than maxHeaderLines lines.
+func (s *headScanner) scan(b []byte) bool {
+	for len(b) > 0 && !s.ended {
+		i := bytes.IndexByte(b, '\n')
+		line, found := b, i >= 0
+		if found {
+			line, b = b[:i], b[i+1:]
+		} else {
+			b = nil
+		}
+		if !s.inHead && s.column < len(s.start) {
+			copy(s.start[s.column:], line)
+		}
+		s.column += len(bytes.TrimSuffix(line, []byte{'\r'}))
+		if found {
+			s.endLine()
+		}
+	}
+	return s.lines <= maxHeaderLines
+}
+
+// endLine records the end of a line.
+func (s *headScanner) endLine() {
+	s.lines++
+	switch {
+	case !s.inHead:
+		s.inHead, s.interim = true, s.start[len(s.start)-1] == '1'
+	case s.column == 0 && s.interim:
+		s.inHead = false
+	case s.column == 0:
+		s.ended = true
+	}
+	s.column = 0
+}
+
 // errUnsolicited is returned by Read and Write of a connection on which bytes arrived that belong to no request.
 var errUnsolicited = errors.New("bytes arrived that belong to no request")
 
@@ -34,9 +87,10 @@
 
 	mu      sync.Mutex
 	state   connState
-	reading bool   // a Read is in progress
-	written bool   // a byte of the current request may have been passed to the kernel
-	onIdle  func() // called once when the connection becomes idle
+	head    headScanner // of the current response
+	reading bool        // a Read is in progress
+	written bool        // a byte of the current request may have been passed to the kernel
+	onIdle  func()      // called once when the connection becomes idle
 }
 
 // Close implements net.Conn.
@@ -84,6 +138,9 @@
 	if c.state == unsolicited {
 		return 0, errUnsolicited
 	}
+	if !c.head.scan(b[:n]) {
+		return 0, errHeaderLines
+	}
 	return n, err
 }
 
@@ -123,7 +180,7 @@
 	if c.state != idle {
 		return false
 	}
-	c.state, c.written = readyForRequest, false
+	c.state, c.written, c.head = readyForRequest, false, headScanner{}
 	return true
 }
 
