forward: bound the memory of answers that are read before they are passed on

Seen: each answer is read up to 256 KiB before it is passed on, whatever the host's memory: 200 callers with endless bodies made the heap of a host with 64 MiB grow by 39,750 KiB (144 of them at endpoints), 60 callers by 21,459 KiB (load average 25 to 40). Callers that do not read keep that memory for 10 s per 64 KiB. Nothing bounded the sum.

An answer for which there is no memory is passed on while it is read, so it still arrives, but the request can no longer go to another endpoint if the connection breaks. The memory is released when the body is closed. Results that are not used close their streams at once.

TestBufferedBytes checks the limit, that all answers arrive whole, and that nothing stays reserved, on the fake clock.

--- a/internal/coordination/forward/endless_test.go
+++ b/internal/coordination/forward/endless_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,3 +122,74 @@
 		})
 	}
 }
+
+// TestBufferedBytes guards against answers that together take more memory than a host has for them: those that do not fit are passed on while
+// they are read, and arrive whole. When all bodies are closed, nothing is reserved, whichever way the requests have ended.
+func TestBufferedBytes(t *testing.T) {
+	const requests, limit = 40, 10 * maxBufferedBody
+	text := strings.Repeat("0123456789", maxBufferedBody/10)
+	whole := func(status int, length int64) func() (*executor.Response, error) {
+		return func() (*executor.Response, error) {
+			return &executor.Response{Status: status, Header: http.Header{}, Length: length, Body: io.NopCloser(strings.NewReader(text))}, nil
+		}
+	}
+	for name, c := range map[string]struct {
+		answer func() (*executor.Response, error)
+		whole  bool
+	}{
+		"length":         {whole(http.StatusOK, int64(len(text))), true},
+		"unknown length": {whole(http.StatusOK, -1), true},
+		"failed":         {whole(http.StatusInternalServerError, int64(len(text))), true},
+		"fast endless": {func() (*executor.Response, error) {
+			return endlessResponse(http.StatusOK, 64<<10, time.Millisecond), nil
+		}, false},
+		"slow endless": {func() (*executor.Response, error) { return endlessResponse(http.StatusOK, 1000, time.Millisecond), nil }, false},
+		"endless failed": {func() (*executor.Response, error) {
+			return endlessResponse(http.StatusBadGateway, 64<<10, time.Millisecond), nil
+		}, false},
+		"cut": {func() (*executor.Response, error) {
+			return &executor.Response{Status: http.StatusOK, Header: http.Header{}, Length: int64(len(text)),
+				Body: io.NopCloser(io.MultiReader(strings.NewReader(text[:len(text)/2]), errReader{}))}, nil
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeService(map[string]*fakeUpstream{"a": {answer: c.answer, load: placement.Load{Slots: 1000, Slowness: 1}},
+					"b": {answer: c.answer, load: placement.Load{Slots: 1000, Slowness: 1}}})
+				for _, e := range f.list {
+					e.Slots = 1000
+				}
+				fw := f.forwarder(requests)
+				fw.cfg.MaxBufferedBytes = limit
+				results := make(chan *Result, requests)
+				for range requests {
+					go func() { results <- fw.Run(t.Context(), request(true)) }()
+				}
+				most := int64(0)
+				for range 500 {
+					time.Sleep(time.Millisecond)
+					most = max(most, fw.BufferedBytes())
+				}
+				is.True(most <= limit)
+				is.True(most > limit/2 || name == "cut") // a cut answer is held for no time
+				time.Sleep(10 * time.Millisecond)
+				for range requests {
+					r := <-results
+					if r.Stream == nil {
+						is.True(!c.whole) // the others are not small
+						continue
+					}
+					body, err := io.ReadAll(r.Stream)
+					is.Equal(err == nil, c.whole)
+					if c.whole {
+						is.Equal(string(r.Body)+string(body), text)
+					}
+					is.NoErr(r.Stream.Close())
+				}
+				time.Sleep(time.Minute)
+				is.Equal(fw.BufferedBytes(), int64(0))
+			})
+		})
+	}
+}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
@@ -35,6 +36,9 @@
 	// Withdrawn reports whether an endpoint of an earlier snapshot must not get new requests any more. Nil means that none is.
 	Withdrawn func(id endpoints.ID) bool
 	Random    func(n int) int // nil means placement.Random
+	// MaxBufferedBytes limits the memory for the bodies of answers, in bytes, apart from small ones. Beyond it, answers are passed on while they
+	// are read. 0 means no limit.
+	MaxBufferedBytes int64
 	// OnPanic is called after a panic that ended a send or a probe. Nil means that a panic ends the process.
 	OnPanic func(requestID string, value any, stack []byte)
 }
@@ -44,6 +48,8 @@
 	cfg          Config
 	serviceTimes serviceTimeEstimator
 	queues       sync.Map // service name -> *placement.Queue
+
+	bufferedBytes atomic.Int64 // memory that is reserved for the bodies of answers
 }
 
 // New returns a forwarder.
@@ -81,9 +87,6 @@
 	otherProbesWait = 3 * time.Millisecond
 	// maxConnectRetries bounds how often the request is sent to another endpoint because no connection to the chosen one could be opened.
 	maxConnectRetries = 4
-	// maxBufferedBody is the size in bytes of the largest answer that is read whole before it is passed on, so that the request can be
-	// sent again if the connection breaks within the answer.
-	maxBufferedBody = 256 << 10
 	// callerRoundTrip is the network round trip between host and caller. It is subtracted from the target latency, because the caller
 	// measures the latency with it.
 	callerRoundTrip = 20 * time.Millisecond
@@ -124,8 +127,10 @@
 	resp    *executor.Response
 	body    []byte        // the whole body, or the part that was read before stream
 	stream  io.ReadCloser // what follows body in large answers; nil if body is whole
-	err     error
-	written bool // a byte of the request may have reached the endpoint
+	// reserved is the memory in bytes that is reserved for body.
+	reserved int64
+	err      error
+	written  bool // a byte of the request may have reached the endpoint
 }
 
 // Run forwards the request and returns how it ended. The caller of Run must close Result.Stream if it is not nil. ctx ends when the caller
@@ -159,20 +164,10 @@
 	}
 }
 
-// cancelOnClose cancels the context of an answer when its streamed body is closed.
-type cancelOnClose struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-func (c *cancelOnClose) Close() error {
-	defer c.cancel()
-	return c.ReadCloser.Close()
-}
-
 // serve sends the request and its repeats until an endpoint has answered, no further send is possible or ctx has ended.
 func (r *activeRequest) serve(ctx context.Context) {
 	defer r.cancelSends()
+	defer r.discardLastFailure()
 	if !r.findAndSend(ctx, false) {
 		return
 	}
@@ -224,7 +219,7 @@
 func (r *activeRequest) recordSendResult(ctx context.Context, got sendResult) bool {
 	r.inFlight--
 	if got.stream != nil && ctx.Err() != nil {
-		got.stream.Close()
+		r.forwarder.discard(&got)
 		got = sendResult{attempt: got.attempt, err: ctx.Err(), written: true}
 	}
 	a := &r.result.Attempts[got.attempt]
@@ -247,6 +242,7 @@
 		return true
 	}
 	if r.lastFailure == nil || r.lastFailure.resp == nil || got.resp != nil {
+		r.discardLastFailure()
 		r.lastFailure = &got
 	}
 	return false
@@ -255,6 +251,12 @@
 // setAnswer makes a send's response the result of the request.
 func (r *activeRequest) setAnswer(got sendResult) {
 	r.result.Outcome, r.result.Response, r.result.Body, r.result.Stream = Answered, got.resp, got.body, got.stream
+	if got.reserved > 0 {
+		if got.stream == nil {
+			got.resp.Length = int64(len(got.body))
+		}
+		r.result.Body, r.result.Stream = nil, r.forwarder.newReservedBody(got)
+	}
 	r.cancels[got.attempt] = nil
 }
 
@@ -292,6 +294,7 @@
 	switch {
 	case r.lastFailure != nil && r.lastFailure.resp != nil && !r.lastFailure.resp.NotRun && (r.lastFailure.stream == nil || ctx.Err() == nil):
 		r.setAnswer(*r.lastFailure) // the caller gets the endpoint's error response
+		r.lastFailure = nil
 	case mayHaveRun && ctx.Err() != nil:
 		res.Outcome = TimedOut
 	case mayHaveRun:
@@ -382,9 +385,8 @@
 		// Answers that still arrive are closed, so that their connections do not leak.
 		go func(n int) {
 			for range n {
-				if got := <-r.sendResults; got.stream != nil {
-					got.stream.Close()
-				}
+				got := <-r.sendResults
+				r.forwarder.discard(&got)
 			}
 		}(r.inFlight)
 	}
--- a/internal/coordination/forward/result.go
+++ b/internal/coordination/forward/result.go
@@ -51,7 +51,7 @@
 	Outcome            Outcome
 	Response           *executor.Response // for Answered
 	Body               []byte             // the whole body, or the part that was read before Stream
-	Stream             io.ReadCloser      // what follows Body in large answers; nil if Body is whole
+	Stream             io.ReadCloser      // what follows Body in answers that are not small; nil if Body is whole
 	RetryAfter         time.Duration      // for refusals: the time until an endpoint is expected to be usable
 	Attempts           []Attempt
 	ProbesSent         int
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -23,7 +22,7 @@
 	case got.resp.NotRun:
 		got.resp.Discard()
 	default:
-		got.body, got.stream, got.err = readAnswer(got.resp)
+		f.readAnswer(&got)
 	}
 	now := time.Now()
 	var sendErr *executor.SendError
@@ -59,19 +58,6 @@
 	return got
 }
 
-// readAnswer reads the body of an answer. If it is larger than maxBufferedBody, stream holds what follows the part that was read.
-func readAnswer(resp *executor.Response) (body []byte, stream io.ReadCloser, err error) {
-	if resp.Length > maxBufferedBody {
-		return nil, resp.Body, nil
-	}
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		return body, resp.Body, nil
-	}
-	resp.Body.Close()
-	return body, nil, err
-}
-
 // LoadFromResponse returns the load that a response reports. Slots is 0 if it reports none.
 func LoadFromResponse(r *executor.Response) placement.Load {
 	l := placement.Load{Running: r.InFlight - r.Waiting, Waiting: r.Waiting, Slots: r.Slots, Slowness: r.Slowness}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,10 +97,11 @@
 	// upstreamConnectTimeout limits connection set-up, so that requests do not wait for an endpoint that does not accept connections
 	// at once.
 	upstreamConnectTimeout = 150 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the process's memory that request bodies may take, and heapFraction the memory limit of the
-	// Go runtime as a fraction of the process's memory.
-	bodyMemoryFraction = 0.25
-	heapFraction       = 0.6
+	// bodyMemoryFraction is the fraction of the process's memory that request bodies may take, answerMemoryFraction the one for answers that are
+	// read before they are passed on, and heapFraction the memory limit of the Go runtime as a fraction of the process's memory.
+	bodyMemoryFraction   = 0.25
+	answerMemoryFraction = 0.15
+	heapFraction         = 0.6
 	// callerDescriptorFraction is the fraction of the file descriptors that callers' connections may use. The rest is for upstreams, the
 	// store and peers.
 	callerDescriptorFraction = 0.6
@@ -146,7 +147,7 @@
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn})
+		Withdrawn: g.endpoints.Withdrawn, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte)})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
