forward: an answer that begins and does not end counts against its endpoint

Seen: an endpoint that sends a header, or a header and a body, a byte now and then cost each request its hedge or its deadline, and kept its good name: its failure rate stayed 0, as did that of an endpoint whose large answers break off or never end. No log line told of an answer that was cut after its header had been passed on; the request's line says "answered".

Cause: a send that ends with its request has no outcome, because the caller may have left or another endpoint may have been faster; and a streamed answer counts as a success when its stream begins.

Change: a send that is given up counts as failed if a part of its header has arrived, or if its body has made no progress of 1 KiB for 50 ms. A silent endpoint and a body that makes progress count for nothing, as before. A stream that ends early counts as failed if the endpoint broke it off or, at the deadline, if the endpoint was awaited for longer than the caller. Both write an event answer_cut with id, endpoint, status, bytes and reason, and count in answers_cut_total; a stream that the deadline cut for a slow caller is logged, but not held against the endpoint. SendError.Partial tells of a header that has begun.

Without the two recordings, TestStalledAnswerCountsAsFailure fails in three cases and TestCutStreamCountsAsFailure in three.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -88,6 +88,7 @@
 // SendError is the failure of a request to get a response from one endpoint.
 type SendError struct {
 	Written bool // at least one byte of the request may have reached the upstream
+	Partial bool // a part of the response's header had arrived
 	Err     error
 }
 
--- a/internal/coordination/forward/answer.go
+++ b/internal/coordination/forward/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"time"
 )
 
 const (
@@ -15,12 +16,15 @@
 	// firstReadBytes is the size of the first buffer for an answer whose length is unknown. Each further buffer is bufferGrowth times as large.
 	firstReadBytes = 4 << 10
 	bufferGrowth   = 4
+	// maxReadBytes bounds one read of a body in bytes. A reader of chunked bodies returns only once the buffer is full or the chunk ends.
+	maxReadBytes = 4 << 10
 )
 
 // readAnswer reads the body of the response of got. If it is larger than maxBufferedBody, or there is no memory for it, got.stream holds what
 // follows the part that was read.
 func (f *Forwarder) readAnswer(got *sendResult) {
 	resp := got.resp
+	got.progressAt = time.Now()
 	if resp.Length > maxBufferedBody {
 		got.stream = resp.Body
 		return
@@ -35,7 +39,7 @@
 			return
 		}
 		got.body = append(make([]byte, 0, size+1), got.body...) // the smaller buffer is free while the rest is awaited
-		got.body, got.err = fill(got.body, resp.Body)
+		got.err = got.fill(resp.Body)
 		switch {
 		case got.err == io.EOF:
 			got.err = nil
@@ -56,16 +60,19 @@
 	}
 }
 
-// fill reads into the free capacity of a buffer until it is full or the reader returns an error.
-func fill(buffer []byte, r io.Reader) ([]byte, error) {
-	for len(buffer) < cap(buffer) {
-		n, err := r.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
+// fill reads into the free capacity of the body's buffer until it is full or the reader returns an error.
+func (s *sendResult) fill(r io.Reader) error {
+	for len(s.body) < cap(s.body) {
+		n, err := r.Read(s.body[len(s.body):min(cap(s.body), len(s.body)+maxReadBytes)])
+		s.body = s.body[:len(s.body)+n]
+		if len(s.body)-s.progress >= progressBytes {
+			s.progress, s.progressAt = len(s.body), time.Now()
+		}
 		if err != nil {
-			return buffer, err
+			return err
 		}
 	}
-	return buffer, nil
+	return nil
 }
 
 // reserve raises the memory that is reserved for the body of got to size. It returns false if that would exceed Config.MaxBufferedBytes.
--- a/internal/coordination/forward/endless_test.go
+++ b/internal/coordination/forward/endless_test.go
@@ -193,3 +193,126 @@
 		})
 	}
 }
+
+// TestStalledAnswerCountsAsFailure guards against an endpoint that keeps its good name although its answers begin and never end. A body that
+// makes progress, and one that the caller has not waited for, count for nothing.
+func TestStalledAnswerCountsAsFailure(t *testing.T) {
+	stalling := func() (*executor.Response, error) { return endlessResponse(http.StatusOK, 1, 10*time.Millisecond), nil }
+	for name, c := range map[string]struct {
+		answer     func() (*executor.Response, error)
+		idempotent bool
+		leaveAfter time.Duration // of the caller; 0 for never
+		failed     bool
+	}{
+		"until the deadline":      {answer: stalling, failed: true},
+		"until the hedge answers": {answer: stalling, idempotent: true, failed: true},
+		"header until the deadline": {answer: func() (*executor.Response, error) {
+			time.Sleep(time.Second)
+			return nil, &executor.SendError{Written: true, Partial: true, Err: context.DeadlineExceeded}
+		}, failed: true},
+		"no header until the deadline": {answer: func() (*executor.Response, error) {
+			time.Sleep(time.Second)
+			return nil, &executor.SendError{Written: true, Err: context.DeadlineExceeded}
+		}},
+		"progress": {answer: func() (*executor.Response, error) {
+			return endlessResponse(http.StatusOK, 1<<10, 10*time.Millisecond), nil
+		}},
+		"the caller left": {answer: stalling, leaveAfter: 30 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeService(map[string]*fakeUpstream{"a": {answer: c.answer},
+					"b": {duration: usualDuration, load: placement.Load{Slots: 2, Slowness: 1.2}}})
+				fw := f.forwarder(largeBurst)
+				cuts := make(chan Cut, 10)
+				fw.cfg.OnCut = func(cut Cut) { cuts <- cut }
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				if c.leaveAfter > 0 {
+					time.AfterFunc(c.leaveAfter, leave)
+				}
+				r := fw.Run(ctx, request(c.idempotent))
+				is.Equal(r.Outcome == Answered, c.idempotent)
+				time.Sleep(2 * time.Second)
+				is.Equal(fw.failureRate("a") > 0, c.failed)
+				is.Equal(fw.failureRate("b"), 0.0)
+				if c.failed {
+					is.Equal(len(cuts), 1)
+					is.Equal((<-cuts).Endpoint, "a")
+				} else {
+					is.Equal(len(cuts), 0)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// failureRate returns the failure rate of an endpoint of a fakeService.
+func (f *Forwarder) failureRate(name string) float64 {
+	for _, e := range f.cfg.Endpoints().Services["lotdesk"] {
+		if e.Name == name {
+			return f.cfg.EndpointStats.View(*e, time.Now()).FailureRate
+		}
+	}
+	return -1
+}
+
+// TestCutStreamCountsAsFailure guards against an endpoint that keeps its good name although its large answers break off or never end, and against
+// cut answers that no log entry tells of. An endpoint is not to blame if the caller reads slowly or leaves.
+func TestCutStreamCountsAsFailure(t *testing.T) {
+	breaking := func() (*executor.Response, error) {
+		return &executor.Response{Status: http.StatusOK, Header: http.Header{}, Length: 10 << 20,
+			Body: io.NopCloser(io.MultiReader(strings.NewReader("first"), errReader{}))}, nil
+	}
+	endless := func() (*executor.Response, error) {
+		return endlessResponse(http.StatusOK, 64<<10, time.Millisecond), nil
+	}
+	for name, c := range map[string]struct {
+		answer      func() (*executor.Response, error)
+		readPause   time.Duration // of the caller
+		leave       bool
+		failed, cut bool
+	}{
+		"breaks off":                       {answer: breaking, failed: true, cut: true},
+		"endless":                          {answer: endless, failed: true, cut: true},
+		"endless for a caller that pauses": {answer: endless, readPause: 3 * time.Millisecond, cut: true},
+		"the caller left":                  {answer: endless, leave: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeService(map[string]*fakeUpstream{"a": {answer: c.answer}})
+				fw := f.forwarder(largeBurst)
+				cuts := make(chan Cut, 10)
+				fw.cfg.OnCut = func(cut Cut) { cuts <- cut }
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				call := request(true)
+				r := fw.Run(ctx, call)
+				is.Equal(r.Outcome, Answered)
+				buffer := make([]byte, 32<<10)
+				read := 0
+				for n, err := 0, error(nil); err == nil; read += n {
+					if c.leave && read > maxBufferedBody {
+						leave()
+					}
+					n, err = r.Stream.Read(buffer)
+					time.Sleep(c.readPause)
+					is.True(err != io.EOF)
+				}
+				is.True(time.Since(call.Due) < 10*time.Millisecond) // a read of 1 ms and two pauses
+				is.NoErr(r.Stream.Close())
+				is.Equal(fw.failureRate("a") > 0, c.failed)
+				is.Equal(len(cuts) == 1, c.cut)
+				if c.cut {
+					cut := <-cuts
+					is.Equal(cut.Bytes, int64(read))
+					is.Equal(cut.Status, http.StatusOK)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -39,6 +39,8 @@
 	// MaxBufferedBytes limits the memory for the bodies of answers, in bytes, apart from small ones. Beyond it, answers are passed on while they
 	// are read. 0 means no limit.
 	MaxBufferedBytes int64
+	// OnCut is called after an endpoint's answer has ended early or without progress, except if the request's log entry tells so. Nil means no call.
+	OnCut func(Cut)
 	// OnPanic is called after a panic that ended a send or a probe. Nil means that a panic ends the process.
 	OnPanic func(requestID string, value any, stack []byte)
 }
@@ -129,8 +131,11 @@
 	stream  io.ReadCloser // what follows body in large answers; nil if body is whole
 	// reserved is the memory in bytes that is reserved for body.
 	reserved int64
-	err      error
-	written  bool // a byte of the request may have reached the endpoint
+	// progress is the size of body when it last made progress, and progressAt the time of that.
+	progress   int
+	progressAt time.Time
+	err        error
+	written    bool // a byte of the request may have reached the endpoint
 }
 
 // Run forwards the request and returns how it ended. The caller of Run must close Result.Stream if it is not nil. ctx ends when the caller
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -30,6 +30,9 @@
 		got.written = sendErr.Written
 	}
 	switch {
+	case got.err != nil && ctx.Err() != nil && (got.stalled(now) || sendErr != nil && sendErr.Partial):
+		f.cfg.EndpointStats.RecordEnd(v.ID, true, now)
+		f.reportCut(c, v, &got, int64(len(got.body)), errStalled)
 	case got.err != nil && ctx.Err() != nil, errors.Is(got.err, executor.ErrWithdrawn):
 		f.cfg.EndpointStats.RecordEndWithoutOutcome(v.ID, now)
 	case got.err != nil && !got.written:
@@ -54,6 +57,14 @@
 	if got.err != nil {
 		got.resp = nil
 	}
+	if got.stream != nil {
+		got.stream = &watchedStream{ReadCloser: got.stream, ctx: ctx, readBefore: int64(len(got.body)), calledAt: now, onCut: func(bytes int64, failed bool, err error) {
+			if failed {
+				f.cfg.EndpointStats.RecordCut(v.ID, time.Now())
+			}
+			f.reportCut(c, v, &got, bytes, err)
+		}}
+	}
 	f.queue(v.Service).WakeNext()
 	return got
 }
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -184,17 +184,28 @@
 func (t *EndpointStats) RecordEnd(id endpoints.ID, failed bool, now time.Time) {
 	t.update(id, now, func(s *endpointEntry) {
 		s.inFlight, s.sentSinceLoad = s.inFlight-1, s.sentSinceLoad-1
-		sample := 0.0
-		if failed {
-			sample = 1
-		} else {
+		if !failed {
 			s.recover(now)
 		}
-		s.failureRate = s.decayedFailureRate(now) + failureWeight*(sample-s.decayedFailureRate(now))
-		s.failureRateAt = now
+		s.addOutcome(failed, now)
 	})
 }
 
+// RecordCut records that an answer ended early after RecordEnd had counted it as a success.
+func (t *EndpointStats) RecordCut(id endpoints.ID, now time.Time) {
+	t.update(id, now, func(s *endpointEntry) { s.addOutcome(true, now) })
+}
+
+// addOutcome adds an outcome to the failure rate.
+func (s *endpointEntry) addOutcome(failed bool, now time.Time) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	s.failureRate = s.decayedFailureRate(now) + failureWeight*(sample-s.decayedFailureRate(now))
+	s.failureRateAt = now
+}
+
 // RecordEndWithoutOutcome records the end of a request that does not count in the endpoint's failure rate: the caller left, another
 // endpoint answered first, or the request was not written.
 func (t *EndpointStats) RecordEndWithoutOutcome(id endpoints.ID, now time.Time) {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -231,4 +231,11 @@
 	g.log.Info("request", fields...)
 }
 
+// reportCut counts and logs an answer that ended early, or that made no progress before it was given up. The line of its request tells how the
+// request ended.
+func (g *Gateway) reportCut(c forward.Cut) {
+	g.metrics.Add("answers_cut_total", 1)
+	g.log.Info("answer_cut", "id", c.RequestID, "to", c.Endpoint, "status", c.Status, "bytes", c.Bytes, "reason", c.Err)
+}
+
 func ms(d time.Duration) int64 { return d.Milliseconds() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,8 @@
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte)})
+		Withdrawn: g.endpoints.Withdrawn, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
+		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -190,3 +190,10 @@
 	defer c.mu.Unlock()
 	return c.written
 }
+
+// headerBegun reports whether a part of a response's status line or header has arrived, but not its end.
+func (c *guardedConn) headerBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.inHead && !c.head.ended || c.head.column > 0
+}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -70,6 +70,11 @@
 	return &executor.SendError{Written: written, Err: errtext.Bound(err)}
 }
 
+// sendError returns the SendError of a request that got no response on this connection.
+func (c *conn) sendError(err error) error {
+	return &executor.SendError{Written: c.guarded.requestWritten(), Partial: c.guarded.headerBegun(), Err: errtext.Bound(err)}
+}
+
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
 // before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn meanwhile.
 func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (*conn, *http.Response, error) {
@@ -83,7 +88,7 @@
 		}
 		cn.close()
 		if cn.guarded.requestWritten() || ctx.Err() != nil {
-			return nil, nil, sendError(cn.guarded.requestWritten(), err)
+			return nil, nil, cn.sendError(err)
 		}
 		setBody(req, c)
 	}
@@ -98,7 +103,7 @@
 	resp, err := cn.http.RoundTrip(req)
 	if err != nil {
 		cn.close()
-		return nil, nil, sendError(cn.guarded.requestWritten(), err)
+		return nil, nil, cn.sendError(err)
 	}
 	return cn, resp, nil
 }
