follow: a watch whose response never ends is given up

Seen: the store answers a watch with the first bytes of a record and then sends on without end, a byte now and then. The host never learned of that change, nor of later ones of the topic: refreshes do not read what a watch is reading.

The next watch follows a refresh.

--- a/internal/coordination/follow/watch.go
+++ b/internal/coordination/follow/watch.go
@@ -53,6 +53,7 @@
 		declined = f.cancelRead[i] != nil || f.nextOffsets[i] != from || f.epoch != epoch
 		if !declined {
 			begin, f.cancelRead[i] = time.Now(), cancel
+			time.AfterFunc(maxReadTime, cancel)
 		}
 		return !declined
 	})
@@ -65,7 +66,7 @@
 		return f.cfg.MaxAge()
 	case err != nil || a.Epoch != epoch: // refreshes deal with both
 		f.endWatch(i)
-		if watchCtx.Err() != nil { // a peer had the records
+		if watchCtx.Err() != nil && time.Since(begin) < maxReadTime { // a peer had the records
 			return busyWatchPause
 		}
 		return f.cfg.MaxAge()
--- a/internal/coordination/follow/watch_test.go
+++ b/internal/coordination/follow/watch_test.go
@@ -331,3 +331,34 @@
 		is.Equal(h.storeLostCalls, 0)
 	})
 }
+
+// endlessStore is a store whose responses to watches begin when a record is there and never end.
+type endlessStore struct{ *fakeStore }
+
+func (s endlessStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, arriving func() bool) (Answer, error) {
+	return s.watch(ctx, topic, from, wait, func(Record) bool { return true }, func() bool {
+		if arriving() {
+			<-ctx.Done()
+		}
+		return false
+	})
+}
+
+// TestEndlessWatch guards against a host that never learns of a change because the store's response to a watch begins with it and never ends.
+// Refreshes do not read what a watch is reading.
+func TestEndlessWatch(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &fakeStore{}
+		h := newHost(s, time.Second)
+		h.cfg.Store = endlessStore{s}
+		h.cfg.Feeds[0].Watch, h.cfg.Watches = true, func() bool { return true }
+		h.Follower = New(h.cfg)
+		stop := h.run(t)
+		defer stop()
+		time.Sleep(3300 * time.Millisecond) // between two refreshes
+		s.put("a", "1")
+		time.Sleep(maxReadTime + 3*time.Second)
+		is.Equal(h.values(h.handler), []map[string]string{{"a": "1"}})
+	})
+}
