httpfetch: bound responses of the store and of peers that never end

Seen: a response of the store or of another host that sends a byte in each idle time went on until 32 MiB had arrived, over a year at a byte a second (calls of the follower end after 30 s by their contexts, appends and watches had none of that kind). Its header could have 10 MiB, the default of net/http, and an error quoted a malformed line in full: 40,960 bytes in the log line store_lost for a line of 10 KiB.

TestEndlessResponse failed before for a slow body, slow chunks and the malformed line.

--- a/internal/transport/httpfetch/httpfetch_test.go
+++ b/internal/transport/httpfetch/httpfetch_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -122,3 +123,57 @@
 		})
 	}
 }
+
+// TestEndlessResponse guards against calls that go on for as long as a server sends bytes, however slowly, and against errors that quote
+// kilobytes of them.
+func TestEndlessResponse(t *testing.T) {
+	const idle = time.Second
+	for name, c := range map[string]struct {
+		start, unit string
+		interval    time.Duration
+		took        time.Duration
+		tooLarge    bool
+	}{
+		"slow status line":    {"HTTP/1.1 200 ", "O", idle / 10, idle, false},
+		"slow header":         {"HTTP/1.1 200 OK\r\n", "X: x\r\n", idle / 10, idle, false},
+		"slow interim":        {"", "HTTP/1.1 103 Early Hints\r\n\r\n", idle / 10, idle, false},
+		"slow body":           {"HTTP/1.1 200 OK\r\n\r\n", "x", idle / 10, slowFactor*idle + idle/10, false},
+		"slow chunks":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", idle / 10, slowFactor*idle + idle/10, false},
+		"slow chunk":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n", "x", idle / 10, idle, false},
+		"fast status line":    {"HTTP/1.1 200 ", strings.Repeat("O", 1<<10), time.Millisecond, idle / 2, false},
+		"fast header":         {"HTTP/1.1 200 OK\r\n", "X: " + strings.Repeat("x", 1<<10) + "\r\n", time.Millisecond, idle / 2, false},
+		"fast body":           {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<10), time.Millisecond, idle / 2, true},
+		"malformed long line": {strings.Repeat("\x00", 10<<10) + "\r\n", "x", idle, idle / 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				link := faketime.NewLink(10 << 20)
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					conn, out, err := http.NewResponseController(w).Hijack()
+					is.NoErr(err)
+					defer conn.Close()
+					out.WriteString(c.start)
+					for out.Flush() == nil {
+						time.Sleep(c.interval)
+						out.WriteString(c.unit)
+					}
+				})}
+				go func() { _ = server.Serve(link) }() // returns when the server is closed
+				transport := &http.Transport{DialContext: link.DialContext, MaxResponseHeaderBytes: MaxHeaderBytes}
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://host/path", nil)
+				is.NoErr(err)
+				begin := time.Now()
+				_, err = Do(&http.Client{Transport: transport}, req, Limits{Idle: idle, Bytes: 100 << 10})
+				took := time.Since(begin)
+				transport.CloseIdleConnections()
+				server.Close()
+				time.Sleep(10 * time.Second) // the server's goroutines end
+				is.True(err != nil)
+				is.Equal(trace.IsLimitExceeded(err), c.tooLarge)
+				is.True(took <= c.took+100*time.Millisecond)
+				is.True(len(err.Error()) < 500)
+			})
+		})
+	}
+}
