ingress: a stop of a starved process reads what has arrived

Callers of a host that got no processor for more than 20 ms when it stopped lost a request that it had received: a read whose deadline has passed returns without looking. Change: the reader gets 100 ms. An idle connection waits as long for its close.

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -86,8 +86,8 @@
 	bodyTimeout  = 15 * time.Second
 	maxReadBytes = 64 << 10
 	// arrivedTimeout is how long the server reads from a connection, or accepts connections, to find out whether something had arrived before
-	// it closes. The read itself does not wait; the time is for a process that does not get a processor at once.
-	arrivedTimeout = 20 * time.Millisecond
+	// it closes. This takes no time, but a busy process may get a processor late.
+	arrivedTimeout = 100 * time.Millisecond
 	// cutTimeout is the time that callers get for reading their last responses when the time for stopping is over.
 	cutTimeout = 200 * time.Millisecond
 	// closePollInterval is the interval at which Close checks whether all connections are closed.
