ingress: notice a caller that leaves while its request waits for an earlier one

Requests of callers that had left went on, and the waiting one was sent to an endpoint when its turn came: the reader does not read while a request that must not run concurrently waits. Change: it looks for the end of the connection meanwhile. Measured: TestCallerLeavesWhileRequestWaits; before, the first request was not canceled within 1 s and the second one ran. 20,000 schedules of TestStopSchedules pass.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -150,7 +150,7 @@
 		c.queue <- x
 		return false
 	}
-	if !c.server.cfg.Handler.MayRunConcurrently(x.request) && !c.waitForEarlier() {
+	if !c.server.cfg.Handler.MayRunConcurrently(x.request) && !c.waitForEarlier(br) {
 		p.release()
 		c.answered()
 		return false
@@ -230,7 +230,7 @@
 
 // waitForEarlier waits until all requests before the newest one are answered, or the stopping server cancels them all. It returns false if the
 // caller has disconnected.
-func (c *conn) waitForEarlier() bool {
+func (c *conn) waitForEarlier(br *bufio.Reader) bool {
 	c.mu.Lock()
 	var earlierAnswered chan struct{}
 	if c.pending > 1 {
@@ -238,14 +238,34 @@
 		earlierAnswered = c.earlierAnswered
 	}
 	c.mu.Unlock()
-	if earlierAnswered != nil {
-		select {
-		case <-earlierAnswered:
-		case <-c.ctx.Done():
-			return errors.Is(context.Cause(c.ctx), ErrStopped)
-		}
+	if earlierAnswered == nil {
+		return true
+	}
+	c.netConn.SetReadDeadline(time.Time{})
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		c.watch(br)
+	}()
+	select {
+	case <-earlierAnswered:
+	case <-c.ctx.Done():
+	}
+	c.netConn.SetReadDeadline(time.Now()) // ends watch
+	<-watched
+	c.mu.Lock()
+	c.arrived = br.Buffered() > 0
+	c.mu.Unlock()
+	cause := context.Cause(c.ctx)
+	return cause == nil || errors.Is(cause, ErrStopped)
+}
+
+// watch cancels the handlers if the caller disconnects before further bytes of it arrive or the read deadline passes.
+func (c *conn) watch(br *bufio.Reader) {
+	_, err := br.Peek(br.Buffered() + 1)
+	if err != nil && !isTimeout(err) && !errors.Is(err, bufio.ErrBufferFull) {
+		c.cancel(ErrCallerLeft)
 	}
-	return true
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it before it sends the body. While earlier requests are unanswered, the
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -652,3 +652,19 @@
 	c.Close()
 	<-closed
 }
+
+// TestCallerLeavesWhileRequestWaits guards against requests that run although their caller has left: the reader did not notice it while a request
+// waited for an earlier one.
+func TestCallerLeavesWhileRequestWaits(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, dial := serve(t, h, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/hold/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
+	<-h.started
+	waitFor(func() bool { return s.Unanswered() == 2 })
+	c.Close()
+	is.Equal(<-h.canceled, "/hold/1")
+	waitFor(func() bool { return s.Connections() == 0 })
+	is.Equal(len(h.started), 0) // of /2
+}
