--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -649,3 +649,17 @@
 		is.Equal(busy.received, busy.load.Slots)
 	})
 }
+
+// TestCanceledRequestIsNotSent guards against requests that reach an endpoint although their caller left, or their host cut them, before.
+func TestCanceledRequestIsNotSent(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		up := &fakeUpstream{duration: time.Millisecond}
+		f := newFakeService(map[string]*fakeUpstream{"a": up})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		r := f.forwarder(largeBurst).Run(ctx, request(true))
+		is.True(r.Outcome.GuaranteesNotRun())
+		is.Equal(up.received, 0)
+	})
+}
