ingress: a panic of MayRunConcurrently fails one request

Cause: the reader calls it outside of the recovery that covers the handler, so that a panic there would end the process with all its requests. None was seen. Measured: TestPanicBeforeServe ended the test process before; 5 of 5 runs pass with the race detector.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -150,7 +150,14 @@
 		c.queue <- x
 		return false
 	}
-	if !c.server.cfg.Handler.MayRunConcurrently(x.request) && !c.waitForEarlier(br) {
+	concurrent, failure := c.server.mayRunConcurrently(x.request)
+	if failure != nil {
+		p.release()
+		x.response <- failure
+		c.queue <- x
+		return false
+	}
+	if !concurrent && !c.waitForEarlier(br) {
 		p.release()
 		c.answered()
 		return false
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -149,13 +149,28 @@
 func (s *Server) handle(ctx context.Context, r *Request) (resp *Response) {
 	defer func() {
 		if value := recover(); value != nil {
-			s.cfg.OnPanic(r, value, debug.Stack())
-			resp = &Response{Status: http.StatusInternalServerError, CloseConnection: true}
+			resp = s.panicked(r, value)
 		}
 	}()
 	return s.cfg.Handler.Serve(ctx, r)
 }
 
+// mayRunConcurrently asks the handler. After a panic, failure is the response.
+func (s *Server) mayRunConcurrently(r *Request) (concurrent bool, failure *Response) {
+	defer func() {
+		if value := recover(); value != nil {
+			failure = s.panicked(r, value)
+		}
+	}()
+	return s.cfg.Handler.MayRunConcurrently(r), nil
+}
+
+// panicked reports a panic of the handler and returns the response. It must be called on the stack of the panic.
+func (s *Server) panicked(r *Request, value any) *Response {
+	s.cfg.OnPanic(r, value, debug.Stack())
+	return &Response{Status: http.StatusInternalServerError, CloseConnection: true}
+}
+
 func (s *Server) serveConn(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -397,3 +397,25 @@
 	_, body := answer(t, bufio.NewReader(other))
 	is.Equal(body, "/next")
 }
+
+// choosyHandler panics when it decides whether a request may run concurrently.
+type choosyHandler struct{ *handler }
+
+func (h choosyHandler) MayRunConcurrently(r *Request) bool {
+	if r.Path == "/choosy" {
+		panic("nil route")
+	}
+	return h.handler.MayRunConcurrently(r)
+}
+
+// TestPanicBeforeServe guards against a process that ends because of one request, for which the handler panics before it serves it.
+func TestPanicBeforeServe(t *testing.T) {
+	is := is.New(t)
+	_, dial := serve(t, choosyHandler{newHandler()}, routing.DefaultLimits)
+	c := dial()
+	send(t, c, get("/choosy"))
+	resp, _ := answer(t, bufio.NewReader(c))
+	is.Equal(resp.StatusCode, http.StatusInternalServerError)
+	is.True(resp.Close)
+	is.Equal(<-panics, "/choosy nil route")
+}
