--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -12,8 +12,8 @@
 )
 
 // conn serves one connection with two goroutines: the reader parses requests and starts their handlers, the writer sends the responses in
-// the order of the requests. The reader alone decides that no further request is read, so that none arrives between this decision and the
-// close.
+// the order of the requests. One lock guards the count of requests and the decision that no further one is read (lastRead), so that no request
+// reaches the handler between this decision and the close.
 type conn struct {
 	server     *Server
 	netConn    net.Conn
