upstreamconn: test of calls under a contract whose endpoint sends bytes without end

The bounds held: idempotent and keyed calls fail by size if the bytes come fast and at the deadline if they come slowly, never as not run, and a repeat of a keyed call gets idempotency_outcome_unknown.

--- a/internal/transport/upstreamconn/endless_test.go
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,7 +15,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/dispatch"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/state/contract"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/keys"
+	"github.com/arbutusspan/arbutusspan/internal/state/limits"
+	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 )
 
 const (
@@ -309,3 +316,53 @@
 		is.Equal(se.Partial, partial)
 	}
 }
+
+// TestEndlessExecutedCall guards against calls under a contract that look answered, outlive their deadline or count as not run while the endpoint
+// sends bytes without end. The outcome of a keyed call stays unknown, and a repeat does not run it again.
+func TestEndlessExecutedCall(t *testing.T) {
+	const maxBody = 512 << 10 // more than is recorded for a key
+	forEachEndless(t, append(endlessHeads, endlessBodies...), func(t *testing.T, u *endlessUpstream, slow bool) {
+		is := is.New(t)
+		cfg := DefaultConfig()
+		cfg.MaxBodyBytes = maxBody
+		g := &hedgeGranter{first: u.endpoint, second: u.endpoint, results: map[endpoints.ID][]dispatch.Result{}}
+		table := keys.NewTable(keys.Config{Host: "host", Incarnation: strings.Repeat("0", 16), Origin: time.Now()})
+		x := executor.New(executor.Config{Granter: g, Sender: NewPool(cfg), Leaving: g, Keys: table})
+		for i, idempotent := range []bool{true, false} {
+			c := call("r1", "PUT", []byte("body"))
+			c.Operation = &contract.Operation{Name: "op", Idempotent: idempotent, DeadlineMS: 60_000}
+			c.Limits = &limits.ServiceLimits{Customer: "c", Name: "s", KeysPerHost: 10, KeyWindow: time.Hour}
+			c.Deadline = time.Now().Add(endlessDeadline(slow))
+			c.Key = x.KeyPrefix() + ".0123456789abcdef"
+			ctx, cancel := context.WithDeadline(t.Context(), c.Deadline)
+			defer cancel()
+			begin := time.Now()
+			a, refusal := x.Execute(ctx, c)
+			if refusal != nil {
+				is.Equal(refusal.Ran, refusals.RanUnknown)
+			} else {
+				n, err := io.Copy(io.Discard, a.Body)
+				is.True(err != nil)
+				is.True(n <= maxBody)
+				a.Finish(executor.BodyTruncated)
+			}
+			is.True(time.Since(begin) < endlessDeadline(slow)+endlessSlack)
+			is.True(slow || ctx.Err() == nil)
+			u.waitForClose(t)
+			_, requests := u.counts()
+			is.Equal(requests, i+1)
+			if !idempotent {
+				c.Attempt.Number, c.Deadline = 1, time.Now().Add(time.Minute)
+				_, refusal := x.Execute(t.Context(), c)
+				is.True(refusal != nil)
+				is.Equal(refusal.Reason, refusals.KeyOutcomeUnknown)
+			}
+		}
+		for len(g.released(u.endpoint.ID)) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(!slices.Contains(g.released(u.endpoint.ID), dispatch.ResultCompleted))
+		_, requests := u.counts()
+		is.Equal(requests, 2)
+	})
+}
