upstreamconn: the end of a header does not depend on how its bytes arrive

A line of two carriage returns that arrived in two reads would have passed for the empty line that ends the header, and what followed would not have counted.

Change: a line is empty if it has no byte or one carriage return.

--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -31,6 +31,7 @@
 	lines   int
 	start   [len("HTTP/1.1 1")]byte // of the current status line
 	column  int                     // length of the current line so far
+	onlyCR  bool                    // the current line so far is a carriage return
 	inHead  bool                    // the current line belongs to a header; otherwise it is a status line
 	ended   bool
 	interim bool // the current header is that of an interim response
@@ -49,7 +50,10 @@
 		if !s.inHead && s.column < len(s.start) {
 			copy(s.start[s.column:], line)
 		}
-		s.column += len(bytes.TrimSuffix(line, []byte{'\r'}))
+		if len(line) > 0 {
+			s.onlyCR = s.column == 0 && line[0] == '\r' && len(line) == 1
+		}
+		s.column += len(line)
 		if found {
 			s.endLine()
 		}
@@ -60,15 +64,16 @@
 // endLine records the end of a line.
 func (s *headScanner) endLine() {
 	s.lines++
+	blank := s.column == 0 || s.onlyCR
 	switch {
 	case !s.inHead:
 		s.inHead, s.interim = true, s.start[len(s.start)-1] == '1'
-	case s.column == 0 && s.interim:
+	case blank && s.interim:
 		s.inHead = false
-	case s.column == 0:
+	case blank:
 		s.ended = true
 	}
-	s.column = 0
+	s.column, s.onlyCR = 0, false
 }
 
 // errUnsolicited is returned by Read and Write of a connection on which bytes arrived that belong to no request.
