--- a/cmd/arbutusspan/gateway.go
+++ b/cmd/arbutusspan/gateway.go
@@ -45,8 +45,14 @@
 	stdlog.SetFlags(0) // an event has its own time
 	stdlog.SetOutput(logger.LibraryOutput())
 	defer stdlog.SetOutput(os.Stderr)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT) // until the process ends, so that a further one does not interrupt the stop
+	go func() {
+		<-stops
+		stop()
+	}()
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
