--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -323,14 +323,6 @@
 	}
 }
 
-// retryAfterUpstreamRefusal returns the delay stated in a refusal after an endpoint refused the request without running it.
-func retryAfterUpstreamRefusal(resp *executor.Response) time.Duration {
-	if load := LoadFromResponse(resp); load.Slots > 0 && load.Running+load.Waiting < load.Slots {
-		return retryAfterShed
-	}
-	return defaultRetryAfter
-}
-
 // findAndSend finds an endpoint and starts to send the request to it. It reports whether a send was started.
 func (r *activeRequest) findAndSend(ctx context.Context, hedge bool) bool {
 	view, expected, ok := r.findEndpoint(ctx, hedge || len(r.tried) > 0)
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -77,3 +77,11 @@
 	}
 	return l
 }
+
+// retryAfterUpstreamRefusal returns the delay stated in a refusal after an endpoint refused the request without running it.
+func retryAfterUpstreamRefusal(resp *executor.Response) time.Duration {
+	if load := LoadFromResponse(resp); load.Slots > 0 && load.Running+load.Waiting < load.Slots {
+		return retryAfterShed
+	}
+	return defaultRetryAfter
+}
