--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	peers         *peers.Table
 	link          *peerlink.Link // exchanges messages with peers; set by Run
 	draining      atomic.Bool
-	cutAt         atomic.Pointer[time.Time] // when a drain cuts the requests that are still unanswered; nil before the drain
+	drainPlan     atomic.Pointer[drainPlan] // nil before a drain
 	received      atomic.Int64              // requests received since the start
 	hasStoreCopy  atomic.Bool               // this host has a copy of the store's topics, from a peer or by reading the store
 	storeLost     atomic.Bool               // this host's reads of the store fail, at the last heartbeat
@@ -147,7 +147,7 @@
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn})
+		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered})
