soak: hosts of large runs are busy when they stop

Half of the callers use the first 10 hosts, and half of the stops concern them. Before, a run of 200 hosts had 137 answers of its own around 37 stops.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -121,6 +121,9 @@
 		c.expires = time.Time{}
 		return nil
 	}
+	if c.index%2 == 0 {
+		usable = c.soak.busyAddresses(usable)
+	}
 	address := usable[c.rng.IntN(len(usable))]
 	h, reached := c.soak.hostAt(address)
 	c.soak.ledger.Check(ownResponses, h != nil, "a host returned the address %s, which does not belong to a host", address)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -126,7 +126,13 @@
 	}
 }
 
-func (s *soak) randomHost(rng *rand.Rand) *host { return s.hosts[rng.IntN(len(s.hosts))] }
+func (s *soak) randomHost(rng *rand.Rand) *host {
+	n := len(s.hosts)
+	if n > maxBusyHosts && rng.IntN(2) == 0 {
+		n = maxBusyHosts
+	}
+	return s.hosts[rng.IntN(n)]
+}
 
 func (s *soak) randomEndpoint(rng *rand.Rand) *endpoint {
 	return s.endpoints[rng.IntN(len(s.endpoints))]
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -17,6 +17,9 @@
 	largeShare = 0.1      // part of the seeds that run as many hosts as the machine bears
 	hostMemory = 64 << 20 // bytes that one host process may need
 	maxCallers = 120
+	// maxBusyHosts is the number of hosts that half of the callers use and half of the stops concern, so that hosts of large runs are busy
+	// when they stop.
+	maxBusyHosts = 10
 	// callerDelay lets the reset of a connection overtake a response.
 	callerDelay = 8 * time.Millisecond
 	// maxPeerRelays is the number of hosts with a relay in front of their peers' port. A relay needs a socket for each sending host, so that
@@ -27,6 +30,20 @@
 // callerCount returns the number of callers.
 func (s *soak) callerCount() int { return min(s.Hosts*callersPerHost, maxCallers) }
 
+// busyAddresses returns those of the addresses that belong to the first maxBusyHosts hosts, or all if there are none.
+func (s *soak) busyAddresses(addresses []string) []string {
+	var busy []string
+	for _, a := range addresses {
+		if h, _ := s.hostAt(a); h != nil && h.index < maxBusyHosts {
+			busy = append(busy, a)
+		}
+	}
+	if busy == nil {
+		return addresses
+	}
+	return busy
+}
+
 // callerDelay returns the one-way delay between a host and its callers, which half of the hosts have.
 func (s *soak) callerDelay(host int) time.Duration {
 	if rand.New(rand.NewPCG(s.Seed, uint64(100_000+host))).IntN(2) == 0 {
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -14,7 +14,7 @@
 	maxDisturbances  = 3   // further signals and changes of the configuration while a host stops
 	restopShare      = 0.2 // part of the stops that are repeated right after the start
 	maxRestopDelay   = 500 * time.Millisecond
-	maxOverlapping   = 16  // hosts that stop at the same time
+	maxOverlapping   = 16  // the first hosts, which may stop at the same time
 	disturbanceShare = 0.9 // part of the grace time in which the disturbances of a stop begin
 )
 
@@ -57,16 +57,17 @@
 }
 
 func (s *soak) rollingStop(ctx context.Context, rng *rand.Rand) {
-	first := rng.IntN(len(s.hosts))
+	first := s.randomHost(rng).index
 	for i := range min(3, len(s.hosts)) {
 		s.stopAndStart(ctx, rng, s.hosts[(first+i)%len(s.hosts)])
 	}
 }
 
-// overlappingStops stops several hosts, or all if they are not more than maxOverlapping, within the grace time of the first one.
+// overlappingStops stops several of the first maxOverlapping hosts, or all of these, within the grace time of the first one.
 func (s *soak) overlappingStops(ctx context.Context, rng *rand.Rand) {
 	var all sync.WaitGroup
-	for _, i := range rng.Perm(len(s.hosts))[:min(len(s.hosts), maxOverlapping, 2+rng.IntN(len(s.hosts)))] {
+	some := min(len(s.hosts), maxOverlapping)
+	for _, i := range rng.Perm(some)[:min(some, 2+rng.IntN(some))] {
 		rng := rand.New(rand.NewPCG(rng.Uint64(), 1))
 		all.Go(func() {
 			pause(ctx, time.Duration(rng.Float64()*float64(gracePeriod)))
