forward: waiting requests leave their zone on evidence of room elsewhere

Cause: each search of a waiting request took the next round of probes; two of three rounds are in other zones.

Change: probes count how many endpoints of the own zone and of others have room. A waiting request leaves its zone only while a larger share has room in others; if these were not probed for 60 ms, some are probed for the estimate.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -124,7 +124,7 @@
 
 // chooseEndpoint returns the best endpoint and the expected duration there, or nil if it found none. It uses the load reports that are
 // fresh, and probes further endpoints in rounds until one is good enough or the probe budget is used up. A request that waits in the
-// queue probes one round each time, and the rounds in turn. If the endpoints report no load, or the probe budget is used up before any load
+// queue probes one round each time, see restrictToRoom. If the endpoints report no load, or the probe budget is used up before any load
 // is known, it chooses without probes.
 func (r *activeRequest) chooseEndpoint(ctx context.Context, waiting bool) (*placement.EndpointView, time.Duration) {
 	now := time.Now()
@@ -142,13 +142,13 @@
 			candidates = append(candidates, i)
 		}
 	}
-	best, expected := cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
 	rounds := cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random)
-	if waiting && len(rounds) > 0 { // the first round has only endpoints of this zone, which may all be full
-		rounds = rounds[r.result.QueueWaits%len(rounds):]
+	if waiting {
+		candidates, rounds = r.restrictToRoom(views, candidates, rounds, avoid, now)
 	}
-	for n, round := range rounds {
-		if (waiting && n > 0) || (best >= 0 && cfg.GoodEnough(&views[best], expected, r.serviceTime)) || ctx.Err() != nil {
+	best, expected := cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
+	for _, round := range rounds {
+		if (best >= 0 && cfg.GoodEnough(&views[best], expected, r.serviceTime)) || ctx.Err() != nil {
 			break
 		}
 		take := r.forwarder.cfg.ProbeBudget.Take
@@ -264,6 +264,6 @@
 	if err != nil {
 		return load, err
 	}
-	f.cfg.EndpointStats.RecordLoad(e.Endpoint, load, now)
+	f.cfg.EndpointStats.RecordProbe(e.Endpoint, load, now)
 	return load, nil
 }
--- /dev/null
+++ b/internal/coordination/forward/room.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/registry"
+)
+
+// restrictToRoom returns what a waiting request considers of the candidates and rounds: those of this host's zone, unless there is evidence
+// of more room in other zones or this zone has no endpoint for it. The result has at most one round. While the room of other zones is not
+// known, some of their endpoints are probed for later decisions.
+func (r *activeRequest) restrictToRoom(views []placement.EndpointView, candidates []int, rounds [][]int, avoid func(endpoints.ID) bool,
+	now time.Time) ([]int, [][]int) {
+	stats := r.forwarder.cfg.EndpointStats
+	cfg := stats.Config()
+	var local, remote []int
+	for _, i := range slices.Concat(rounds...) {
+		if views[i].Local {
+			local = append(local, i)
+		} else {
+			remote = append(remote, i)
+		}
+	}
+	hasLocal := slices.ContainsFunc(views, func(v placement.EndpointView) bool {
+		return v.Local && !v.Suspect && !v.Rejecting && !avoid(v.ID)
+	})
+	elsewhere, known := stats.RoomElsewhere(r.call.Service.Name, now)
+	round := local
+	switch {
+	case !hasLocal, elsewhere && (len(local) == 0 || r.result.QueueWaits%2 == 0):
+		round = remote
+	case !elsewhere:
+		candidates = slices.DeleteFunc(candidates, func(i int) bool { return !views[i].Local })
+		if !known {
+			r.probeAhead(views, remote[:min(len(remote), cfg.NextRoundSize)])
+		}
+	}
+	if len(round) == 0 {
+		return candidates, nil
+	}
+	return candidates, [][]int{round[:min(len(round), cfg.FirstRoundSize)]}
+}
+
+// probeAhead probes endpoints without waiting for their answers, which are recorded in the endpoint statistics.
+func (r *activeRequest) probeAhead(views []placement.EndpointView, round []int) {
+	now := time.Now()
+	for _, i := range round[:r.forwarder.cfg.ProbeBudget.Take(len(round), now)] {
+		if !r.forwarder.cfg.EndpointStats.StartProbe(views[i].ID, now) {
+			continue
+		}
+		r.result.ProbesSent++
+		go func(e registry.Endpoint) {
+			ended := false
+			defer func() {
+				if !ended {
+					r.forwarder.cfg.EndpointStats.EndProbe(e.ID, time.Now())
+				}
+			}()
+			defer r.forwarder.recoverPanic(r.call.RequestID)
+			// A failure is recorded with the endpoint.
+			_, _ = r.forwarder.probe(e, r.call.Service.HealthPath)
+			ended = true
+		}(views[i].Endpoint)
+	}
+}
--- /dev/null
+++ b/internal/coordination/forward/room_test.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
+)
+
+// twoZones returns a service with endpoints of the host's zone, named own..., and as many of another, named neighbour..., all with the same load.
+func twoZones(count int, load placement.Load) *fakeService {
+	ups := map[string]*fakeUpstream{}
+	for i := range count {
+		ups[fmt.Sprint("own", i)] = &fakeUpstream{load: load, duration: usualDuration}
+		ups[fmt.Sprint("neighbour", i)] = &fakeUpstream{load: load, duration: usualDuration}
+	}
+	f := newFakeService(ups)
+	for _, e := range f.list {
+		if strings.HasPrefix(e.Name, "neighbour") {
+			e.Zone = "b"
+		}
+	}
+	return f
+}
+
+// probes returns the number of probes of the endpoints whose names begin so.
+func (f *fakeService) probes(prefix string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for name, u := range f.ups {
+		if strings.HasPrefix(name, prefix) {
+			n += u.probes
+		}
+	}
+	return n
+}
+
+var fullLoad = placement.Load{Running: 2, Waiting: 4, Slots: 2, Slowness: 1}
+
+// TestFullZonesKeepToTheirOwn guards against waiting requests that use up the probes on endpoints of other zones while all zones are full: an
+// endpoint of another zone is probed by the first search, and then only as often as it takes to notice that the other zone has room.
+func TestFullZonesKeepToTheirOwn(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := twoZones(40, fullLoad)
+		fw := f.forwarder(largeBurst)
+		fw.cfg.Random = placement.Random
+		start := time.Now()
+		r := fw.Run(t.Context(), request(false))
+		waited := time.Since(start)
+		is.Equal(r.Outcome, RefusedTooLate)
+		time.Sleep(time.Minute)
+		searches := 1 + int(waited/(60*time.Millisecond))
+		is.True(f.probes("neighbour") <= 4*searches)
+		is.True(f.probes("own") > f.probes("neighbour"))
+	})
+}
+
+// TestZoneWithoutEndpointsWaits guards against requests of a zone without an endpoint of their service that wait until they are refused, while a
+// slot of another zone becomes free.
+func TestZoneWithoutEndpointsWaits(t *testing.T) {
+	for _, count := range []int{1, 40} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := twoZones(count, fullLoad)
+			for _, e := range f.list {
+				e.Zone = "b"
+			}
+			fw := f.forwarder(largeBurst)
+			fw.cfg.Random = placement.Random
+			go func() {
+				time.Sleep(20 * time.Millisecond)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				for _, u := range f.ups {
+					u.load = placement.Load{Slots: 2, Slowness: 1}
+				}
+			}()
+			start := time.Now()
+			is.Equal(fw.Run(t.Context(), request(false)).Outcome, Answered)
+			is.True(time.Since(start) <= 60*time.Millisecond+usualDuration)
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -23,6 +23,7 @@
 	noLoadUntil sync.Map     // service name -> time.Time until which its endpoints are not probed, because they report no load
 	rejections  sync.Map     // service name -> *serviceRejections
 	samplers    sync.Map     // service name -> *serviceSampler
+	rooms       sync.Map     // service name -> *serviceRoom
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
 
 	rejectingCount atomic.Int64 // endpoints in rejections
