forward: no sends to endpoints of unknown load while probes find no room

Callers saw: late answers of requests that were sent to full endpoints.

Cause: when the probe budget was used up, a request was sent to a random endpoint of its zone, as if the load of all were average. Of the sends without a load report a quarter took over 1.8 times as long as expected, 2.6 times at the 95th percentile (with a report 1.04 and 1.5).

Change: such a request is sent only if at least half of the recently probed endpoints had room; otherwise it waits like the others.

Test: TestNoBlindSendsToFullEndpoints, failed before.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -125,7 +125,7 @@
 // chooseEndpoint returns the best endpoint and the expected duration there, or nil if it found none. It uses the load reports that are
 // fresh, and probes further endpoints in rounds until one is good enough or the probe budget is used up. A request that waits in the
 // queue probes one round each time, see restrictToRoom. If the endpoints report no load, or the probe budget is used up before any load
-// is known, it chooses without probes.
+// is known and endpoints probably have room, it chooses without probes.
 func (r *activeRequest) chooseEndpoint(ctx context.Context, waiting bool) (*placement.EndpointView, time.Duration) {
 	now := time.Now()
 	list := r.usableEndpoints(now)
@@ -171,7 +171,11 @@
 		best, expected = cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
 	}
 	if best < 0 && r.result.ProbeRoundsSkipped > 0 {
-		return r.chooseWithoutProbes(cfg, views, avoid)
+		v, expected := r.chooseWithoutProbes(cfg, views, avoid)
+		if v == nil || !stats.LikelyRoom(v.Service, v.Local, now) {
+			return nil, 0
+		}
+		return v, expected
 	}
 	if best < 0 {
 		return nil, 0
--- a/internal/coordination/forward/room_test.go
+++ b/internal/coordination/forward/room_test.go
@@ -89,3 +89,33 @@
 		})
 	}
 }
+
+// TestNoBlindSendsToFullEndpoints guards against requests that are sent to an endpoint of unknown load, and wait there, because the probe budget
+// is used up while the probes before showed full endpoints. If these showed room, the request is sent.
+func TestNoBlindSendsToFullEndpoints(t *testing.T) {
+	for _, full := range []bool{true, false} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			load := placement.Load{Slots: 2, Slowness: 1}
+			if full {
+				load = fullLoad
+			}
+			f := twoZones(40, load)
+			fw := f.forwarder(largeBurst)
+			fw.cfg.Random = placement.Random
+			rate := 8.0
+			fw.cfg.ProbeBudget = placement.NewProbeBudget(func() float64 { return rate })
+			r := fw.Run(t.Context(), request(false))
+			is.True(r.ProbesSent > 0)
+			is.Equal(r.Outcome == Answered, !full)
+			time.Sleep(50 * time.Millisecond) // the load reports are no longer fresh
+			rate = 0
+			received := f.received()
+			r = fw.Run(t.Context(), request(false))
+			is.Equal(r.ProbesSent, 0)
+			is.Equal(r.Outcome == Answered, !full)
+			is.Equal(f.received() == received, full)
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/coordination/placement/admit.go
+++ b/internal/coordination/placement/admit.go
@@ -31,11 +31,7 @@
 // searchFraction of the target latency has passed, or the target can no longer be met, it is also sent if v has a free slot and is expected
 // to answer before the deadline. A request that is not sent waits while it can still meet its target latency, and is refused otherwise.
 func (c *Config) Admit(v *EndpointView, expected time.Duration, timing RequestTiming) Decision {
-	hasFreeSlot := false
-	if v != nil {
-		busy, slots := v.occupancy()
-		hasFreeSlot = busy < slots
-	}
+	hasFreeSlot := v != nil && v.HasFreeSlot()
 	switch {
 	case hasFreeSlot && expected <= timing.UntilLate:
 		return Send
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -103,6 +103,12 @@
 	return requests, slots
 }
 
+// HasFreeSlot reports whether the endpoint has a free slot, as far as this host knows.
+func (v *EndpointView) HasFreeSlot() bool {
+	busy, slots := v.occupancy()
+	return busy < slots
+}
+
 // ExpectedDuration returns how long a request of the given usual duration is expected to take at the endpoint: the usual duration
 // multiplied by the endpoint's slowness and the factors for warm-up and for few free slots, plus the wait for a free slot, plus
 // RemotePenalty for an endpoint in another zone.
@@ -232,8 +238,7 @@
 // FastEnough reports whether an endpoint with the expected duration is worth choosing without probing endpoints of other zones. One
 // without a free slot is not, however short its queue: Admit would let the request wait for it.
 func (c *Config) FastEnough(v *EndpointView, expected, serviceTime time.Duration) bool {
-	busy, slots := v.occupancy()
-	return busy < slots && float64(expected) <= float64(serviceTime)*c.GoodEnoughFactor && v.FailureRate <= maxGoodFailureRate
+	return v.HasFreeSlot() && float64(expected) <= float64(serviceTime)*c.GoodEnoughFactor && v.FailureRate <= maxGoodFailureRate
 }
 
 // Random returns a random number in [0, n). It is the source of randomness in production.
--- a/internal/coordination/placement/room.go
+++ b/internal/coordination/placement/room.go
@@ -53,6 +53,19 @@
 	return r.(*serviceRoom)
 }
 
+// LikelyRoom reports whether an endpoint whose load is not known has room as likely as not, by the probes of its service in this host's
+// zone or, if local is false, in others.
+func (t *EndpointStats) LikelyRoom(service string, local bool, now time.Time) bool {
+	r := t.room(service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &r.remote
+	if local {
+		s = &r.local
+	}
+	return s.estimate(0.5, now) >= 0.5
+}
+
 // leavesRoom reports whether an endpoint with this load is idle, or would not become nearly full by another request.
 func (l Load) leavesRoom() bool {
 	busy := l.Running + l.Waiting
