forward: repeats only to endpoints with a free slot

Callers saw: late answers, and rejections by endpoints whose queues were full.

Cause: a hedge or retry went to the best endpoint even if that was full, and waited there before requests that had been held back for a free slot.

Change: repeats need a free slot, too.

Test: TestRepeatsTakeOnlyFreeSlots, failed before.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -13,7 +13,7 @@
 )
 
 // findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait. A repeat does not wait:
-// it gets the best endpoint if that is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the
+// it gets the best endpoint if that has a free slot and is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the
 // send is recorded at the endpoint: the next request in the queue must not see the same slot free.
 func (r *activeRequest) findEndpoint(ctx context.Context, repeat bool) (view placement.EndpointView, expected time.Duration, ok bool) {
 	queue := r.forwarder.queue(r.call.Service.Name)
@@ -35,7 +35,7 @@
 		timing := placement.RequestTiming{ServiceTime: r.serviceTime, UntilLate: r.lateAt.Sub(now), UntilDeadline: r.call.Due.Sub(now),
 			Waited: now.Sub(r.call.Arrived)}
 		if repeat {
-			if best == nil || expected > timing.UntilDeadline {
+			if best == nil || !best.HasFreeSlot() || expected > timing.UntilDeadline {
 				return placement.EndpointView{}, 0, false
 			}
 			if !r.forwarder.cfg.EndpointStats.ReserveSend(best.ID, now) {
--- a/internal/coordination/forward/room_test.go
+++ b/internal/coordination/forward/room_test.go
@@ -119,3 +119,33 @@
 		})
 	}
 }
+
+// TestRepeatsTakeOnlyFreeSlots guards against hedges and retries that wait at full endpoints and there delay other requests: the first endpoint is
+// slow or rejects the request, and all others are full, or one of them has a free slot by then.
+func TestRepeatsTakeOnlyFreeSlots(t *testing.T) {
+	free := placement.Load{Slots: 2, Slowness: 1}
+	for name, first := range map[string]fakeUpstream{"hedge": {load: free, duration: 5 * usualDuration},
+		"retry": {load: free, duration: usualDuration / 2, answer: refusedResponse}} {
+		for _, full := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " full=", full), func(t *testing.T) {
+				faketime.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := twoZones(3, fullLoad)
+					f.ups["own0"] = &first
+					time.AfterFunc(usualDuration/3, func() {
+						f.mu.Lock()
+						defer f.mu.Unlock()
+						if !full {
+							f.ups["own1"].load = free
+						}
+					})
+					f.forwarder(largeBurst).Run(t.Context(), request(true))
+					time.Sleep(time.Minute)
+					is.Equal(first.received, 1)
+					is.Equal(f.received() == 1, full)
+					first.received = 0
+				})
+			})
+		}
+	}
+}
