forward: arrivals do not overtake more urgent requests that wait

Callers saw: urgent requests refused while less urgent ones, which had come later, were served.

Cause: an arrival looked for a slot before it joined the queue, so it could take the one for which a more urgent request waited.

Change: an arrival joins the queue at once if a more urgent request waits. It also spends no probes then.

Test: TestArrivalsDoNotOvertakeUrgent, failed before.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -12,7 +12,8 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
-// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait. A repeat does not wait:
+// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait or more urgent requests
+// wait. A repeat does not wait:
 // it gets the best endpoint if that has a free slot and is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the
 // send is recorded at the endpoint: the next request in the queue must not see the same slot free.
 func (r *activeRequest) findEndpoint(ctx context.Context, repeat bool) (view placement.EndpointView, expected time.Duration, ok bool) {
@@ -26,6 +27,10 @@
 			}
 		}
 	}()
+	if !repeat && queue.HasMoreUrgent(r.call.Route.Priority) {
+		waiter = queue.Add(r.call.Route.Priority, r.lateAt)
+		r.waitForTurn(ctx, queue, waiter)
+	}
 	for {
 		best, expected := r.chooseEndpoint(ctx, waiter != nil)
 		if best != nil && r.forwarder.cfg.Withdrawn(best.ID) {
--- a/internal/coordination/forward/room_test.go
+++ b/internal/coordination/forward/room_test.go
@@ -149,3 +149,31 @@
 		}
 	}
 }
+
+// TestArrivalsDoNotOvertakeUrgent guards against urgent requests that wait for a free slot and lose it to a less urgent one that has just arrived.
+func TestArrivalsDoNotOvertakeUrgent(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := twoZones(40, fullLoad)
+		fw := f.forwarder(largeBurst)
+		fw.cfg.Random = placement.Random
+		ended := make(chan string, 2)
+		run := func(name string, priority int) {
+			c := request(false)
+			c.RequestID, c.Route.Priority, c.Due = name, priority, c.Arrived.Add(time.Second)
+			if fw.Run(t.Context(), c).Outcome == Answered {
+				ended <- name
+			}
+		}
+		go run("urgent", 0)
+		time.Sleep(recheckInterval + recheckInterval/3)
+		f.mu.Lock()
+		for _, u := range f.ups {
+			u.load = placement.Load{Slots: 2, Slowness: 1}
+		}
+		f.mu.Unlock()
+		go run("less urgent", 1)
+		is.Equal(<-ended, "urgent")
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -67,6 +67,13 @@
 	return len(q.waiters) > 0 && q.waiters[0] == w
 }
 
+// HasMoreUrgent reports whether a request of a more urgent priority waits.
+func (q *Queue) HasMoreUrgent(priority int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiters) > 0 && q.waiters[0].priority < priority
+}
+
 // WakeNext wakes the first request that has no wake-up pending, because an endpoint may have a free slot.
 func (q *Queue) WakeNext() {
 	q.mu.Lock()
