forward: where no load is reported, choose by the duration of recent answers

Callers saw: where endpoints report no load, half of the requests late or failed, most in zones with few endpoints for their callers.

Cause: the choice was between two endpoints of the own zone by this host's own requests there, so hosts stayed in their zone however full it was.

Change: the host keeps the pace of each endpoint, the recent duration of its answers as a multiple of the usual one, and its mean by zone. The better of two random endpoints of other zones is taken if it is expected to take less by a factor of 1.6; one request in 40 goes elsewhere to learn how fast that is.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -188,19 +188,39 @@
 	return &views[best], expected
 }
 
-// chooseWithoutProbes returns the better of two random endpoints of the probe rounds, in this host's zone if possible, according to the
-// endpoint statistics (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001).
+// exploreInterval is the mean number of requests without probes of which one goes to another zone, so that it is known how fast that is.
+const exploreInterval = 40
+
+// chooseWithoutProbes returns the better of two random endpoints of this host's zone according to the endpoint statistics (Mitzenmacher, The
+// Power of Two Choices in Randomized Load Balancing, 2001), or the better of two of other zones if that is expected to be faster by
+// LeaveZoneFactor.
 func (r *activeRequest) chooseWithoutProbes(cfg *placement.Config, views []placement.EndpointView,
 	avoid func(endpoints.ID) bool) (*placement.EndpointView, time.Duration) {
-	rounds := cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random)
-	if len(rounds) == 0 {
+	local, remote := byZone(views, cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random))
+	best, expected := cfg.Best(views, local[:min(2, len(local))], r.serviceTime, r.call.Route.Idempotent)
+	other, otherExpected := cfg.Best(views, remote[:min(2, len(remote))], r.serviceTime, r.call.Route.Idempotent)
+	explore := r.forwarder.cfg.Random(exploreInterval) == exploreInterval-1
+	if best < 0 || (other >= 0 && (explore || float64(expected) > cfg.LeaveZoneFactor*float64(otherExpected))) {
+		best, expected = other, otherExpected
+	}
+	if best < 0 {
 		return nil, 0
 	}
-	candidates := slices.Concat(rounds...)
-	best, expected := cfg.Best(views, candidates[:min(2, len(candidates))], r.serviceTime, r.call.Route.Idempotent)
 	return &views[best], expected
 }
 
+// byZone returns the endpoints of the rounds that are in this host's zone and the others.
+func byZone(views []placement.EndpointView, rounds [][]int) (local, remote []int) {
+	for _, i := range slices.Concat(rounds...) {
+		if views[i].Local {
+			local = append(local, i)
+		} else {
+			remote = append(remote, i)
+		}
+	}
+	return local, remote
+}
+
 // probeResult is the result of one probe.
 type probeResult struct {
 	index int // of the endpoint's view
--- a/internal/coordination/forward/room.go
+++ b/internal/coordination/forward/room.go
@@ -16,14 +16,7 @@
 	now time.Time) ([]int, [][]int) {
 	stats := r.forwarder.cfg.EndpointStats
 	cfg := stats.Config()
-	var local, remote []int
-	for _, i := range slices.Concat(rounds...) {
-		if views[i].Local {
-			local = append(local, i)
-		} else {
-			remote = append(remote, i)
-		}
-	}
+	local, remote := byZone(views, rounds)
 	hasLocal := slices.ContainsFunc(views, func(v placement.EndpointView) bool {
 		return v.Local && !v.Suspect && !v.Rejecting && !avoid(v.ID)
 	})
--- a/internal/coordination/forward/room_test.go
+++ b/internal/coordination/forward/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -177,3 +178,41 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestPaceChoosesZone guards against requests that crowd on the endpoints of their zone, where they wait, while those of another zone are idle and
+// none reports its load; and against ones that leave their zone for others that are no faster.
+func TestPaceChoosesZone(t *testing.T) {
+	const requests = 300
+	for _, c := range []struct {
+		ownFactors     []int // durations of the own endpoints in turn, as multiples of the usual one
+		atLeast, below int   // of the requests, sent to the other zone
+	}{
+		{[]int{1}, 0, requests / 10},
+		{[]int{3, 6}, requests / 2, requests},
+	} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := twoZones(5, placement.Load{Slots: 2, Slowness: 1})
+			for name, u := range f.ups {
+				u.load = placement.Load{}
+				if n, ok := strings.CutPrefix(name, "own"); ok {
+					u.duration = usualDuration * time.Duration(c.ownFactors[int(n[0])%len(c.ownFactors)])
+				}
+			}
+			fw := f.forwarder(largeBurst)
+			fw.cfg.Random = rand.New(rand.NewPCG(1, 1)).IntN
+			left := 0
+			for range requests {
+				c := request(false)
+				c.Due = c.Arrived.Add(time.Second)
+				r := fw.Run(t.Context(), c)
+				is.Equal(r.Outcome, Answered)
+				if strings.HasPrefix(string(r.Body), "neighbour") {
+					left++
+				}
+			}
+			time.Sleep(time.Minute)
+			is.True(left >= c.atLeast && left < c.below)
+		})
+	}
+}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -45,6 +45,9 @@
 			f.cfg.EndpointStats.RecordUnreachable(v.ID, now)
 		}
 		if !got.resp.NotRun && got.resp.Status < http.StatusInternalServerError {
+			if got.resp.Slots == 0 {
+				f.cfg.EndpointStats.RecordPace(v.Endpoint.Endpoint, float64(now.Sub(start))/float64(f.serviceTimes.estimate(route)), now)
+			}
 			f.serviceTimes.observe(route, now.Sub(start), v.Load)
 		}
 	}
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -24,6 +24,7 @@
 	rejections  sync.Map     // service name -> *serviceRejections
 	samplers    sync.Map     // service name -> *serviceSampler
 	rooms       sync.Map     // service name -> *serviceRoom
+	paces       sync.Map     // paceKey -> *meanPace
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
 
 	rejectingCount atomic.Int64 // endpoints in rejections
@@ -49,6 +50,7 @@
 	rejectingUntil time.Time     // until when the endpoint wants no requests
 	inFlightLimit  int           // bound of inFlight after a rejection; 0 if there is none
 	usedAt         time.Time     // of the last access, for EvictUnused
+	pace           pace
 }
 
 // NewEndpointStats returns statistics without any endpoint.
@@ -90,7 +92,12 @@
 // View returns what this host knows of one endpoint.
 func (t *EndpointStats) View(e registry.Endpoint, now time.Time) EndpointView {
 	v := EndpointView{Endpoint: e, Local: e.Zone == t.cfg.Zone, WarmUpLeft: max(0, e.WarmUpEnd.Sub(now))}
-	t.update(e.ID, now, func(s *endpointEntry) { s.fill(&v, now) })
+	t.update(e.ID, now, func(s *endpointEntry) {
+		s.fill(&v, now)
+		if s.loadReportedAt.IsZero() {
+			v.Pace = s.pace.at(t.meanPace(e.Service, v.Local).get(), now)
+		}
+	})
 	return v
 }
 
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -36,6 +36,9 @@
 	// GoodEnoughFactor is the expected duration, as a multiple of the request's usual one, up to which an endpoint is chosen without
 	// probing further ones.
 	GoodEnoughFactor float64
+	// LeaveZoneFactor is the shortest expected duration in this host's zone, as a multiple of that in other zones, at which a request
+	// leaves the zone if no load is known.
+	LeaveZoneFactor float64
 	// RemotePenalty is added to the expected duration at endpoints in other availability zones, for the longer network path.
 	RemotePenalty time.Duration
 }
@@ -43,7 +46,7 @@
 // DefaultConfig returns the settings used in production, without the zone.
 func DefaultConfig() Config {
 	return Config{FirstRoundSize: 3, NextRoundSize: 4, MaxRounds: 3, MaxLoadAge: 25 * time.Millisecond, GoodEnoughFactor: 1.5,
-		RemotePenalty: 10 * time.Millisecond}
+		LeaveZoneFactor: 1.6, RemotePenalty: 10 * time.Millisecond}
 }
 
 const (
@@ -83,6 +86,7 @@
 	Rejecting     bool          // it wants no requests now, see EndpointStats.RecordRejection
 	InFlightLimit int           // bound of InFlight after a rejection; 0 if there is none
 	ProbeInFlight bool          // this host has sent it a probe that has not ended
+	Pace          float64       // recent duration of requests as a multiple of the usual one; 0 if the endpoint has reported its load
 	WarmUpLeft    time.Duration // how much longer the endpoint is slow after its start
 }
 
@@ -111,10 +115,14 @@
 
 // ExpectedDuration returns how long a request of the given usual duration is expected to take at the endpoint: the usual duration
 // multiplied by the endpoint's slowness and the factors for warm-up and for few free slots, plus the wait for a free slot, plus
-// RemotePenalty for an endpoint in another zone.
+// RemotePenalty for an endpoint in another zone. The slowness of an endpoint that reports no load is its pace, increased by this host's
+// requests there.
 func (c *Config) ExpectedDuration(v *EndpointView, serviceTime time.Duration) time.Duration {
 	busy, slots := v.occupancy()
 	slowness := assumedSlowness
+	if v.Pace > 0 { // other hosts keep it about as busy as this one does
+		slowness = v.Pace * (1 + float64(v.InFlight)/float64(slots))
+	}
 	if v.LoadAge >= 0 && v.LoadAge <= loadReportLifetime {
 		slowness = v.Load.Slowness
 	}
