--- a/internal/coordination/forward/unusual_test.go
+++ b/internal/coordination/forward/unusual_test.go
@@ -106,3 +106,58 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestFewEndpoints guards against panics, requests that are held, and refusals that say nothing, where a service has no endpoint, one, or one in each
+// zone: with a free slot, full, rejecting all requests because their queues are full, and without load reports.
+func TestFewEndpoints(t *testing.T) {
+	free := placement.Load{Slots: 1, Slowness: 1}
+	full := placement.Load{Running: 1, Waiting: 1, Slots: 1, Slowness: 1}
+	for _, zones := range [][]string{{}, {"a"}, {"b"}, {"a", "b"}} {
+		for _, c := range []struct {
+			name string
+			up   fakeUpstream
+			want Outcome
+		}{
+			{"free", fakeUpstream{load: free, duration: usualDuration}, Answered},
+			{"full", fakeUpstream{load: full, duration: usualDuration}, RefusedTooLate},
+			{"rejecting", fakeUpstream{load: free, answer: refusedResponse}, RefusedUpstream},
+			{"no load", fakeUpstream{duration: usualDuration}, Answered},
+			{"no load, rejecting", fakeUpstream{answer: refusedResponse}, RefusedUpstream},
+		} {
+			for _, idempotent := range []bool{true, false} {
+				t.Run(fmt.Sprint(zones, c.name, idempotent), func(t *testing.T) {
+					faketime.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						ups := map[string]*fakeUpstream{}
+						for _, zone := range zones {
+							up := c.up
+							ups[zone] = &up
+						}
+						f := newFakeService(ups)
+						for _, e := range f.list {
+							e.Zone, e.Slots = e.Name, 1
+							f.ups[e.Name].load = c.up.load
+						}
+						want := c.want
+						if len(zones) == 0 {
+							want = RefusedNoEndpoint
+						}
+						fw := f.forwarder(largeBurst)
+						fw.cfg.Random = placement.Random
+						for range 20 {
+							call := request(idempotent)
+							start := time.Now()
+							r := fw.Run(t.Context(), call)
+							is.Equal(r.Outcome, want)
+							is.True(time.Since(start) <= call.Route.TargetLatency)
+							is.Equal(r.Outcome.GuaranteesNotRun(), want != Answered)
+							is.Equal(r.RetryAfter > 0, want != Answered)
+							time.Sleep(100 * time.Millisecond)
+						}
+						time.Sleep(time.Minute)
+					})
+				})
+			}
+		}
+	}
+}
