forward: the test of panics runs under the fake clock

At load 38 the probe of the only endpoint took longer than firstProbeWait of real time, so that the request was refused (refused_no_endpoint for lost_answer). The checks are the same.

--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -366,17 +366,20 @@
 // TestPanicEndsOneRequest guards against a panic that ends the process: only the send or probe that panicked fails, the panic is reported,
 // and the request counts as possibly run.
 func TestPanicEndsOneRequest(t *testing.T) {
-	is := is.New(t)
-	f := newFakeService(map[string]*fakeUpstream{"a": {answer: func() (*executor.Response, error) { panic("broken") }}})
-	forwarder := f.forwarder(10)
-	var reported []string
-	forwarder.cfg.OnPanic = func(id string, value any, stack []byte) {
-		is.True(len(stack) > 0)
-		reported = append(reported, fmt.Sprint(id, " ", value))
-	}
-	res := forwarder.Run(t.Context(), request(false))
-	is.Equal(res.Outcome, LostAnswer)
-	is.Equal(reported, []string{"r1 broken"})
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeService(map[string]*fakeUpstream{"a": {answer: func() (*executor.Response, error) { panic("broken") }}})
+		forwarder := f.forwarder(10)
+		var reported []string
+		forwarder.cfg.OnPanic = func(id string, value any, stack []byte) {
+			is.True(len(stack) > 0)
+			reported = append(reported, fmt.Sprint(id, " ", value))
+		}
+		res := forwarder.Run(t.Context(), request(false))
+		is.Equal(res.Outcome, LostAnswer)
+		is.Equal(reported, []string{"r1 broken"})
+		time.Sleep(time.Minute)
+	})
 }
 
 // TestOneWaiterProbesForAll guards against probes that grow with the number of waiting requests while all endpoints are full: only the
