--- a/internal/coordination/forward/forward_test.go
+++ b/internal/coordination/forward/forward_test.go
@@ -96,7 +96,13 @@
 	if u.answer == nil {
 		return completeResponse(200, e.Address)
 	}
-	return u.answer()
+	resp, err := u.answer()
+	if err == nil {
+		if body, ok := resp.Body.(*endlessBody); ok {
+			body.ctx = ctx
+		}
+	}
+	return resp, err
 }
 
 func (f *fakeService) received() int {
@@ -621,3 +627,28 @@
 		})
 	}
 }
+
+// TestStoppedSendsNoWaitingRequest guards against a stop that sends waiting requests to the slots of the requests which it cuts.
+func TestStoppedSendsNoWaitingRequest(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		busy := &fakeUpstream{duration: time.Minute}
+		f := newFakeService(map[string]*fakeUpstream{"a": busy})
+		fw := f.forwarder(largeBurst)
+		var stopped atomic.Bool
+		fw.cfg.Stopped = stopped.Load
+		var running, waiting sync.WaitGroup
+		ctx, cut := context.WithCancel(t.Context())
+		for range busy.load.Slots {
+			running.Go(func() { is.Equal(fw.Run(ctx, request(false)).Outcome, TimedOut) })
+		}
+		time.Sleep(100 * time.Millisecond) // until both are sent
+		waiting.Go(func() { is.Equal(fw.Run(t.Context(), request(false)).Outcome, RefusedUnsent) })
+		time.Sleep(10 * time.Millisecond)
+		stopped.Store(true)
+		cut()
+		running.Wait()
+		waiting.Wait()
+		is.Equal(busy.received, busy.load.Slots)
+	})
+}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -18,8 +17,12 @@
 	start := time.Now()
 	got := sendResult{written: true}
 	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
-	if got.err == nil {
-		got.body, got.stream, got.err = readAnswer(got.resp)
+	switch {
+	case got.err != nil:
+	case got.resp.NotRun:
+		got.resp.Discard()
+	default:
+		f.readAnswer(&got)
 	}
 	now := time.Now()
 	var sendErr *executor.SendError
@@ -27,6 +30,9 @@
 		got.written = sendErr.Written
 	}
 	switch {
+	case got.err != nil && ctx.Err() != nil && (got.stalled(now) || sendErr != nil && sendErr.Partial):
+		f.cfg.EndpointStats.RecordEnd(v.ID, true, now)
+		f.reportCut(c, v, &got, int64(len(got.body)), errStalled)
 	case got.err != nil && ctx.Err() != nil, errors.Is(got.err, executor.ErrWithdrawn):
 		f.cfg.EndpointStats.RecordEndWithoutOutcome(v.ID, now)
 	case got.err != nil && !got.written:
@@ -54,23 +60,18 @@
 	if got.err != nil {
 		got.resp = nil
 	}
+	if got.stream != nil {
+		got.stream = &watchedStream{ReadCloser: got.stream, ctx: ctx, readBefore: int64(len(got.body)), calledAt: now, onCut: func(bytes int64, failed bool, err error) {
+			if failed {
+				f.cfg.EndpointStats.RecordCut(v.ID, time.Now())
+			}
+			f.reportCut(c, v, &got, bytes, err)
+		}}
+	}
 	f.queue(v.Service).WakeNext()
 	return got
 }
 
-// readAnswer reads the body of an answer. If it is larger than maxBufferedBody, stream holds what follows the part that was read.
-func readAnswer(resp *executor.Response) (body []byte, stream io.ReadCloser, err error) {
-	if resp.Length > maxBufferedBody {
-		return nil, resp.Body, nil
-	}
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
-		return body, resp.Body, nil
-	}
-	resp.Body.Close()
-	return body, nil, err
-}
-
 // LoadFromResponse returns the load that a response reports. Slots is 0 if it reports none.
 func LoadFromResponse(r *executor.Response) placement.Load {
 	l := placement.Load{Running: r.InFlight - r.Waiting, Waiting: r.Waiting, Slots: r.Slots, Slowness: r.Slowness}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,9 +72,10 @@
 	peers         *peers.Table
 	link          *peerlink.Link // exchanges messages with peers; set by Run
 	draining      atomic.Bool
-	received      atomic.Int64 // requests received since the start
-	hasStoreCopy  atomic.Bool  // this host has a copy of the store's topics, from a peer or by reading the store
-	storeLost     atomic.Bool  // this host's reads of the store fail, at the last heartbeat
+	drainPlan     atomic.Pointer[drainPlan] // nil before a drain
+	received      atomic.Int64              // requests received since the start
+	hasStoreCopy  atomic.Bool               // this host has a copy of the store's topics, from a peer or by reading the store
+	storeLost     atomic.Bool               // this host's reads of the store fail, at the last heartbeat
 	updateSources updateSources
 	storeHealth   storeHealth
 	encodedStates encodedStateCache
@@ -97,10 +98,11 @@
 	// upstreamConnectTimeout limits connection set-up, so that requests do not wait for an endpoint that does not accept connections
 	// at once.
 	upstreamConnectTimeout = 150 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the process's memory that request bodies may take, and heapFraction the memory limit of the
-	// Go runtime as a fraction of the process's memory.
-	bodyMemoryFraction = 0.25
-	heapFraction       = 0.6
+	// bodyMemoryFraction is the fraction of the process's memory that request bodies may take, answerMemoryFraction the one for answers that are
+	// read before they are passed on, and heapFraction the memory limit of the Go runtime as a fraction of the process's memory.
+	bodyMemoryFraction   = 0.25
+	answerMemoryFraction = 0.15
+	heapFraction         = 0.6
 	// callerDescriptorFraction is the fraction of the file descriptors that callers' connections may use. The rest is for upstreams, the
 	// store and peers.
 	callerDescriptorFraction = 0.6
@@ -146,9 +148,11 @@
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn})
+		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
+		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
-		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic})
+		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		OnUndelivered: g.reportUndelivered})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge:    func() time.Duration { return g.peers.MaxAge(time.Now()) },
 		ReadDelay: func() time.Duration { return g.peers.ReadDelay(time.Now()) },
@@ -220,6 +224,18 @@
 		"reason", reason[:min(maxLoggedReason, len(reason))], "connections", g.callers.Connections())
 }
 
+// reportUndelivered counts a response that did not reach its caller. It logs it unless the caller disconnected, which the line of the request
+// tells.
+func (g *Gateway) reportUndelivered(r *ingress.Request, resp *ingress.Response, cause error) {
+	if errors.Is(cause, ingress.ErrCallerLeft) {
+		g.metrics.Add("responses_undelivered_caller_left_total", 1)
+		return
+	}
+	g.metrics.Add("responses_undelivered_total", 1)
+	g.log.Warn("response_undelivered", "id", r.Header.Get(g.adapter.Dialect.RequestID), "status", resp.Status, "cause", cause,
+		"read_ms_ago", ms(time.Since(r.HeaderReadAt)), "draining", g.draining.Load())
+}
+
 // reportPanic counts and logs a panic that ended a request, a send to an endpoint or a load probe.
 func (g *Gateway) reportPanic(requestID string, value any, stack []byte) {
 	g.metrics.Add("panics_total", 1)
@@ -286,11 +302,11 @@
 	group.Go(func() error { g.maintainHostList(runCtx); return nil })
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
 	<-ctx.Done()
-	g.drain(callers)
+	auxCtx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(g.settings.grace())*auxStopFraction))
+	defer cancel()
+	g.drain()
 	stop()
-	for _, s := range servers {
-		s.Close()
-	}
+	stopAuxServers(auxCtx, servers)
 	g.link.Close()
 	err = group.Wait()
 	g.log.Info("stopped", "error", err)
@@ -345,29 +361,3 @@
 		}
 	}
 }
-
-// drain announces that this host is leaving and answers the requests in progress. For a part of the grace time it still accepts
-// connections, because callers keep host addresses for a while. From the start of the drain, each answer closes its connection. Requests
-// that are still running after drainFraction of the grace time are cut.
-func (g *Gateway) drain(l net.Listener) {
-	start := time.Now()
-	g.draining.Store(true)
-	g.updateStatus()
-	g.sendHeartbeat()
-	g.callers.Drain()
-	g.log.Info("draining", "active", g.callers.Unanswered(), "connections", g.callers.Connections(), "grace_ms", g.settings.grace().Milliseconds())
-	sleep(context.Background(), time.Duration(float64(g.settings.grace())*drainAcceptFraction))
-	l.Close()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(float64(g.settings.grace())*drainFraction)))
-	defer cancel()
-	g.callers.Close(ctx)
-	g.log.Info("drained", "took_ms", time.Since(start).Milliseconds(), "cut", g.callers.Unanswered())
-}
-
-const (
-	// drainAcceptFraction is the fraction of the grace time for which new connections are accepted: callers keep addresses for seconds.
-	drainAcceptFraction = 0.5
-	// drainFraction is the fraction of the grace time that draining may take. The rest is for ending the process, which is killed when the
-	// grace time is over.
-	drainFraction = 0.86
-)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -13,6 +13,7 @@
 // TestSoak runs seeds of the randomized fault test of package soak with entry hosts as processes. The checks with time limits run
 // only under make soak.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
 	is.NoErr(err)
@@ -20,3 +21,13 @@
 		is.NoErr(soak.Run(t.Context(), soak.Config{Seed: seed, Hosts: 5, Length: 24 * time.Second, Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
 	}
 }
+
+// TestSoakPlannedStops guards against requests that a host passed on to an endpoint and that end without a response around its planned
+// stop, in particular those of callers that send further requests before earlier ones are answered.
+func TestSoakPlannedStops(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
+	is.NoErr(err)
+	is.NoErr(soak.Run(t.Context(), soak.Config{Seed: 1, Hosts: 3, Length: 4 * time.Second, Only: []string{"overlapping-stops"}, Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
+}
