--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -12,8 +12,9 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
-// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait. A repeat does not wait:
-// it gets the best endpoint if that is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the
+// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait or more urgent requests
+// wait. A repeat does not wait:
+// it gets the best endpoint if that has a free slot and is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the
 // send is recorded at the endpoint: the next request in the queue must not see the same slot free.
 func (r *activeRequest) findEndpoint(ctx context.Context, repeat bool) (view placement.EndpointView, expected time.Duration, ok bool) {
 	queue := r.forwarder.queue(r.call.Service.Name)
@@ -26,6 +27,10 @@
 			}
 		}
 	}()
+	if !repeat && queue.HasMoreUrgent(r.call.Route.Priority) {
+		waiter = queue.Add(r.call.Route.Priority, r.lateAt)
+		r.waitForTurn(ctx, queue, waiter)
+	}
 	for {
 		best, expected := r.chooseEndpoint(ctx, waiter != nil)
 		if best != nil && r.forwarder.cfg.Withdrawn(best.ID) {
@@ -35,7 +40,7 @@
 		timing := placement.RequestTiming{ServiceTime: r.serviceTime, UntilLate: r.lateAt.Sub(now), UntilDeadline: r.call.Due.Sub(now),
 			Waited: now.Sub(r.call.Arrived)}
 		if repeat {
-			if best == nil || expected > timing.UntilDeadline {
+			if best == nil || !best.HasFreeSlot() || expected > timing.UntilDeadline {
 				return placement.EndpointView{}, 0, false
 			}
 			if !r.forwarder.cfg.EndpointStats.ReserveSend(best.ID, now) {
@@ -124,8 +129,8 @@
 
 // chooseEndpoint returns the best endpoint and the expected duration there, or nil if it found none. It uses the load reports that are
 // fresh, and probes further endpoints in rounds until one is good enough or the probe budget is used up. A request that waits in the
-// queue probes one round each time, and the rounds in turn. If the endpoints report no load, or the probe budget is used up before any load
-// is known, it chooses without probes.
+// queue probes one round each time, see restrictToRoom. If the endpoints report no load, or the probe budget is used up before any load
+// is known and endpoints probably have room, it chooses without probes.
 func (r *activeRequest) chooseEndpoint(ctx context.Context, waiting bool) (*placement.EndpointView, time.Duration) {
 	now := time.Now()
 	list := r.usableEndpoints(now)
@@ -142,13 +147,13 @@
 			candidates = append(candidates, i)
 		}
 	}
-	best, expected := cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
 	rounds := cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random)
-	if waiting && len(rounds) > 0 { // the first round has only endpoints of this zone, which may all be full
-		rounds = rounds[r.result.QueueWaits%len(rounds):]
+	if waiting {
+		candidates, rounds = r.restrictToRoom(views, candidates, rounds, avoid, now)
 	}
-	for n, round := range rounds {
-		if (waiting && n > 0) || (best >= 0 && cfg.GoodEnough(&views[best], expected, r.serviceTime)) || ctx.Err() != nil {
+	best, expected := cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
+	for _, round := range rounds {
+		if (best >= 0 && cfg.GoodEnough(&views[best], expected, r.serviceTime)) || ctx.Err() != nil {
 			break
 		}
 		take := r.forwarder.cfg.ProbeBudget.Take
@@ -171,7 +176,11 @@
 		best, expected = cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
 	}
 	if best < 0 && r.result.ProbeRoundsSkipped > 0 {
-		return r.chooseWithoutProbes(cfg, views, avoid)
+		v, expected := r.chooseWithoutProbes(cfg, views, avoid)
+		if v == nil || !stats.LikelyRoom(v.Service, v.Local, now) {
+			return nil, 0
+		}
+		return v, expected
 	}
 	if best < 0 {
 		return nil, 0
@@ -179,19 +188,39 @@
 	return &views[best], expected
 }
 
-// chooseWithoutProbes returns the better of two random endpoints of the probe rounds, in this host's zone if possible, according to the
-// endpoint statistics (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001).
+// exploreInterval is the mean number of requests without probes of which one goes to another zone, so that it is known how fast that is.
+const exploreInterval = 40
+
+// chooseWithoutProbes returns the better of two random endpoints of this host's zone according to the endpoint statistics (Mitzenmacher, The
+// Power of Two Choices in Randomized Load Balancing, 2001), or the better of two of other zones if that is expected to be faster by
+// LeaveZoneFactor.
 func (r *activeRequest) chooseWithoutProbes(cfg *placement.Config, views []placement.EndpointView,
 	avoid func(endpoints.ID) bool) (*placement.EndpointView, time.Duration) {
-	rounds := cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random)
-	if len(rounds) == 0 {
+	local, remote := byZone(views, cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random))
+	best, expected := cfg.Best(views, local[:min(2, len(local))], r.serviceTime, r.call.Route.Idempotent)
+	other, otherExpected := cfg.Best(views, remote[:min(2, len(remote))], r.serviceTime, r.call.Route.Idempotent)
+	explore := r.forwarder.cfg.Random(exploreInterval) == exploreInterval-1
+	if best < 0 || (other >= 0 && (explore || float64(expected) > cfg.LeaveZoneFactor*float64(otherExpected))) {
+		best, expected = other, otherExpected
+	}
+	if best < 0 {
 		return nil, 0
 	}
-	candidates := slices.Concat(rounds...)
-	best, expected := cfg.Best(views, candidates[:min(2, len(candidates))], r.serviceTime, r.call.Route.Idempotent)
 	return &views[best], expected
 }
 
+// byZone returns the endpoints of the rounds that are in this host's zone and the others.
+func byZone(views []placement.EndpointView, rounds [][]int) (local, remote []int) {
+	for _, i := range slices.Concat(rounds...) {
+		if views[i].Local {
+			local = append(local, i)
+		} else {
+			remote = append(remote, i)
+		}
+	}
+	return local, remote
+}
+
 // probeResult is the result of one probe.
 type probeResult struct {
 	index int // of the endpoint's view
@@ -264,6 +293,6 @@
 	if err != nil {
 		return load, err
 	}
-	f.cfg.EndpointStats.RecordLoad(e.Endpoint, load, now)
+	f.cfg.EndpointStats.RecordProbe(e.Endpoint, load, now)
 	return load, nil
 }
