--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -27,7 +27,7 @@
 	pending         int           // requests that were read and whose response is not yet written
 	earlierAnswered chan struct{} // closed when pending becomes 1 or 0; nil if waitForEarlier is not waiting
 	waiting         bool          // the reader waits for the first byte of a request
-	arrived         bool          // bytes of a further request were received, which is not yet counted
+	arrived         bool          // bytes of a further request were received, which is not yet counted; a draining connection stays open for it
 	stopping        bool          // the server stops: one more request is read if it has arrived
 	lastRead        bool          // no further request is read; the connection closes after the responses to those that were
 	lingerUntil     time.Time     // when the connection is closed although the caller has not closed it; zero until the write side is closed
@@ -81,31 +81,31 @@
 // awaitRequest waits for the first byte of a request. It returns false if no further request is read: the caller has disconnected, the
 // connection was idle for too long, or the server stops.
 func (c *conn) awaitRequest(br *bufio.Reader) bool {
-	for lastTry := false; ; {
+	for onlyArrived := false; ; {
 		var ok bool
-		if lastTry, ok = c.beginWait(lastTry); !ok {
+		if onlyArrived, ok = c.beginWait(onlyArrived); !ok {
 			return false
 		}
 		_, err := br.Peek(1)
 		c.mu.Lock()
 		c.waiting, c.arrived = false, err == nil
-		if lastTry && isTimeout(err) {
+		if onlyArrived && isTimeout(err) {
 			c.lastRead = true
 		}
 		c.mu.Unlock()
 		if err == nil {
 			return true
 		}
-		if lastTry || !isTimeout(err) {
+		if onlyArrived || !isTimeout(err) {
 			return false
 		}
-		lastTry = true // an expired deadline does not tell whether bytes have arrived
+		onlyArrived = true // a read whose deadline has passed fails even if bytes have arrived
 	}
 }
 
-// beginWait sets the deadline for the first byte of a request. It returns false if no further request is read. lastTry limits the wait to
-// bytes that have arrived; the result tells whether the wait is limited so.
-func (c *conn) beginWait(lastTry bool) (limited, ok bool) {
+// beginWait sets the deadline for the first byte of a request. It returns false if no further request is read. onlyArrived limits the wait
+// to bytes that have arrived; during a stop, and thus in the result, it always does.
+func (c *conn) beginWait(onlyArrived bool) (_, ok bool) {
 	idleTimeout := c.server.cfg.Limits().IdleTimeout
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,16 +113,16 @@
 		return false, false
 	}
 	c.waiting = true
-	limited = lastTry || c.stopping
+	onlyArrived = onlyArrived || c.stopping
 	switch {
-	case limited:
+	case onlyArrived:
 		c.netConn.SetReadDeadline(time.Now().Add(arrivedTimeout))
 	case c.pending > 0:
 		c.netConn.SetReadDeadline(time.Time{}) // answered sets the deadline
 	default:
 		c.netConn.SetReadDeadline(time.Now().Add(idleTimeout))
 	}
-	return limited, true
+	return onlyArrived, true
 }
 
 // readRequest reads a request and starts its handler. It returns false if no further request is read.
