forward: a request that an endpoint failed waits for a free slot

Cause: since repeats need a free slot, and they did not wait for one; a hedge was tried once only. Change: a repeat after a lost answer, a failure or a failed connection waits in the queue like a first send, behind the others since its target is the deadline. A hedge that found no free slot is tried again. After a rejection the request is still refused at once.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -13,11 +13,12 @@
 )
 
 // findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait or more urgent requests
-// wait. A repeat does not wait:
-// it gets the best endpoint if that has a free slot and is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the
-// send is recorded at the endpoint: the next request in the queue must not see the same slot free.
-func (r *activeRequest) findEndpoint(ctx context.Context, repeat bool) (view placement.EndpointView, expected time.Duration, ok bool) {
+// wait. A hedge, and a repeat after an endpoint has rejected the request, do not wait: they get the best endpoint if that has a free slot and
+// is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the send is recorded at the endpoint: the
+// next request in the queue must not see the same slot free.
+func (r *activeRequest) findEndpoint(ctx context.Context, hedge bool) (view placement.EndpointView, expected time.Duration, ok bool) {
 	queue := r.forwarder.queue(r.call.Service.Name)
+	waits := !hedge && !r.wasRejected()
 	var waiter *placement.Waiter
 	defer func() {
 		if waiter != nil {
@@ -27,7 +28,7 @@
 			}
 		}
 	}()
-	if !repeat && queue.HasMoreUrgent(r.call.Route.Priority) {
+	if waits && queue.HasMoreUrgent(r.call.Route.Priority) {
 		waiter = queue.Add(r.call.Route.Priority, r.lateAt)
 		r.waitForTurn(ctx, queue, waiter)
 	}
@@ -39,7 +40,7 @@
 		now := time.Now()
 		timing := placement.RequestTiming{ServiceTime: r.serviceTime, UntilLate: r.lateAt.Sub(now), UntilDeadline: r.call.Due.Sub(now),
 			Waited: now.Sub(r.call.Arrived)}
-		if repeat {
+		if !waits {
 			if best == nil || !best.HasFreeSlot() || expected > timing.UntilDeadline {
 				return placement.EndpointView{}, 0, false
 			}
@@ -59,7 +60,9 @@
 			continue
 		}
 		if decision == placement.Refuse || ctx.Err() != nil {
-			r.setRefusal(best, expected, ctx.Err() != nil)
+			if len(r.tried) == 0 {
+				r.setRefusal(best, expected, ctx.Err() != nil)
+			}
 			return placement.EndpointView{}, 0, false
 		}
 		if waiter == nil {
@@ -69,6 +72,11 @@
 	}
 }
 
+// wasRejected reports whether the last endpoint rejected the request without running it.
+func (r *activeRequest) wasRejected() bool {
+	return r.lastFailure != nil && r.lastFailure.resp != nil && r.lastFailure.resp.NotRun
+}
+
 // waitForTurn returns when the request should look for an endpoint again: after a wake-up, or at a multiple of recheckInterval at which it
 // is the first of the queue or no more than its usual duration is left until lateAt. It also returns when ctx ends.
 func (r *activeRequest) waitForTurn(ctx context.Context, queue *placement.Queue, w *placement.Waiter) {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -282,6 +282,7 @@
 	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || len(r.tried) > maxConnectRetries {
 		return false
 	}
+	r.lateAt = r.call.Due // a late answer is better than the failure
 	if r.sends == 0 {
 		return r.findAndSend(ctx, false) // no byte reached an endpoint, so this does not count against the repeat budget
 	}
@@ -325,7 +326,7 @@
 
 // findAndSend finds an endpoint and starts to send the request to it. It reports whether a send was started.
 func (r *activeRequest) findAndSend(ctx context.Context, hedge bool) bool {
-	view, expected, ok := r.findEndpoint(ctx, hedge || len(r.tried) > 0)
+	view, expected, ok := r.findEndpoint(ctx, hedge)
 	if !ok {
 		return false
 	}
--- a/internal/coordination/forward/hedge.go
+++ b/internal/coordination/forward/hedge.go
@@ -10,8 +10,8 @@
 	// again before: it runs a request at the speed that it had when the request began, so its present load says nothing about this one.
 	// Either the request takes unusually long, as 1 in 100 does in the deployments, or it began while the endpoint was slow.
 	hedgeDelayFactor = 2
-	// hedgeRetryFactor is the time, as a multiple of the usual duration, after which a hedge that the repeat budget did not allow is tried
-	// again.
+	// hedgeRetryFactor is the time, as a multiple of the usual duration, after which a hedge is tried again that the repeat budget did not
+	// allow or that found no free slot.
 	hedgeRetryFactor = 0.5
 	// minHedgeDelay is the minimum time before the first try to hedge a request, and between tries.
 	minHedgeDelay = 10 * time.Millisecond
@@ -38,6 +38,7 @@
 	}
 	if !r.findAndSend(ctx, true) {
 		r.forwarder.cfg.RepeatLimiter.Refund(r.call.Service.Name, time.Now())
+		return retryDelay
 	}
 	return 0
 }
--- a/internal/coordination/forward/room_test.go
+++ b/internal/coordination/forward/room_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/faketime"
 )
@@ -216,3 +218,36 @@
 		})
 	}
 }
+
+// TestFailedRequestWaitsForSlot guards against callers that get an error because, when an endpoint failed their idempotent request or held it up, no
+// other one happened to have a free slot.
+func TestFailedRequestWaitsForSlot(t *testing.T) {
+	free := placement.Load{Slots: 2, Slowness: 1}
+	for name, first := range map[string]fakeUpstream{
+		"answer lost": {load: free, duration: usualDuration / 2, answer: func() (*executor.Response, error) {
+			return nil, &executor.SendError{Written: true, Err: errors.New("connection reset")}
+		}},
+		"server error": {load: free, duration: usualDuration / 2, answer: func() (*executor.Response, error) { return completeResponse(500, "") }},
+		"held up":      {load: free, duration: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := twoZones(3, fullLoad)
+				f.ups["own0"] = &first
+				time.AfterFunc(4*usualDuration, func() { // the target latency has passed
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					f.ups["own1"].load = free
+				})
+				r := f.forwarder(largeBurst).Run(t.Context(), request(true))
+				is.Equal(r.Outcome, Answered)
+				is.Equal(r.Response.Status, 200)
+				time.Sleep(2 * time.Minute)
+				is.Equal(first.received, 1)
+				is.Equal(f.ups["own1"].received, 1)
+				first.received = 0
+			})
+		})
+	}
+}
