ingress: responses to HEAD state the endpoint's length

Callers of HEAD got Content-Length: 0. Cause: the length was taken from the body, which such a response has not. Measured: TestHeadStatesLength failed before.

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -37,7 +37,7 @@
 	// Stream is read to io.EOF and closed. Any other error aborts the connection, so that the caller notices that the content is
 	// incomplete.
 	Stream io.ReadCloser
-	Length int64 // of Stream; -1 if unknown
+	Length int64 // of Stream, or of the body that a response to HEAD without Body leaves out; -1 if unknown
 	// CloseConnection has the connection read no further request and close after the responses to those that were read.
 	CloseConnection bool
 }
--- a/internal/transport/ingress/respond.go
+++ b/internal/transport/ingress/respond.go
@@ -12,11 +12,13 @@
 
 // writeResponse writes one response. last says that the connection closes after it. After an error the connection must be closed.
 func writeResponse(bw *bufio.Writer, r *Request, resp *Response, last bool) error {
+	head := r != nil && r.Method == http.MethodHead
 	length := resp.Length
-	if resp.Stream == nil {
-		length = int64(len(resp.Body))
-	} else {
+	switch {
+	case resp.Stream != nil:
 		defer resp.Stream.Close()
+	case !head || len(resp.Body) > 0:
+		length = int64(len(resp.Body))
 	}
 	bodyless := resp.Status == http.StatusNoContent || resp.Status == http.StatusNotModified
 	fmt.Fprintf(bw, "HTTP/1.1 %03d %s\r\n", resp.Status, http.StatusText(resp.Status))
@@ -37,7 +39,7 @@
 		bw.WriteString("Connection: close\r\n")
 	}
 	bw.WriteString("\r\n")
-	if bodyless || (r != nil && r.Method == http.MethodHead) {
+	if bodyless || head {
 		return bw.Flush()
 	}
 	if resp.Stream == nil {
--- a/internal/transport/ingress/slow_caller_test.go
+++ b/internal/transport/ingress/slow_caller_test.go
@@ -154,3 +154,25 @@
 		})
 	}
 }
+
+// headHandler answers each request with a length and without a body, as an endpoint answers HEAD.
+type headHandler struct{ length int64 }
+
+func (h headHandler) MayRunConcurrently(*Request) bool { return true }
+
+func (h headHandler) Serve(context.Context, *Request) *Response {
+	return &Response{Status: http.StatusOK, Length: h.length}
+}
+
+// TestHeadStatesLength guards against responses to HEAD that state another length than the endpoint did.
+func TestHeadStatesLength(t *testing.T) {
+	for length, want := range map[int64]int64{1234: 1234, 0: 0, -1: -1} {
+		is := is.New(t)
+		_, dial := serve(t, headHandler{length}, routing.DefaultLimits)
+		c := dial()
+		send(t, c, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodHead})
+		is.NoErr(err)
+		is.Equal(resp.ContentLength, want)
+	}
+}
