ingress: pass a stream on as it arrives

A caller got what an endpoint had sent of a large or slow answer only once 4 KiB were together, or the answer had ended. Cause: the buffer of the response was flushed only when it was full. It is flushed after each write now. Measured: TestPausingStreamIsNotHeldBack failed before.

--- a/internal/transport/ingress/respond.go
+++ b/internal/transport/ingress/respond.go
@@ -49,13 +49,28 @@
 	return copyStream(bw, resp.Stream, length)
 }
 
+// flushWriter flushes after each write, so that a stream that pauses reaches its caller up to the pause.
+type flushWriter struct {
+	io.Writer
+	buffered *bufio.Writer
+}
+
+// Write implements io.Writer.
+func (w flushWriter) Write(b []byte) (int, error) {
+	n, err := w.Writer.Write(b)
+	if err != nil {
+		return n, err
+	}
+	return n, w.buffered.Flush()
+}
+
 // copyStream writes a body of the given length, or a chunked body if length is negative. It fails if the body has another length.
 func copyStream(bw *bufio.Writer, body io.Reader, length int64) error {
-	var w io.Writer = bw
+	w := flushWriter{bw, bw}
 	var chunked io.WriteCloser
 	if length < 0 {
 		chunked = httputil.NewChunkedWriter(bw)
-		w = chunked
+		w.Writer = chunked
 	}
 	sent, err := io.Copy(w, body)
 	if err != nil {
--- a/internal/transport/ingress/slow_caller_test.go
+++ b/internal/transport/ingress/slow_caller_test.go
@@ -155,6 +155,36 @@
 	}
 }
 
+// TestPausingStreamIsNotHeldBack guards against a caller that gets what an endpoint has sent only once the endpoint sends more.
+func TestPausingStreamIsNotHeldBack(t *testing.T) {
+	for _, length := range []int64{6, -1} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			h := &streamHandler{stream: &slowReader{halves: [][]byte{[]byte("one"), []byte("two")}, pause: time.Minute}, length: length}
+			link := faketime.NewLink(10e6)
+			server := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+			go func() { _ = server.Serve(link) }() // returns when the link is closed
+			defer link.Close()
+			conn, err := link.DialContext(t.Context(), "", "")
+			is.NoErr(err)
+			defer conn.Close()
+			begin := time.Now()
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			half := make([]byte, 3)
+			_, err = io.ReadFull(resp.Body, half)
+			is.NoErr(err)
+			is.Equal(string(half), "one")
+			is.True(time.Since(begin) < time.Second)
+			rest, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(string(rest), "two")
+		})
+	}
+}
+
 // headHandler answers each request with a length and without a body, as an endpoint answers HEAD.
 type headHandler struct{ length int64 }
 
