gateway: read the limits that endpoints name, and log what the host believes

A response's limit is decoded in platform/ and kept with the time span in which it was made, so that a response that is late does not lift a limit or bring one back. Changes are logged (endpoint_limit) and counted; the dump shows the limits. Nothing is held back yet.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -61,6 +61,14 @@
 	RejectedFor time.Duration
 	// MalformedDelay is the delay that a rejection states if it cannot be read, for logs.
 	MalformedDelay string
+	// RateLimit is the number of requests per second that the endpoint takes from all hosts together, as this response names it. It is valid if
+	// HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
+	// MalformedRateLimit is the limit that the response names if it cannot be read, for logs.
+	MalformedRateLimit string
+	// SentAt is when the request was passed to the connection, and ReadAt when the response's header had been read.
+	SentAt, ReadAt time.Time
 }
 
 const (
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
+	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 )
 
 // Paths that are served on the metrics address.
@@ -55,6 +56,8 @@
 	FailureRate float64 `json:"failing"`     // fraction of recent requests that failed
 	Rejecting   bool    `json:"rejecting"`   // the endpoint wants no requests from this host now
 	Suspect     bool    `json:"suspect"`     // this host could not reach the endpoint recently
+	// RateLimit is the number of requests per second that the endpoint takes from all hosts together; absent if it names no limit.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
 // HostAddress tells operators where a host of the deployment is reached.
@@ -81,6 +84,9 @@
 			v := g.endpointStats.View(*e, now)
 			e := EndpointDump{Service: service, Name: v.Name, Address: v.Address, Zone: v.Zone, Slots: v.Slots, LoadAgeMS: -1, InFlight: v.InFlight,
 				FailureRate: v.FailureRate, Suspect: v.Suspect, Rejecting: v.Rejecting}
+			if s, _ := g.rateLimits.Get(v.ID); s.PerSecond != ratelimits.Unlimited {
+				e.RateLimit = &s.PerSecond
+			}
 			if v.LoadAge >= 0 {
 				e.Running, e.Waiting, e.Slowness, e.LoadAgeMS = v.Load.Running, v.Load.Waiting, v.Load.Slowness, ms(v.LoadAge)
 			}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -243,6 +243,7 @@
 	if r.RejectedFor > 0 || r.MalformedDelay != "" {
 		g.recordRejection(e, r)
 	}
+	g.recordRateLimit(e, r)
 	if !r.Leaving {
 		return
 	}
@@ -256,7 +257,7 @@
 	name := registry.EndpointName(e.ID)
 	g.metrics.Add("rejections_with_delay_total", 1)
 	if r.MalformedDelay != "" {
-		g.log.Warn("rejection_delay_unreadable", "name", name, "service", e.Service, "value", r.MalformedDelay[:min(maxLoggedDelay, len(r.MalformedDelay))])
+		g.log.Warn("rejection_delay_unreadable", "name", name, "service", e.Service, "value", r.MalformedDelay[:min(maxLoggedHeader, len(r.MalformedDelay))])
 		return
 	}
 	used, isNew := g.endpointStats.RecordRejection(e, r.RejectedFor, time.Now())
@@ -268,8 +269,8 @@
 	}
 }
 
-// maxLoggedDelay is the maximum number of bytes of an unreadable delay that are logged.
-const maxLoggedDelay = 40
+// maxLoggedHeader is the maximum number of bytes of an unreadable header value that are logged.
+const maxLoggedHeader = 40
 
 // countingStore counts the calls to a store by method and result.
 type countingStore struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
+	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -65,6 +66,7 @@
 	routes        atomic.Pointer[routing.Table] // nil until a configuration is in force
 	endpoints     *registry.Table
 	endpointStats *placement.EndpointStats // load and failure statistics of endpoints
+	rateLimits    *ratelimits.Table        // limits that endpoints have named
 	pool          *upstreamconn.Pool
 	forwarder     *forward.Forwarder
 	callers       *ingress.Server  // serves callers' requests
@@ -129,7 +131,7 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
-		heartbeatNow: make(chan struct{}, 1)}
+		rateLimits: ratelimits.NewTable(), heartbeatNow: make(chan struct{}, 1)}
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	cfg := placement.DefaultConfig()
 	cfg.Zone = s.Zone
@@ -354,6 +356,7 @@
 		if n%4 == 0 {
 			g.pool.CloseIdle(now)
 			g.endpointStats.EvictUnused(unusedStatsLifetime, now)
+			g.rateLimits.Evict(g.endpoints.Withdrawn, now)
 			g.encodedStates.evictOld(now)
 			for _, name := range g.peers.RemoveSilent(now) {
 				g.log.Info("host", "name", name, "state", "forgotten")
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return nil, sendError(false, err)
 	}
+	sentAt := time.Now()
 	cn, resp, err := p.roundTrip(ctx, e, req, c)
 	if err != nil {
 		return nil, err
@@ -45,7 +46,7 @@
 	} else if resp.ContentLength > p.cfg.MaxBodyBytes && c.Method != http.MethodHead {
 		err = errTooLarge
 	}
-	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: sentAt, ReadAt: time.Now()}
 	p.cfg.Dialect.Interpret(e, out)
 	if p.cfg.OnResponse != nil {
 		p.cfg.OnResponse(e, out)
