ratelimit: one coordinator per limited endpoint grants permits to all hosts

Cause: no host read the limit, and nothing could bound the sum over hosts: each of them decides by itself what it sends. Change: the endpoint's zone has one coordinator for it, which grants a permit for each request, hedge, repeat and load probe. Hosts learn limits from responses, announcements to all zones, and requests for permits. Without a permit nothing is sent. If all endpoints are limited, permits are reserved in the order of the queue, and requests beyond them are refused at once.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -33,7 +33,7 @@
 		r.waitForTurn(ctx, queue, waiter)
 	}
 	for {
-		best, expected := r.chooseEndpoint(ctx, waiter != nil)
+		best, expected := r.chooseEndpoint(ctx, waiter != nil, queue.Ahead(waiter))
 		if best != nil && r.forwarder.cfg.Withdrawn(best.ID) {
 			continue // it was withdrawn while load was probed, and the next search avoids it
 		}
@@ -50,7 +50,7 @@
 			return *best, expected, true
 		}
 		decision := r.forwarder.cfg.EndpointStats.Config().Admit(best, expected, timing)
-		if r.result.Candidates == 0 || !r.allRejectingUntil.IsZero() {
+		if r.result.Candidates == 0 || !r.allRejectingUntil.IsZero() || r.limits.exhausted(queue.Ahead(waiter)) {
 			decision = placement.Refuse // the service has no endpoint to wait for
 		}
 		if decision == placement.Send {
@@ -108,6 +108,8 @@
 		r.result.Outcome, r.result.RetryAfter = RefusedUnsent, defaultRetryAfter
 	case !r.allRejectingUntil.IsZero():
 		r.setAllRejecting()
+	case r.limits.all:
+		r.refuseUntil(RefusedAllLimited, r.limits.firstPermit)
 	case best == nil:
 		r.result.Outcome, r.result.RetryAfter = RefusedNoEndpoint, defaultRetryAfter
 	default:
@@ -115,13 +117,16 @@
 	}
 }
 
-// setAllRejecting refuses the request because no endpoint of the service wants requests before r.allRejectingUntil. The caller's delay has a
-// random part, so that the callers of many refused requests do not return together.
-func (r *activeRequest) setAllRejecting() {
-	delay := max(minRejectionRetryAfter, time.Until(r.allRejectingUntil))
+// setAllRejecting refuses the request because no endpoint of the service wants requests before r.allRejectingUntil.
+func (r *activeRequest) setAllRejecting() { r.refuseUntil(RefusedAllRejecting, r.allRejectingUntil) }
+
+// refuseUntil refuses the request because no endpoint of the service takes it before the given time. The caller's delay has a random part, so
+// that the callers of many refused requests do not return together.
+func (r *activeRequest) refuseUntil(outcome Outcome, until time.Time) {
+	delay := max(minRejectionRetryAfter, time.Until(until))
 	spread := max(minRetrySpread, time.Duration(float64(delay)*retrySpreadFraction))
 	delay += time.Duration(r.forwarder.cfg.Random(int(spread/time.Millisecond))) * time.Millisecond
-	r.result.Outcome, r.result.RetryAfter = RefusedAllRejecting, delay
+	r.result.Outcome, r.result.RetryAfter = outcome, delay
 }
 
 // usableEndpoints returns the endpoints of the service that accept requests, and sets r.allRejectingUntil.
@@ -135,17 +140,26 @@
 	return usable
 }
 
-// chooseEndpoint returns the best endpoint and the expected duration there, or nil if it found none. It uses the load reports that are
+// chooseEndpoint returns the best endpoint and the expected duration there, or nil if it found none. waiting says that the request waits in the queue,
+// ahead how many requests wait before it.
+func (r *activeRequest) chooseEndpoint(ctx context.Context, waiting bool, ahead int) (*placement.EndpointView, time.Duration) {
+	now := time.Now()
+	list := r.usableEndpoints(now)
+	views := r.forwarder.cfg.EndpointStats.Sample(r.call.Service.Name, list, r.forwarder.cfg.Random, now)
+	avoid := func(id endpoints.ID) bool { return slices.Contains(r.tried, id) || r.forwarder.cfg.Withdrawn(id) }
+	r.findLimited(views, now)
+	best, expected := r.chooseWithoutPermit(ctx, views, avoid, waiting, now)
+	return r.chooseLimited(ctx, views, avoid, ahead, best, expected)
+}
+
+// chooseWithoutPermit is chooseEndpoint without the endpoints for which this host needs a permit and has none. It uses the load reports that are
 // fresh, and probes further endpoints in rounds until one is good enough or the probe budget is used up. A request that waits in the
 // queue probes one round each time, see restrictToRoom. If the endpoints report no load, or the probe budget is used up before any load
 // is known and endpoints probably have room, it chooses without probes.
-func (r *activeRequest) chooseEndpoint(ctx context.Context, waiting bool) (*placement.EndpointView, time.Duration) {
-	now := time.Now()
-	list := r.usableEndpoints(now)
+func (r *activeRequest) chooseWithoutPermit(ctx context.Context, views []placement.EndpointView, avoid func(endpoints.ID) bool, waiting bool,
+	now time.Time) (*placement.EndpointView, time.Duration) {
 	stats := r.forwarder.cfg.EndpointStats
 	cfg := stats.Config()
-	views := stats.Sample(r.call.Service.Name, list, r.forwarder.cfg.Random, now)
-	avoid := func(id endpoints.ID) bool { return slices.Contains(r.tried, id) || r.forwarder.cfg.Withdrawn(id) }
 	if r.call.Service.HealthPath == "" || stats.ReportsNoLoad(r.call.Service.Name, now) {
 		return r.chooseWithoutProbes(cfg, views, avoid)
 	}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -32,7 +32,9 @@
 	EndpointStats *placement.EndpointStats
 	RepeatLimiter *placement.RepeatLimiter
 	ProbeBudget   *placement.ProbeBudget
-	Endpoints     func() *registry.Snapshot
+	// RateLimiter gets permits for endpoints with a rate limit. It is the one of EndpointStats; nil if that has none.
+	RateLimiter RateLimiter
+	Endpoints   func() *registry.Snapshot
 	// Withdrawn reports whether an endpoint of an earlier snapshot must not get new requests any more. Nil means that none is.
 	Withdrawn func(id endpoints.ID) bool
 	// Stopped reports whether this host sends no further requests, because its planned stop ends. Nil means that it does not stop.
@@ -121,6 +123,7 @@
 	inFlight    int // sends in flight
 	// allRejectingUntil is the time before which no endpoint of the service wants requests; zero if one does, as found by the last search.
 	allRejectingUntil time.Time
+	limits            limitedEndpoints // found by the last search
 	// mayHaveRun says that an endpoint may have run the request.
 	mayHaveRun  bool
 	sends       int                  // sends that count as attempts: all but those that failed before a byte was written
--- a/internal/coordination/forward/room.go
+++ b/internal/coordination/forward/room.go
@@ -18,7 +18,7 @@
 	cfg := stats.Config()
 	local, remote := byZone(views, rounds)
 	hasLocal := slices.ContainsFunc(views, func(v placement.EndpointView) bool {
-		return v.Local && !v.Suspect && !v.Rejecting && !avoid(v.ID)
+		return v.Local && !v.Suspect && !v.Rejecting && !v.Limited && !avoid(v.ID)
 	})
 	elsewhere, known := stats.RoomElsewhere(r.call.Service.Name, now)
 	round := local
@@ -45,17 +45,19 @@
 			continue
 		}
 		r.result.ProbesSent++
-		go func(e registry.Endpoint) {
-			ended := false
-			defer func() {
-				if !ended {
-					r.forwarder.cfg.EndpointStats.EndProbe(e.ID, time.Now())
-				}
-			}()
-			defer r.forwarder.recoverPanic(r.call.RequestID)
-			// A failure is recorded with the endpoint.
-			_, _ = r.forwarder.probe(e, r.call.Service.HealthPath)
-			ended = true
-		}(views[i].Endpoint)
+		go r.forwarder.probeStarted(views[i].Endpoint, r.call.Service.HealthPath, r.call.RequestID)
 	}
 }
+
+// probeStarted probes an endpoint whose probe was recorded as started. A failure is recorded with the endpoint.
+func (f *Forwarder) probeStarted(e registry.Endpoint, path, requestID string) {
+	ended := false
+	defer func() {
+		if !ended {
+			f.cfg.EndpointStats.EndProbe(e.ID, time.Now())
+		}
+	}()
+	defer f.recoverPanic(requestID)
+	_, _ = f.probe(e, path)
+	ended = true
+}
--- /dev/null
+++ b/internal/coordination/peers/coordinator.go
@@ -0,0 +1,46 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/rendezvous"
+)
+
+// coordinatorKey is the prefix of the rendezvous hashing keys that rank hosts, and zones without hosts, as coordinators.
+const coordinatorKey = "coordinator "
+
+// Coordinator returns the host that coordinates something which all hosts share and which belongs to a zone and a key. self says that it is
+// this host. The hosts of the zone choose the first in rendezvous order of those that are live and coordinate. Hosts of other zones get a host of
+// the zone that passes messages on to the coordinator: live ones first, and the next one for each of the given failures to reach one. What
+// belongs to a zone without hosts is coordinated in another zone. ok is false if there is no such host.
+func (t *Table) Coordinator(zone, key string, failures int, now time.Time) (h Host, self, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if zone != t.cfg.Self.Zone {
+		ranked := t.rankedNames(zone, now)
+		if len(ranked) > 0 {
+			return t.hosts[ranked[failures%len(ranked)]].Host, false, true
+		}
+		if home := rendezvous.First(coordinatorKey+key, t.zones()); home != t.cfg.Self.Zone {
+			ranked = t.rankedNames(home, now)
+			return t.hosts[ranked[failures%len(ranked)]].Host, false, true
+		}
+	}
+	var names []string
+	if t.status.Coordinates {
+		names = append(names, t.cfg.Self.Name)
+	}
+	for _, p := range t.hosts {
+		if p.Zone == t.cfg.Self.Zone && p.Coordinates && t.isLive(p, now) {
+			names = append(names, p.Name)
+		}
+	}
+	if len(names) == 0 {
+		return Host{}, false, false
+	}
+	first := rendezvous.First(coordinatorKey+key, names)
+	if first == t.cfg.Self.Name {
+		return t.cfg.Self, true, true
+	}
+	return t.hosts[first].Host, false, true
+}
--- a/internal/coordination/peers/host.go
+++ b/internal/coordination/peers/host.go
@@ -48,11 +48,14 @@
 	Rate int `cbor:"4,keyasint"`
 	// StoreFailing is set while the host's reads of the store fail and it knows of no other host that can read it.
 	StoreFailing bool `cbor:"5,keyasint,omitempty"`
+	// Coordinates is set while the host may be the coordinator of what the hosts of its zone share. It is not set on a host that has just started,
+	// which does not know the other hosts yet, and on one that stops.
+	Coordinates bool `cbor:"6,keyasint,omitempty"`
 }
 
 // sameForCallers reports whether two statuses differ at most in what does not concern callers: the rate, which changes with nearly every
-// message, and whether the store answers.
+// message, whether the store answers, and whether the host coordinates.
 func (s Status) sameForCallers(other Status) bool {
-	s.Rate, s.StoreFailing = other.Rate, other.StoreFailing
+	s.Rate, s.StoreFailing, s.Coordinates = other.Rate, other.StoreFailing, other.Coordinates
 	return s == other
 }
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -92,6 +92,9 @@
 // View returns what this host knows of one endpoint.
 func (t *EndpointStats) View(e registry.Endpoint, now time.Time) EndpointView {
 	v := EndpointView{Endpoint: e, Local: e.Zone == t.cfg.Zone, WarmUpLeft: max(0, e.WarmUpEnd.Sub(now))}
+	if t.cfg.RateLimiter != nil {
+		v.Limited, v.Permits = t.cfg.RateLimiter.Permits(e.ID, now)
+	}
 	t.update(e.ID, now, func(s *endpointEntry) {
 		s.fill(&v, now)
 		if s.loadReportedAt.IsZero() {
@@ -113,15 +116,15 @@
 }
 
 // ReserveSlot records that this host is about to send a request to the endpoint of a view. It returns false, and records nothing, if the
-// endpoint has no free slot any more, because another request of this host has taken the slot since the view was made, or if the endpoint
-// has rejected a request with a delay.
+// endpoint has no free slot any more, because another request of this host has taken the slot since the view was made, if the endpoint
+// has rejected a request with a delay, or if its rate limit leaves no permit.
 func (t *EndpointStats) ReserveSlot(v *EndpointView, now time.Time) bool {
 	reserved := false
 	t.update(v.ID, now, func(s *endpointEntry) {
 		current := *v
 		s.fill(&current, now)
 		requests, slots := current.occupancy()
-		if reserved = requests < slots && s.mayReceive(now); reserved {
+		if reserved = requests < slots && s.mayReceive(now) && t.takePermit(v.ID, now); reserved {
 			s.recordSend()
 		}
 	})
@@ -149,11 +152,12 @@
 }
 
 // StartProbe records the start of a probe. It returns false if a probe of the endpoint is in flight already: a second one would learn the
-// same, and probes must not pile up at an endpoint that does not answer. It also returns false while the endpoint wants no requests.
+// same, and probes must not pile up at an endpoint that does not answer. It also returns false while the endpoint wants no requests, and if its
+// rate limit leaves no permit.
 func (t *EndpointStats) StartProbe(id endpoints.ID, now time.Time) bool {
 	started := false
 	t.update(id, now, func(s *endpointEntry) {
-		if started = s.probeStartedAt.IsZero() && !s.rejecting(now); started {
+		if started = s.probeStartedAt.IsZero() && !s.rejecting(now) && t.takePermit(id, now); started {
 			s.probeStartedAt = now
 		}
 	})
@@ -175,17 +179,22 @@
 }
 
 // ReserveSend records that this host is about to send a request to an endpoint, whether or not it has a free slot. It returns false, and
-// records nothing, if the endpoint has rejected a request with a delay and may not get this one.
+// records nothing, if the endpoint has rejected a request with a delay and may not get this one, or if its rate limit leaves no permit.
 func (t *EndpointStats) ReserveSend(id endpoints.ID, now time.Time) bool {
 	reserved := false
 	t.update(id, now, func(s *endpointEntry) {
-		if reserved = s.mayReceive(now); reserved {
+		if reserved = s.mayReceive(now) && t.takePermit(id, now); reserved {
 			s.recordSend()
 		}
 	})
 	return reserved
 }
 
+// takePermit uses up a permit if the endpoint has a rate limit. It returns false if there is none.
+func (t *EndpointStats) takePermit(id endpoints.ID, now time.Time) bool {
+	return t.cfg.RateLimiter == nil || t.cfg.RateLimiter.Take(id, now)
+}
+
 func (s *endpointEntry) recordSend() { s.inFlight, s.sentSinceLoad = s.inFlight+1, s.sentSinceLoad+1 }
 
 // RecordEnd records the end of a request of this host, and whether it failed.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -41,6 +41,16 @@
 	LeaveZoneFactor float64
 	// RemotePenalty is added to the expected duration at endpoints in other availability zones, for the longer network path.
 	RemotePenalty time.Duration
+	// RateLimiter knows the endpoints that limit the requests of all hosts together. Nil means that none does.
+	RateLimiter RateLimiter
+}
+
+// RateLimiter divides the limits that endpoints have named among the hosts: a request or load probe to such an endpoint needs a permit.
+type RateLimiter interface {
+	// Permits reports whether an endpoint has a limit, and how many permits for it this host holds.
+	Permits(id endpoints.ID, now time.Time) (limited bool, permits int)
+	// Take uses up a permit of a limited endpoint. It returns false if this host holds none.
+	Take(id endpoints.ID, now time.Time) bool
 }
 
 // DefaultConfig returns the settings used in production, without the zone.
@@ -86,6 +96,8 @@
 	Rejecting     bool          // it wants no requests now, see EndpointStats.RecordRejection
 	InFlightLimit int           // bound of InFlight after a rejection; 0 if there is none
 	ProbeInFlight bool          // this host has sent it a probe that has not ended
+	Limited       bool          // it limits the requests of all hosts together
+	Permits       int           // requests that this host may send if it is limited
 	Pace          float64       // recent duration of requests as a multiple of the usual one; 0 if the endpoint has reported its load
 	WarmUpLeft    time.Duration // how much longer the endpoint is slow after its start
 }
@@ -149,20 +161,23 @@
 
 // HasFreshLoad reports whether the endpoint's load is known and at most maxAge old, and the endpoint is not suspect and accepts requests.
 func (v *EndpointView) HasFreshLoad(maxAge time.Duration) bool {
-	return v.LoadAge >= 0 && v.LoadAge <= maxAge && !v.Suspect && !v.Rejecting
+	return v.LoadAge >= 0 && v.LoadAge <= maxAge && !v.Suspect && !v.Rejecting && (!v.Limited || v.Permits > 0)
 }
 
+// mayBeProbed reports whether a load probe of the endpoint leaves a permit for a request.
+func (v *EndpointView) mayBeProbed() bool { return !v.Limited || v.Permits > 1 }
+
 // ProbeRounds returns the indices of the endpoints to probe, in rounds and in random order; rng(n) returns a random number in [0, n). The
 // caller probes the endpoints of a round at the same time, and goes on to the next round only if no endpoint was good enough. The first
 // round takes endpoints of this host's zone, further ones take endpoints of this and of other zones in turn. Endpoints are left out if
-// avoid returns true for them, if they want no requests, if a probe of them is in flight or if their load is fresh. Suspect endpoints are probed only if there is no
+// avoid returns true for them, if they want no requests, if they have a rate limit and no permits to spare, if a probe of them is in flight or if their load is fresh. Suspect endpoints are probed only if there is no
 // other round.
 func (c *Config) ProbeRounds(views []EndpointView, avoid func(endpoints.ID) bool, rng func(int) int) [][]int {
 	var local, remote, suspect []int
 	for i := range views {
 		v := &views[i]
 		switch {
-		case avoid(v.ID) || v.Rejecting || v.ProbeInFlight || v.HasFreshLoad(c.MaxLoadAge):
+		case avoid(v.ID) || v.Rejecting || v.ProbeInFlight || !v.mayBeProbed() || v.HasFreshLoad(c.MaxLoadAge):
 		case v.Suspect:
 			suspect = append(suspect, i)
 		case v.Local:
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -74,6 +74,16 @@
 	return len(q.waiters) > 0 && q.waiters[0].priority < priority
 }
 
+// Ahead returns the number of requests that wait before a waiting request, or of all that wait if w is nil.
+func (q *Queue) Ahead(w *Waiter) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if i := slices.Index(q.waiters, w); i >= 0 {
+		return i
+	}
+	return len(q.waiters)
+}
+
 // WakeNext wakes the first request that has no wake-up pending, because an endpoint may have a free slot.
 func (q *Queue) WakeNext() {
 	q.mu.Lock()
--- /dev/null
+++ b/internal/coordination/ratelimit/exchange.go
@@ -0,0 +1,129 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
+)
+
+// SourceResponse is the source of a statement that an endpoint has made to this host.
+const SourceResponse = "answer"
+
+// Sender is the host that sent a message.
+type Sender struct {
+	Name    string
+	Address string // IP:port for messages to it
+	OwnZone bool   // it is in this host's zone
+}
+
+// urgentChange is the part of an endpoint's last limit below which a new one is announced at once. Others go with the next regular message, since
+// a limit may change with every response.
+const urgentChange = 0.5
+
+// RecordResponse records what a response of an endpoint to this host says about its limit, and announces changes.
+func (l *Limiter) RecordResponse(id endpoints.ID, s ratelimits.Statement) {
+	_, change := l.cfg.Limits.Record(id, s)
+	if change == nil {
+		return
+	}
+	l.cfg.OnChange(id, *change, s, SourceResponse)
+	l.news.Announce(id)
+	if change.Old == ratelimits.Unlimited || change.New == ratelimits.Unlimited || change.New < urgentChange*change.Old {
+		l.cfg.OnUrgent()
+	}
+}
+
+// HandleStatements records what another host knows of limits.
+func (l *Limiter) HandleStatements(list []Statement, from Sender, now time.Time) {
+	for _, s := range list {
+		l.recordMessage(s, from, now)
+	}
+}
+
+// recordMessage records a statement that another host has sent. What is new and comes from another zone is passed on to the hosts of this zone.
+func (l *Limiter) recordMessage(s Statement, from Sender, now time.Time) {
+	isNew, change := l.cfg.Limits.Record(s.ID, s.At(now))
+	if change != nil {
+		l.cfg.OnChange(s.ID, *change, s.At(now), from.Name)
+	}
+	switch {
+	case from.OwnZone:
+	case change != nil:
+		l.news.Forward(s.ID)
+		l.cfg.OnUrgent()
+	case isNew:
+		l.news.Zone.Put(s.ID, 1)
+	}
+}
+
+// ZoneNews returns at most limit statements for the next message to the hosts of this zone, and RelayNews those for the hosts of other zones that
+// pass them on.
+func (l *Limiter) ZoneNews(limit int, now time.Time) []Statement {
+	return l.statements(l.news.Zone.Next(limit), now)
+}
+
+// RelayNews is described with ZoneNews.
+func (l *Limiter) RelayNews(limit int, now time.Time) []Statement {
+	return l.statements(l.news.Relays.Next(limit), now)
+}
+
+func (l *Limiter) statements(ids []endpoints.ID, now time.Time) []Statement {
+	var list []Statement
+	for _, id := range ids {
+		if s, ok := l.cfg.Limits.Get(id); ok {
+			list = append(list, NewStatement(id, s, now))
+		}
+	}
+	return list
+}
+
+// HandleRequest answers a request of another host if this host is the coordinator, and passes it on otherwise, once.
+func (l *Limiter) HandleRequest(r Request, from Sender, now time.Time) {
+	l.recordMessage(r.Statement, from, now)
+	host, self, ok := l.cfg.Coordinator(r.Zone, r.ID, 0, now)
+	forwarded := r.ReplyTo != ""
+	switch {
+	case ok && self:
+		replyTo := from.Address
+		if forwarded {
+			replyTo = r.ReplyTo
+		}
+		l.cfg.SendGrant(replyTo, l.answer(r, now))
+	case ok && !forwarded:
+		r.ReplyTo = from.Address
+		l.cfg.SendRequest(host.PeerAddress, r)
+	}
+}
+
+// answer returns the response to a request to this host as the coordinator. Without a limit there is nothing to grant: the statement says so.
+func (l *Limiter) answer(r Request, now time.Time) Grant {
+	statement, limited := l.cfg.Limits.Get(r.ID)
+	if !limited {
+		statement = r.Statement.At(now)
+	}
+	g := Grant{ID: r.ID, Number: r.Number, Statement: NewStatement(r.ID, statement, now)}
+	if statement.PerSecond == ratelimits.Unlimited {
+		return g
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	granted := l.grant(r.ID, statement.PerSecond, time.Duration(r.MaxWaitMS)*time.Millisecond, now)
+	g.Permits, g.AfterMS = granted.permits, int64(min(maxWaitMS, math.Ceil(granted.after.Seconds()*1000)))
+	return g
+}
+
+// HandleGrant adds the permits of a grant.
+func (l *Limiter) HandleGrant(g Grant, from Sender, now time.Time) {
+	l.recordMessage(g.Statement, from, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stocks[g.ID]
+	if s == nil || s.number != g.Number {
+		return // another response, or the host has asked again since
+	}
+	s.number = 0
+	s.add(grant{g.Permits, time.Duration(g.AfterMS) * time.Millisecond}, now)
+	close(s.answered)
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -152,6 +152,8 @@
 		r.Reason, r.Detail = refusals.DeadlineUnreachable, "the time passed before an endpoint was found"
 	case outcome == forward.RefusedAllRejecting:
 		r.Reason, r.Detail = refusals.UpstreamRejecting, "every endpoint of the service wants no requests for a while"
+	case outcome == forward.RefusedAllLimited:
+		r.Reason, r.Detail = refusals.UpstreamLimited, "every endpoint of the service limits its requests per second, and others use up what the limits allow"
 	case outcome == forward.RefusedUpstream:
 		r.Reason, r.Detail = refusals.UpstreamRefused, "endpoints refused the request without running it"
 	case outcome == forward.RefusedConnect, outcome == forward.RefusedNoEndpoint:
@@ -192,7 +194,7 @@
 		h["Retry-After"] = []string{g.adapter.RetryAfter(refusal.RetryAfter)}
 	}
 	// For refusals with one of these reasons, logRequest has already written a line.
-	if refusal.Reason != refusals.UpstreamRejecting && refusal.Reason != refusals.DeadlineUnreachable && refusal.Reason != refusals.NoUpstream && refusal.Reason != refusals.UpstreamRefused &&
+	if refusal.Reason != refusals.UpstreamRejecting && refusal.Reason != refusals.UpstreamLimited && refusal.Reason != refusals.DeadlineUnreachable && refusal.Reason != refusals.NoUpstream && refusal.Reason != refusals.UpstreamRefused &&
 		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning && refusal.Reason != refusals.HostDraining {
 		g.log.Info("refused", "id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision)
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -198,9 +198,13 @@
 func (g *Gateway) updateStatus() {
 	leaving := g.draining.Load()
 	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, HasStoreCopy: g.hasStoreCopy.Load(),
-		Rate: int(math.Round(g.requestRate())), StoreFailing: g.storeLost.Load()})
+		Rate: int(math.Round(g.requestRate())), StoreFailing: g.storeLost.Load(),
+		Coordinates: !leaving && time.Since(g.started) > coordinatorSettleTime})
 }
 
+// coordinatorSettleTime is how long after its start a host does not coordinate. Until then it may not know the other hosts of its zone.
+const coordinatorSettleTime = 2 * time.Second
+
 // rateTimeConstant is the time constant of the moving average of the request rate.
 const rateTimeConstant = 2 * time.Second
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
@@ -67,6 +68,7 @@
 	endpoints     *registry.Table
 	endpointStats *placement.EndpointStats // load and failure statistics of endpoints
 	rateLimits    *ratelimits.Table        // limits that endpoints have named
+	rateLimiter   *ratelimit.Limiter       // permits for these endpoints
 	pool          *upstreamconn.Pool
 	forwarder     *forward.Forwarder
 	callers       *ingress.Server  // serves callers' requests
@@ -133,8 +135,12 @@
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
 		rateLimits: ratelimits.NewTable(), heartbeatNow: make(chan struct{}, 1)}
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
+	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
+		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps}))
+	g.rateLimiter = ratelimit.New(ratelimit.Config{Limits: g.rateLimits, Coordinator: g.limitCoordinator, Hosts: g.peers.HostCount,
+		OnChange: g.logRateLimit, OnUrgent: g.requestHeartbeat, SendRequest: g.sendPermitRequest, SendGrant: g.sendGrant})
 	cfg := placement.DefaultConfig()
-	cfg.Zone = s.Zone
+	cfg.Zone, cfg.RateLimiter = s.Zone, g.rateLimiter
 	g.endpointStats = placement.NewEndpointStats(cfg)
 	poolConfig := upstreamconn.DefaultConfig()
 	poolConfig.Dialect, poolConfig.IdleTimeout, poolConfig.ConnectTimeout = a.Dialect, upstreamIdleTimeout, upstreamConnectTimeout
@@ -144,12 +150,10 @@
 		return g.endpointStats.AnyRejecting() && g.endpointStats.Rejecting(id, time.Now())
 	}
 	g.pool = upstreamconn.NewPool(poolConfig)
-	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
-		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps}))
 	repeatLimiter := placement.NewRepeatLimiter(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
-		ProbeBudget: placement.NewProbeBudget(g.probeRate), Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
+		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
 		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
 		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
@@ -353,10 +357,12 @@
 		for _, c := range g.endpoints.Expire(now) {
 			g.logEndpointChange(c, sourceStore)
 		}
+		g.coordinateLimits(now)
 		if n%4 == 0 {
 			g.pool.CloseIdle(now)
 			g.endpointStats.EvictUnused(unusedStatsLifetime, now)
 			g.rateLimits.Evict(g.endpoints.Withdrawn, now)
+			g.rateLimiter.EvictUnused(now)
 			g.encodedStates.evictOld(now)
 			for _, name := range g.peers.RemoveSilent(now) {
 				g.log.Info("host", "name", name, "state", "forgotten")
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -45,9 +45,15 @@
 	}
 }
 
-// sendHeartbeat sends one heartbeat, a message that carries only the host, its status and the endpoints that are newly leaving.
+// sendHeartbeat sends one heartbeat, a message that carries the host, its status, the endpoints that are newly leaving and new limits of endpoints.
+// What the hosts of other zones need goes to some of them.
 func (g *Gateway) sendHeartbeat() {
-	g.send(peerlink.Message{Leaving: g.endpoints.LeavingToAnnounce(peerlink.MaxLeaving)}, peerAddresses(g.peers.ZonePeers()))
+	now := time.Now()
+	g.send(peerlink.Message{Leaving: g.endpoints.LeavingToAnnounce(peerlink.MaxLeaving), Limits: g.rateLimiter.ZoneNews(peerlink.MaxLimits, now)},
+		peerAddresses(g.peers.ZonePeers()))
+	if limits := g.rateLimiter.RelayNews(peerlink.MaxLimits, now); len(limits) > 0 {
+		g.send(peerlink.Message{Limits: limits}, peerAddresses(g.peers.Relays(now)))
+	}
 }
 
 // sendUpdate sends what this host has read from the store to the other hosts of its zone and to some hosts of each other zone.
@@ -83,6 +89,7 @@
 	for _, id := range m.Leaving[:min(peerlink.MaxLeaving, len(m.Leaving))] {
 		g.logEndpointChange(g.endpoints.MarkLeaving(id, false, now), sourcePeer)
 	}
+	g.handleLimits(m, now)
 	for _, h := range m.Hosts {
 		g.addHost(h, m.From.Name, now)
 	}
--- a/internal/protocol/problem/problem.go
+++ b/internal/protocol/problem/problem.go
@@ -65,6 +65,7 @@
 	refusals.NoUpstream:             {http.StatusServiceUnavailable, "No usable upstream"},
 	refusals.UpstreamRefused:        {http.StatusServiceUnavailable, "Upstream refused the request"},
 	refusals.UpstreamRejecting:      {http.StatusServiceUnavailable, "Upstream asks for a pause"},
+	refusals.UpstreamLimited:        {http.StatusServiceUnavailable, "Upstream limits its requests"},
 	refusals.UpstreamConnectFailed:  {http.StatusBadGateway, "Upstream not reached"},
 	refusals.UpstreamLost:           {http.StatusBadGateway, "Upstream lost"},
 	refusals.DeadlinePassedRunning:  {http.StatusGatewayTimeout, "Deadline passed while running"},
--- a/internal/state/refusals/refusals.go
+++ b/internal/state/refusals/refusals.go
@@ -31,6 +31,7 @@
 	NoUpstream             Reason = "no_upstream"
 	UpstreamRefused        Reason = "upstream_refused"
 	UpstreamRejecting      Reason = "upstream_rejecting"
+	UpstreamLimited        Reason = "upstream_limited"
 	UpstreamConnectFailed  Reason = "upstream_connect_failed"
 	UpstreamLost           Reason = "upstream_lost"
 	DeadlinePassedRunning  Reason = "deadline_passed_running"
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -111,6 +111,16 @@
 // Version returns the number of changes that were applied to the usable endpoints.
 func (t *Table) Version() uint64 { return t.version.Load() }
 
+// Endpoint returns the endpoint of an incarnation if it is usable.
+func (t *Table) Endpoint(id endpoints.ID) (Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[EndpointName(id)]; r != nil && r.usable && r.endpoint.ID == id {
+		return *r.endpoint, true
+	}
+	return Endpoint{}, false
+}
+
 // Snapshot returns the usable endpoints, with all changes that were applied before the call.
 func (t *Table) Snapshot() *Snapshot {
 	if s := t.current.Load(); s.Version == t.version.Load() {
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -17,6 +17,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
@@ -33,11 +34,19 @@
 	Leaving []endpoints.ID `cbor:"6,keyasint,omitempty"`
 	// Forwarded is set if Update is that of another host.
 	Forwarded bool `cbor:"7,keyasint,omitempty"`
+	// Limits lists what the sender knows of the rate limits of endpoints, at most MaxLimits.
+	Limits []ratelimit.Statement `cbor:"8,keyasint,omitempty"`
+	// PermitRequest asks for permits for an endpoint with a rate limit, and Grant is the response to such a request.
+	PermitRequest *ratelimit.Request `cbor:"9,keyasint,omitempty"`
+	Grant         *ratelimit.Grant   `cbor:"10,keyasint,omitempty"`
 }
 
 // MaxLeaving is the maximum length of Message.Leaving. An endpoint's ID takes about 50 bytes.
 const MaxLeaving = 32
 
+// MaxLimits is the maximum length of Message.Limits. A statement takes about 70 bytes.
+const MaxLimits = 32
+
 // maxDatagramBytes is the maximum size of a received datagram in bytes.
 const maxDatagramBytes = 64 << 10
 
@@ -191,6 +200,9 @@
 	if u := m.Update; u != nil && (u.EpochAgeMS < 0 || u.EpochAgeMS > maxEpochAgeMS) {
 		return trace.BadParameter("the store's epoch is %d ms old: not 0 to %d", u.EpochAgeMS, maxEpochAgeMS)
 	}
+	if err := m.checkLimits(); err != nil {
+		return err
+	}
 	if m.Status.Rate < 0 {
 		return trace.BadParameter("the rate is %d: negative", m.Status.Rate)
 	}
@@ -200,5 +212,23 @@
 	return nil
 }
 
+// checkLimits returns an error if the message states limits, or permits, that no host sends.
+func (m *Message) checkLimits() error {
+	for i := range m.Limits {
+		if err := m.Limits[i].Check(); err != nil {
+			return err
+		}
+	}
+	if m.PermitRequest != nil {
+		if err := m.PermitRequest.Check(); err != nil {
+			return err
+		}
+	}
+	if m.Grant != nil {
+		return m.Grant.Check()
+	}
+	return nil
+}
+
 // Close closes the socket, which makes Receive return.
 func (l *Link) Close() error { return l.conn.Close() }
