--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -43,12 +43,13 @@
 	noneAfterStatedLeaving = "none after leaving was passed on (timed)"
 	noneAfterKnown         = "none for who has left (timed)"
 	rejectionsObserved     = "rejections with a delay are observed (timed)"
+	limitsKept             = "limits of endpoints are kept (timed)"
 	servedAfterPowerLoss   = "served after the loss of power (timed)"
 )
 
 var checkNames = []string{ownResponses, retryAfterGiven, validServed, onlySentRequests, atMostOnce, refusedNotRun, attemptLimit, remainingDeadline, routedService, expectedExits, failuresLogged, hostsRecover, configNeverReverts, testInfrastructure, plannedLosesNone, stoppedAnswersOwn, readAnswered,
 	repeatBudget, configInForce, noneAfterDrain, undisturbedAnswered, answersInTime, noneAfterCancel, stopsInTime, servedAtEnd,
-	noneAfterStatedLeaving, noneAfterKnown, rejectionsObserved, servedAfterPowerLoss}
+	noneAfterStatedLeaving, noneAfterKnown, rejectionsObserved, limitsKept, servedAfterPowerLoss}
 
 // Bounds of the checks in auditCounts.
 const (
@@ -119,6 +120,7 @@
 		s.auditResponses(sent)
 		s.auditRecovery()
 		s.auditRepeats(sent)
+		s.auditLimits(sent)
 		s.auditCounts(arrivals)
 	}
 }
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -136,6 +136,15 @@
 				})
 			}
 		}},
+		"more than an endpoint's limit": {limitsKept, func(s *soak) {
+			s.requests.endpointLimited("i-2", 1, time.Now().Add(-limitSettleTime))
+			for range int(limitFactor*limitWindow.Seconds()) + limitAllowance + 1 {
+				s.record("2", "lookup", func(r *request, a *platformtest.Arrival) {
+					a.Endpoint = "i-2"
+					sentAfter(r, a, time.Second)
+				})
+			}
+		}},
 		"not served after the loss of power": {servedAfterPowerLoss, func(s *soak) {
 			s.timeline.begin(scopeRecovered)
 			s.record("2", "lookup", func(r *request, _ *platformtest.Arrival) {
--- a/internal/soak/endpointfaults.go
+++ b/internal/soak/endpointfaults.go
@@ -157,13 +157,7 @@
 	defer s.timeline.begin(scopeEndpoints)()
 	rejecting := []*endpoint{s.randomEndpoint(rng)}
 	if rng.IntN(3) == 0 {
-		rejecting = nil
-		service := services[rng.IntN(len(services))]
-		for _, e := range s.endpoints {
-			if e.service == service {
-				rejecting = append(rejecting, e)
-			}
-		}
+		rejecting = s.endpointsOf(services[rng.IntN(len(services))])
 	}
 	delay := rejectionDelays[rng.IntN(len(rejectionDelays))]
 	for _, e := range rejecting {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,6 +47,7 @@
 	{"endpoint-answers", false, (*soak).failResponses},
 	{"endpoint-leaves-in-responses", false, (*soak).leaveInResponses},
 	{"endpoint-rejects", false, (*soak).rejectRequests},
+	{"endpoint-limits", false, (*soak).limitRequests},
 	{"endpoint-slow", false, (*soak).slowEndpoints},
 	{"endpoint-network", false, (*soak).breakEndpointNetwork},
 	{"burst", false, (*soak).raiseLoad},
--- a/internal/soak/requests.go
+++ b/internal/soak/requests.go
@@ -78,6 +78,7 @@
 	statedLeaving map[string]time.Time // since when all responses of the endpoint state that it leaves
 	killed        map[string]bool
 	ended         map[string]time.Time // when the endpoint was stopped as planned
+	limits        map[string][]limitSpan
 }
 
 func (l *requestLog) endpointLeaving(endpoint string, at time.Time) {
