gateway: log which request a lost send belongs to

They now have a fingerprint of caller, method, host, target and body, the caller and the target. Nothing is decided by it yet.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -242,7 +242,7 @@
 		a.Result = "not sent: " + got.err.Error()
 		r.sends--
 	case got.err != nil:
-		a.Result = "lost: " + got.err.Error()
+		a.Result = ResultLost + got.err.Error()
 		r.mayHaveRun = true
 	case got.resp.NotRun:
 		a.Result = "refused"
--- a/internal/coordination/forward/result.go
+++ b/internal/coordination/forward/result.go
@@ -36,6 +36,9 @@
 	return false
 }
 
+// ResultLost is the beginning of Attempt.Result if the connection ended after the request was written, without a whole answer.
+const ResultLost = "lost: "
+
 // Attempt describes one send, for the log.
 type Attempt struct {
 	Endpoint     string        `json:"endpoint"`
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -9,11 +9,14 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
@@ -201,6 +204,9 @@
 	return &ingress.Response{Status: doc.Status, Header: h, Body: body}
 }
 
+// maxLoggedTarget is the maximum number of bytes of a path and query that are logged.
+const maxLoggedTarget = 120
+
 // logRequest updates the metrics of requests and writes the log line of a request, which lists all its attempts.
 func (g *Gateway) logRequest(ctx context.Context, r *ingress.Request, id string, t *routing.Table, c *forward.Call, res *forward.Result) {
 	took := time.Since(r.HeaderReadAt)
@@ -231,6 +237,10 @@
 		fields = append(fields, "to", a.Endpoint, "at_ms", ms(a.StartedAfter), "ran_ms", ms(a.Duration), "expected_ms", ms(a.Expected),
 			"running", a.Load.Running, "waiting", a.Load.Waiting, "slowness", a.Load.Slowness, "load_age_ms", ms(a.LoadAge), "hedge", a.Hedge, "result", a.Result)
 	}
+	if slices.ContainsFunc(res.Attempts, func(a forward.Attempt) bool { return strings.HasPrefix(a.Result, forward.ResultLost) }) {
+		fields = append(fields, "request", quarantine.NewFingerprint(r.Caller, r.Method, r.Host, r.Target, r.Body), "from", r.Caller,
+			"target", r.Target[:min(maxLoggedTarget, len(r.Target))])
+	}
 	if res.Response != nil {
 		fields = append(fields, "status", res.Response.Status)
 	}
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -17,6 +18,7 @@
 type conn struct {
 	server     *Server
 	netConn    net.Conn
+	caller     netip.Addr
 	overloaded bool // the server has too many connections: respond with 503 and close
 
 	ctx    context.Context // canceled when the caller has disconnected or the connection is aborted
@@ -42,6 +44,9 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, netConn: nc, queue: make(chan *exchange, maxPipelined)}
+	if address, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		c.caller = address.AddrPort().Addr().Unmap()
+	}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
@@ -143,6 +148,9 @@
 		p.release()
 		return false
 	}
+	if p.request != nil {
+		p.request.Caller = c.caller
+	}
 	x := &exchange{request: p.request, response: make(chan *Response, 1)}
 	if p.refusal != nil {
 		c.reportRefusal(&p)
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -27,6 +28,8 @@
 	Header       http.Header
 	Body         []byte
 	HeaderReadAt time.Time // when the header was complete
+	// Caller is the address of the caller, without a port. It is the zero value if the connection has no IP address.
+	Caller netip.Addr
 }
 
 // Response is the response to a request. Its content is Body, or Stream if that is not nil.
