quarantine: all hosts share what they see of requests that end endpoints, and stop the culprit

Cause: nothing remembers a request beyond one client attempt, and no host sees enough by itself: the lost sends of one request were at six hosts, and requests that only ran beside it had lost the same endpoints. Change: a broken connection whose endpoint refuses connections afterwards is evidence, under the request's fingerprint. Hosts share it; the request that explains most of the ends is condemned from three ends on, and refused at once, by all hosts, for 10 minutes after it came last. What an endpoint answers is innocent. Verdicts are kept in the store for hosts that start after all have stopped.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -97,6 +97,7 @@
 type SendError struct {
 	Written bool // at least one byte of the request may have reached the upstream
 	Partial bool // a part of the response's header had arrived
+	Broken  bool // the connection ended before the response's header had arrived
 	Err     error
 }
 
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -40,6 +42,8 @@
 	// Stopped reports whether this host sends no further requests, because its planned stop ends. Nil means that it does not stop.
 	Stopped func() bool
 	Random  func(n int) int // nil means placement.Random
+	// CrashGuard knows the requests that end the endpoints which run them. Nil means that none is known.
+	CrashGuard CrashGuard
 	// MaxBufferedBytes limits the memory for the bodies of answers, in bytes, apart from small ones. Beyond it, answers are passed on while they
 	// are read. 0 means no limit.
 	MaxBufferedBytes int64
@@ -84,6 +88,11 @@
 	Due time.Time
 	// Arrived is when the host had read the request.
 	Arrived time.Time
+	// Caller is the address of the caller, without a port.
+	Caller netip.Addr
+
+	fingerprintOnce sync.Once
+	fingerprintMemo quarantine.Fingerprint
 }
 
 const (
@@ -157,6 +166,9 @@
 	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip); c.Route.TargetLatency > 0 && late.Before(c.Due) {
 		r.lateAt = late
 	}
+	if !r.checkQuarantine() {
+		return r.result
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.Due)
 	r.serve(ctx)
 	if r.result.Stream == nil {
@@ -251,6 +263,7 @@
 		r.mayHaveRun = true
 	default:
 		a.Result = "answered"
+		r.recordSuccess(&got)
 		r.setAnswer(got)
 		return true
 	}
@@ -282,7 +295,7 @@
 // repeat sends the request again after all sends have failed, if that is safe and the repeat budget allows it. It reports whether a send
 // was started.
 func (r *activeRequest) repeat(ctx context.Context) bool {
-	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || len(r.tried) > maxConnectRetries {
+	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || len(r.tried) > maxConnectRetries || !r.checkQuarantine() {
 		return false
 	}
 	r.lateAt = r.call.Due // a late answer is better than the failure
@@ -333,10 +346,10 @@
 	if !ok {
 		return false
 	}
-	if ctx.Err() != nil || r.forwarder.cfg.Stopped() {
+	if ctx.Err() != nil || r.forwarder.cfg.Stopped() || !r.checkQuarantine() {
 		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
 		r.forwarder.queue(r.call.Service.Name).WakeNext()
-		if r.lastFailure == nil && !hedge {
+		if r.lastFailure == nil && !hedge && r.result.Outcome != RefusedQuarantined {
 			r.result.Outcome, r.result.RetryAfter = RefusedUnsent, defaultRetryAfter
 		}
 		return false
@@ -376,7 +389,7 @@
 			r.sendResults <- got
 		}()
 		defer r.forwarder.recoverPanic(execCall.RequestID)
-		got = r.forwarder.sendOnce(sendCtx, v, &execCall, r.call.Route)
+		got = r.forwarder.sendOnce(sendCtx, v, &execCall, r.call)
 	}()
 }
 
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -8,12 +8,12 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
-	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
 // sendOnce sends the request to one endpoint, at which the send is already recorded. It reads the answer and records the outcome and the
-// reported load in the endpoint statistics. Then it wakes a waiting request of the service, because the endpoint may have a free slot.
-func (f *Forwarder) sendOnce(ctx context.Context, v placement.EndpointView, c *executor.Call, route *routing.Route) sendResult {
+// reported load in the endpoint statistics, and checks whether the endpoint has ended under the request. Then it wakes a waiting request of the service, because the endpoint may have a free slot.
+func (f *Forwarder) sendOnce(ctx context.Context, v placement.EndpointView, c *executor.Call, call *Call) sendResult {
+	route := call.Route
 	start := time.Now()
 	got := sendResult{written: true}
 	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
@@ -40,6 +40,9 @@
 		f.cfg.EndpointStats.RecordUnreachable(v.ID, now)
 	case got.err != nil:
 		f.cfg.EndpointStats.RecordEnd(v.ID, true, now)
+		if f.cfg.CrashGuard != nil && (sendErr == nil || sendErr.Broken) && !f.cfg.Withdrawn(v.ID) {
+			f.cfg.CrashGuard.ConnectionBroke(ctx, v.Endpoint.Endpoint, call.fingerprint())
+		}
 	case got.resp.NotRun && (got.resp.Leaving || got.resp.RejectedFor > 0):
 		f.cfg.EndpointStats.RecordEndWithoutOutcome(v.ID, now)
 	default:
--- /dev/null
+++ b/internal/coordination/quarantine/exchange.go
@@ -0,0 +1,137 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+)
+
+// CrashReport is a Crash in a message. Times are ages when the message is sent, because hosts' clocks differ.
+type CrashReport struct {
+	Endpoint endpoints.ID  `cbor:"1,keyasint"`
+	Requests []Fingerprint `cbor:"2,keyasint,omitempty"`
+	AgoMS    int64         `cbor:"3,keyasint"`
+	Alive    bool          `cbor:"4,keyasint,omitempty"`
+}
+
+// Check returns an error if the report has figures that no host sends.
+func (r *CrashReport) Check() error {
+	if r.Endpoint.Address == "" || r.Endpoint.Incarnation == "" || len(r.Requests) > maxRequestsPerCrash || r.AgoMS < 0 || r.AgoMS > 2*evidenceLifetime.Milliseconds() {
+		return trace.BadParameter("a report that endpoint %q ended %d ms ago under %d requests: not 0 to %d ms, or not 0 to %d requests",
+			r.Endpoint.Address, r.AgoMS, len(r.Requests), 2*evidenceLifetime.Milliseconds(), maxRequestsPerCrash)
+	}
+	return nil
+}
+
+// VerdictReport is a Verdict in a message.
+type VerdictReport struct {
+	Request Fingerprint `cbor:"1,keyasint"`
+	ForMS   int64       `cbor:"2,keyasint"` // until the end of the quarantine
+	Cleared bool        `cbor:"3,keyasint,omitempty"`
+}
+
+// Check returns an error if the report has figures that no host sends.
+func (r *VerdictReport) Check() error {
+	if r.ForMS < 0 || r.ForMS > quarantineTime.Milliseconds() {
+		return trace.BadParameter("request %s is quarantined for %d ms: not 0 to %d", r.Request, r.ForMS, quarantineTime.Milliseconds())
+	}
+	return nil
+}
+
+// News is what a message carries about requests that end endpoints.
+type News struct {
+	Crashes  []CrashReport   `cbor:"1,keyasint,omitempty"`
+	Verdicts []VerdictReport `cbor:"2,keyasint,omitempty"`
+}
+
+// Limits of News. A crash takes up to 1.1 KB, usually 150 bytes, a verdict 25 bytes.
+const (
+	MaxCrashes  = 8
+	MaxVerdicts = 32
+)
+
+// Empty reports whether there is no news.
+func (n *News) Empty() bool { return n == nil || len(n.Crashes)+len(n.Verdicts) == 0 }
+
+// Check returns an error if the news is none that a host sends.
+func (n *News) Check() error {
+	if n == nil {
+		return nil
+	}
+	for i := range n.Crashes {
+		if err := n.Crashes[i].Check(); err != nil {
+			return err
+		}
+	}
+	for i := range n.Verdicts {
+		if err := n.Verdicts[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ZoneNews returns the news for the next message to the hosts of this zone, and RelayNews those for the hosts of other zones that pass them on. Both
+// return nil if there are none.
+func (g *Guard) ZoneNews(now time.Time) *News {
+	return g.news(g.crashNews.Zone.Next(MaxCrashes), g.verdictNews.Zone.Next(MaxVerdicts), now)
+}
+
+// RelayNews is described with ZoneNews.
+func (g *Guard) RelayNews(now time.Time) *News {
+	return g.news(g.crashNews.Relays.Next(MaxCrashes), g.verdictNews.Relays.Next(MaxVerdicts), now)
+}
+
+func (g *Guard) news(crashes []endpoints.ID, verdicts []Fingerprint, now time.Time) *News {
+	if len(crashes)+len(verdicts) == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := &News{}
+	for _, id := range crashes {
+		if c := g.crashes[id]; c != nil && now.Sub(c.At) <= evidenceLifetime {
+			n.Crashes = append(n.Crashes, CrashReport{Endpoint: id, Requests: append([]Fingerprint(nil), c.Requests...), AgoMS: max(0, now.Sub(c.At).Milliseconds()), Alive: c.Alive})
+		}
+	}
+	for _, f := range verdicts {
+		if e := g.verdicts[f]; e != nil && now.Before(e.Until) {
+			n.Verdicts = append(n.Verdicts, VerdictReport{Request: f, ForMS: e.Until.Sub(now).Milliseconds(), Cleared: e.Cleared})
+		}
+	}
+	return n
+}
+
+// HandleNews records the news of another host. What is new and comes from another zone is passed on to the hosts of this zone.
+func (g *Guard) HandleNews(n *News, from string, ownZone bool, now time.Time) {
+	if n.Empty() {
+		return
+	}
+	urgent := false
+	for _, r := range n.Crashes[:min(MaxCrashes, len(n.Crashes))] {
+		c := Crash{Endpoint: r.Endpoint, Requests: r.Requests, At: now.Add(-time.Duration(r.AgoMS) * time.Millisecond), Alive: r.Alive}
+		if g.addCrash(c, from) && !ownZone {
+			g.crashNews.Forward(r.Endpoint)
+			urgent = true
+		}
+	}
+	for _, r := range n.Verdicts[:min(MaxVerdicts, len(n.Verdicts))] {
+		v := Verdict{Request: r.Request, Until: now.Add(time.Duration(r.ForMS) * time.Millisecond), Cleared: r.Cleared}
+		if g.addVerdict(v, from, now) && !ownZone {
+			g.verdictNews.Forward(r.Request)
+			urgent = true
+		}
+	}
+	if urgent {
+		g.cfg.OnUrgent()
+	}
+}
+
+// Refresh announces the firm verdicts again, for hosts that have missed them. One host of a zone is to call it, about once a second.
+func (g *Guard) Refresh(now time.Time) {
+	for _, v := range g.Firm(now) {
+		g.verdictNews.Refresh(v.Request)
+	}
+}
--- /dev/null
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,209 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+)
+
+func endpoint(name string) endpoints.ID { return endpoints.ID{Address: name, Incarnation: name} }
+
+func fingerprint(name string) Fingerprint {
+	return NewFingerprint(netip.Addr{}, "GET", "shop.example", "/"+name, nil)
+}
+
+// newGuard returns a guard that takes each endpoint for ended, unless it is in alive.
+func newGuard(alive ...string) *Guard {
+	return New(Config{HasEnded: func(_ context.Context, e endpoints.Endpoint) bool {
+		for _, name := range alive {
+			if e.Address == name {
+				return false
+			}
+		}
+		return true
+	}, OnCrash: func(Crash, string) {}, OnVerdict: func(Verdict, int, string) {}, OnUrgent: func() {}})
+}
+
+// broke reports that the connections of requests to an endpoint broke.
+func (g *Guard) broke(name string, requests ...string) {
+	for _, r := range requests {
+		g.ConnectionBroke(context.Background(), endpoints.Endpoint{ID: endpoint(name)}, fingerprint(r))
+	}
+}
+
+func (g *Guard) quarantined(requests ...string) (list []string) {
+	for _, r := range requests {
+		if _, ok := g.Quarantined(fingerprint(r), time.Now()); ok {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// TestFingerprint guards against requests that differ and have the same fingerprint, and against one that depends on the attempt.
+func TestFingerprint(t *testing.T) {
+	is := is.New(t)
+	a, b := netip.MustParseAddr("10.0.0.1"), netip.MustParseAddr("10.0.0.2")
+	seen := map[Fingerprint]bool{}
+	for _, f := range []Fingerprint{
+		NewFingerprint(a, "GET", "h", "/x", nil), NewFingerprint(b, "GET", "h", "/x", nil), NewFingerprint(a, "POST", "h", "/x", nil),
+		NewFingerprint(a, "GET", "g", "/x", nil), NewFingerprint(a, "GET", "h", "/x?q=1", nil), NewFingerprint(a, "GET", "h", "/x", []byte("b")),
+		NewFingerprint(a, "GET", "h/", "x", nil),
+	} {
+		is.True(!seen[f])
+		seen[f] = true
+	}
+	is.Equal(NewFingerprint(a, "GET", "h", "/x", []byte("b")), NewFingerprint(a, "GET", "h", "/x", []byte("b")))
+}
+
+// TestCulpritAmongBystanders guards against bystanders that are condemned with the culprit, and against a culprit that goes free among them.
+func TestCulpritAmongBystanders(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ends  [][]string // requests that ran at each endpoint that ended
+		wants []string
+	}{
+		{"two ends are too few", [][]string{{"p", "a"}, {"p", "b"}}, nil},
+		{"three ends under one request", [][]string{{"p", "a"}, {"p", "b"}, {"p"}}, []string{"p"}},
+		{"a bystander of three ends, with a fourth", [][]string{{"p", "a"}, {"p", "a"}, {"p", "a"}, {"p"}}, []string{"p"}},
+		{"two requests at the same three ends", [][]string{{"p", "a"}, {"p", "a"}, {"p", "a"}}, nil},
+		{"two requests at the same five ends", [][]string{{"p", "a"}, {"p", "a"}, {"p", "a"}, {"p", "a"}, {"p", "a"}}, []string{"p", "a"}},
+		{"two culprits of their own ends", [][]string{{"p"}, {"p"}, {"p"}, {"q"}, {"q"}, {"q"}}, []string{"p", "q"}},
+		{"two culprits at one end", [][]string{{"p", "q"}, {"p"}, {"p"}, {"p"}, {"q"}, {"q"}, {"q"}}, []string{"p", "q"}},
+		{"a request that ran beside two culprits", [][]string{{"p", "a"}, {"p", "a"}, {"p"}, {"q", "a"}, {"q", "a"}, {"q"}, {"p"}, {"q"}, {"p"}, {"q"}}, []string{"p", "q"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				g := newGuard()
+				for i, requests := range c.ends {
+					g.broke(fmt.Sprint("e", i), requests...)
+				}
+				is.New(t).Equal(g.quarantined("p", "q", "a", "b"), c.wants)
+			})
+		})
+	}
+}
+
+// TestBrokenConnectionsAreNoEvidence guards against requests that are condemned although no endpoint ended: connections that are reset, and endpoints
+// that only could not be reached for a moment.
+func TestBrokenConnectionsAreNoEvidence(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGuard("e1", "e2", "e3")
+		g.broke("e1", "a")
+		g.broke("e2", "a")
+		g.broke("e3", "a")
+		is.True(!g.Active())
+		for _, name := range []string{"f1", "f2", "f3"} {
+			g.broke(name, "a")
+		}
+		is.Equal(g.quarantined("a"), []string{"a"})
+		g.Answered(endpoint("f1"), time.Now().Add(-time.Millisecond)) // an answer to an earlier request
+		is.Equal(g.quarantined("a"), []string{"a"})
+		time.Sleep(100 * time.Millisecond)
+		g.Answered(endpoint("f1"), time.Now()) // it is up
+		is.Equal(len(g.quarantined("a")), 0)
+	})
+}
+
+// TestAnsweredRequestIsInnocent guards against the quarantine of a request that endpoints answer, and against evidence from before the answer that arrives
+// late. Evidence from later counts.
+func TestAnsweredRequestIsInnocent(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, other := newGuard(), newGuard()
+		for _, name := range []string{"e1", "e2", "e3"} {
+			g.broke(name, "a")
+		}
+		late := g.ZoneNews(time.Now())
+		is.Equal(g.quarantined("a"), []string{"a"})
+		g.Succeeded(fingerprint("a"), time.Now())
+		is.Equal(len(g.quarantined("a")), 0)
+		other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
+		other.HandleNews(late, "g", true, time.Now())
+		is.Equal(len(other.quarantined("a")), 0)
+		for _, name := range []string{"e4", "e5", "e6"} { // ends while it is cleared, between answers
+			g.broke(name, "a")
+			other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
+			g.Succeeded(fingerprint("a"), time.Now())
+			other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
+		}
+		time.Sleep(clearedTime)
+		g.broke("e7", "b")
+		other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
+		is.Equal(len(g.quarantined("a"))+len(other.quarantined("a")), 0)
+		for _, name := range []string{"e8", "e9", "e10"} {
+			g.broke(name, "a")
+		}
+		is.Equal(g.quarantined("a"), []string{"a"})
+	})
+}
+
+// TestQuarantineEnds guards against verdicts that never end, that end while the request still comes, and against evidence that adds up over hours.
+func TestQuarantineEnds(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGuard()
+		for _, name := range []string{"e1", "e2", "e3"} {
+			g.broke(name, "p", "a")
+			g.broke(name+"'", "p")
+			time.Sleep(evidenceLifetime / 2) // e1 does not count any more when e3 ends
+		}
+		is.Equal(g.quarantined("p", "a"), []string{"p"})
+		for range 4 { // it comes again and again
+			time.Sleep(quarantineTime / 3)
+			is.Equal(g.quarantined("p"), []string{"p"})
+		}
+		time.Sleep(quarantineTime)
+		is.Equal(len(g.quarantined("p")), 0)
+		g.Evict(time.Now())
+		is.True(!g.Active())
+	})
+}
+
+// TestYoungVerdictIsReversed guards against a bystander that stays quarantined because the evidence against the culprit arrived after that against it.
+func TestYoungVerdictIsReversed(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, culprits := newGuard(), newGuard()
+		for _, name := range []string{"e1", "e2", "e3", "e4"} {
+			if name != "e4" {
+				g.broke(name, "a")
+			}
+			culprits.broke(name, "p")
+		}
+		is.Equal(g.quarantined("a"), []string{"a"})
+		is.Equal(len(g.Firm(time.Now())), 0)
+		time.Sleep(firmTime / 2)
+		g.HandleNews(culprits.ZoneNews(time.Now()), "culprits", true, time.Now())
+		is.Equal(g.quarantined("a", "p"), []string{"p"})
+		time.Sleep(firmTime)
+		is.Equal(len(g.Firm(time.Now())), 1)
+	})
+}
+
+// TestStateIsBounded guards against state that grows with the crashes and the requests that are reported.
+func TestStateIsBounded(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGuard()
+		for i := range 2 * maxCrashes {
+			g.broke(fmt.Sprint("e", i), fmt.Sprint("r", i%7))
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(len(g.crashes), maxCrashes)
+		for i := range 2 * maxVerdicts {
+			g.Restore([]Verdict{{Request: fingerprint(fmt.Sprint("s", i)), Until: time.Now().Add(time.Hour)}}, time.Now())
+		}
+		is.True(len(g.verdicts) <= maxVerdicts)
+		until, ok := g.Quarantined(fingerprint(fmt.Sprint("s", 2*maxVerdicts-1)), time.Now())
+		is.True(ok && time.Until(until) <= quarantineTime) // a time of the store that lies too far ahead is cut
+	})
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -91,7 +91,7 @@
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
-	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
+	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: callerapi.EndToEndHeaders(r.Header, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
 	res := g.forwarder.Run(ctx, call)
 	g.logRequest(ctx, r, id, table, call, res)
@@ -157,6 +157,9 @@
 		r.Reason, r.Detail = refusals.UpstreamRejecting, "every endpoint of the service wants no requests for a while"
 	case outcome == forward.RefusedAllLimited:
 		r.Reason, r.Detail = refusals.UpstreamLimited, "every endpoint of the service limits its requests per second, and others use up what the limits allow"
+	case outcome == forward.RefusedQuarantined:
+		r.Reason = refusals.RequestQuarantined
+		r.Remedy = "report the request to the operator of the service; the same request is not sent before the stated delay"
 	case outcome == forward.RefusedUpstream:
 		r.Reason, r.Detail = refusals.UpstreamRefused, "endpoints refused the request without running it"
 	case outcome == forward.RefusedConnect, outcome == forward.RefusedNoEndpoint:
@@ -197,7 +200,7 @@
 		h["Retry-After"] = []string{g.adapter.RetryAfter(refusal.RetryAfter)}
 	}
 	// For refusals with one of these reasons, logRequest has already written a line.
-	if refusal.Reason != refusals.UpstreamRejecting && refusal.Reason != refusals.UpstreamLimited && refusal.Reason != refusals.DeadlineUnreachable && refusal.Reason != refusals.NoUpstream && refusal.Reason != refusals.UpstreamRefused &&
+	if refusal.Reason != refusals.UpstreamRejecting && refusal.Reason != refusals.UpstreamLimited && refusal.Reason != refusals.RequestQuarantined && refusal.Reason != refusals.DeadlineUnreachable && refusal.Reason != refusals.NoUpstream && refusal.Reason != refusals.UpstreamRefused &&
 		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning && refusal.Reason != refusals.HostDraining {
 		g.log.Info("refused", "id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision)
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -175,9 +175,10 @@
 	return true
 }
 
-// beginStoreEpoch logs that the store has returned from an older copy of itself, and forgets which host list is stored.
+// beginStoreEpoch logs that the store has returned from an older copy of itself, and forgets what this host has stored.
 func (g *Gateway) beginStoreEpoch(c follow.EpochChange) {
 	g.storedHosts.reset(c.New)
+	g.storedQuarantine.set(nil)
 	if !c.HadCopy {
 		return
 	}
@@ -247,6 +248,7 @@
 	if r.RejectedFor > 0 || r.MalformedDelay != "" {
 		g.recordRejection(e, r)
 	}
+	g.crashGuard.Answered(e.ID, r.SentAt)
 	g.recordRateLimit(e, r)
 	if !r.Leaving {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -64,30 +65,32 @@
 	refusals *refusals.Store
 	recent   *recentRequests
 
-	routes        atomic.Pointer[routing.Table] // nil until a configuration is in force
-	endpoints     *registry.Table
-	endpointStats *placement.EndpointStats // load and failure statistics of endpoints
-	rateLimits    *ratelimits.Table        // limits that endpoints have named
-	rateLimiter   *ratelimit.Limiter       // permits for these endpoints
-	pool          *upstreamconn.Pool
-	forwarder     *forward.Forwarder
-	callers       *ingress.Server  // serves callers' requests
-	follower      *follow.Follower // keeps this host's copy of the store current
-	peers         *peers.Table
-	link          *peerlink.Link // exchanges messages with peers; set by Run
-	draining      atomic.Bool
-	drainPlan     atomic.Pointer[drainPlan] // nil before a drain
-	received      atomic.Int64              // requests received since the start
-	hasStoreCopy  atomic.Bool               // this host has a copy of the store's topics, from a peer or by reading the store
-	storeLost     atomic.Bool               // this host's reads of the store fail, at the last heartbeat
-	updateSources updateSources
-	storeHealth   storeHealth
-	encodedStates encodedStateCache
-	decoded       atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
-	storedHosts   storedHostList
-	heartbeatNow  chan struct{} // has the next heartbeat sent at once
-	meter         rateMeter     // of received
-	started       time.Time
+	routes           atomic.Pointer[routing.Table] // nil until a configuration is in force
+	endpoints        *registry.Table
+	endpointStats    *placement.EndpointStats // load and failure statistics of endpoints
+	rateLimits       *ratelimits.Table        // limits that endpoints have named
+	rateLimiter      *ratelimit.Limiter       // permits for these endpoints
+	crashGuard       *quarantine.Guard        // requests that end the endpoints which run them
+	pool             *upstreamconn.Pool
+	forwarder        *forward.Forwarder
+	callers          *ingress.Server  // serves callers' requests
+	follower         *follow.Follower // keeps this host's copy of the store current
+	peers            *peers.Table
+	link             *peerlink.Link // exchanges messages with peers; set by Run
+	draining         atomic.Bool
+	drainPlan        atomic.Pointer[drainPlan] // nil before a drain
+	received         atomic.Int64              // requests received since the start
+	hasStoreCopy     atomic.Bool               // this host has a copy of the store's topics, from a peer or by reading the store
+	storeLost        atomic.Bool               // this host's reads of the store fail, at the last heartbeat
+	updateSources    updateSources
+	storeHealth      storeHealth
+	encodedStates    encodedStateCache
+	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
+	storedHosts      storedHostList
+	storedQuarantine storedQuarantine
+	heartbeatNow     chan struct{} // has the next heartbeat sent at once
+	meter            rateMeter     // of received
+	started          time.Time
 
 	splitMu        sync.Mutex
 	splitPositions map[string]float64 // by route name, the last number of the sequence that divides its requests among services
@@ -152,8 +155,9 @@
 	g.pool = upstreamconn.NewPool(poolConfig)
 	repeatLimiter := placement.NewRepeatLimiter(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
+	g.crashGuard = quarantine.New(quarantine.Config{HasEnded: g.pool.HasEnded, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
-		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
+		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
 		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
 		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
@@ -363,6 +367,7 @@
 			g.endpointStats.EvictUnused(unusedStatsLifetime, now)
 			g.rateLimits.Evict(g.endpoints.Withdrawn, now)
 			g.rateLimiter.EvictUnused(now)
+			g.maintainQuarantine(ctx, now)
 			g.encodedStates.evictOld(now)
 			for _, name := range g.peers.RemoveSilent(now) {
 				g.log.Info("host", "name", name, "state", "forgotten")
--- a/internal/gateway/host_list.go
+++ b/internal/gateway/host_list.go
@@ -19,6 +19,9 @@
 	if r.Value == nil {
 		return false
 	}
+	if h.g.applyStoredQuarantine(r, now) {
+		return true
+	}
 	var hosts []peers.Host
 	if err := cbor.Unmarshal(r.Value, &hosts); err != nil {
 		h.g.log.Warn("hosts_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -45,14 +45,15 @@
 	}
 }
 
-// sendHeartbeat sends one heartbeat, a message that carries the host, its status, the endpoints that are newly leaving and new limits of endpoints.
+// sendHeartbeat sends one heartbeat, a message that carries the host, its status, the endpoints that are newly leaving, new limits of endpoints and requests that end endpoints.
 // What the hosts of other zones need goes to some of them.
 func (g *Gateway) sendHeartbeat() {
 	now := time.Now()
-	g.send(peerlink.Message{Leaving: g.endpoints.LeavingToAnnounce(peerlink.MaxLeaving), Limits: g.rateLimiter.ZoneNews(peerlink.MaxLimits, now)},
-		peerAddresses(g.peers.ZonePeers()))
-	if limits := g.rateLimiter.RelayNews(peerlink.MaxLimits, now); len(limits) > 0 {
-		g.send(peerlink.Message{Limits: limits}, peerAddresses(g.peers.Relays(now)))
+	g.send(peerlink.Message{Leaving: g.endpoints.LeavingToAnnounce(peerlink.MaxLeaving), Limits: g.rateLimiter.ZoneNews(peerlink.MaxLimits, now),
+		Crashes: g.crashGuard.ZoneNews(now)}, peerAddresses(g.peers.ZonePeers()))
+	limits, crashes := g.rateLimiter.RelayNews(peerlink.MaxLimits, now), g.crashGuard.RelayNews(now)
+	if len(limits) > 0 || !crashes.Empty() {
+		g.send(peerlink.Message{Limits: limits, Crashes: crashes}, peerAddresses(g.peers.Relays(now)))
 	}
 }
 
@@ -90,6 +91,7 @@
 		g.logEndpointChange(g.endpoints.MarkLeaving(id, false, now), sourcePeer)
 	}
 	g.handleLimits(m, now)
+	g.crashGuard.HandleNews(m.Crashes, m.From.Name, m.From.Zone == g.settings.Zone, now)
 	for _, h := range m.Hosts {
 		g.addHost(h, m.From.Name, now)
 	}
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
+	"github.com/arbutusspan/arbutusspan/internal/state/registry"
+)
+
+const (
+	// quarantineKey is the prefix of the keys in the host topic under which zones keep the requests that are quarantined, before the zone's name.
+	quarantineKey = "quarantine/"
+	// quarantineCoordination is the key of the coordinator that writes and announces a zone's list.
+	quarantineCoordination = "quarantine"
+	// quarantineWriteInterval is the least time between two writes of the list.
+	quarantineWriteInterval = 3 * time.Second
+	quarantineWriteTimeout  = 2 * time.Second
+)
+
+// storedVerdict is a quarantined request in the store.
+type storedVerdict struct {
+	Request quarantine.Fingerprint `cbor:"1,keyasint"`
+	UntilMS int64                  `cbor:"2,keyasint"` // end of the quarantine in Unix milliseconds
+}
+
+// storedQuarantine remembers what the store holds of this zone's list.
+type storedQuarantine struct {
+	mu        sync.Mutex
+	requests  []byte // the fingerprints in order; nil if the store has none, or another epoch
+	lastWrite time.Time
+}
+
+// due reports whether a list has to be written, and notes the time if so.
+func (s *storedQuarantine) due(requests []byte, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if bytes.Equal(requests, s.requests) || now.Sub(s.lastWrite) < quarantineWriteInterval {
+		return false
+	}
+	s.lastWrite = now
+	return true
+}
+
+func (s *storedQuarantine) set(requests []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = requests
+}
+
+// maintainQuarantine announces the quarantined requests again and keeps them in the store, if this host coordinates that in its zone. Hosts that start
+// after all hosts have stopped find them there.
+func (g *Gateway) maintainQuarantine(ctx context.Context, now time.Time) {
+	g.crashGuard.Evict(now)
+	verdicts := g.crashGuard.Firm(now)
+	if len(verdicts) == 0 {
+		return
+	}
+	if _, self, ok := g.peers.Coordinator(g.settings.Zone, quarantineCoordination, 0, now); !ok || !self {
+		return
+	}
+	g.crashGuard.Refresh(now)
+	var list []storedVerdict
+	var requests []byte
+	for _, v := range verdicts {
+		list = append(list, storedVerdict{v.Request, v.Until.UnixMilli()})
+		requests = append(requests, v.Request[:]...)
+	}
+	if !g.storedQuarantine.due(requests, now) {
+		return
+	}
+	record, err := cbor.Marshal(list)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, quarantineWriteTimeout)
+		defer cancel()
+		_, err = g.follower.Append(ctx, g.adapter.HostTopic, quarantineKey+g.settings.Zone, record)
+	}
+	if err != nil {
+		g.log.Warn("quarantine_not_written", "requests", len(list), "error", err)
+		return
+	}
+	g.storedQuarantine.set(requests)
+	g.log.Info("quarantine_written", "requests", len(list))
+}
+
+// applyStoredQuarantine applies a record of the host topic if it is a list of quarantined requests, and reports whether it is one.
+func (g *Gateway) applyStoredQuarantine(r follow.Record, now time.Time) bool {
+	if !strings.HasPrefix(r.Key, quarantineKey) {
+		return false
+	}
+	var list []storedVerdict
+	if err := cbor.Unmarshal(r.Value, &list); err != nil {
+		g.log.Warn("quarantine_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
+		return true
+	}
+	var verdicts []quarantine.Verdict
+	for _, v := range list {
+		verdicts = append(verdicts, quarantine.Verdict{Request: v.Request, Until: time.UnixMilli(v.UntilMS)})
+	}
+	g.crashGuard.Restore(verdicts, now)
+	return true
+}
+
+// logCrash logs that an endpoint has ended under requests, or that it has answered since.
+func (g *Gateway) logCrash(c quarantine.Crash, source string) {
+	g.metrics.Add("endpoint_crashes_total", 1)
+	g.log.Info("endpoint_crash", "name", registry.EndpointName(c.Endpoint), "address", c.Endpoint.Address, "requests", fingerprints(c.Requests), "alive", c.Alive,
+		"source", source, "age_ms", ms(time.Since(c.At)))
+}
+
+// maxLoggedFingerprints is the number of requests that a line of the log names.
+const maxLoggedFingerprints = 8
+
+func fingerprints(list []quarantine.Fingerprint) string {
+	var names []string
+	for _, f := range list[:min(maxLoggedFingerprints, len(list))] {
+		names = append(names, f.String())
+	}
+	return strings.Join(names, ",")
+}
+
+// logVerdict logs that a request is quarantined or no longer is.
+func (g *Gateway) logVerdict(v quarantine.Verdict, evidence int, source string) {
+	state := "quarantined"
+	if v.Cleared {
+		state = "cleared"
+	} else if !time.Now().Before(v.Until) {
+		state = "released"
+	}
+	g.metrics.Add("quarantine_"+state+"_total", 1)
+	g.log.Info("quarantine", "request", v.Request, "state", state, "endpoints", evidence, "for_ms", max(0, ms(time.Until(v.Until))), "source", source)
+}
--- a/internal/protocol/problem/problem.go
+++ b/internal/protocol/problem/problem.go
@@ -66,6 +66,7 @@
 	refusals.UpstreamRefused:        {http.StatusServiceUnavailable, "Upstream refused the request"},
 	refusals.UpstreamRejecting:      {http.StatusServiceUnavailable, "Upstream asks for a pause"},
 	refusals.UpstreamLimited:        {http.StatusServiceUnavailable, "Upstream limits its requests"},
+	refusals.RequestQuarantined:     {http.StatusServiceUnavailable, "Request ends the upstreams that run it"},
 	refusals.UpstreamConnectFailed:  {http.StatusBadGateway, "Upstream not reached"},
 	refusals.UpstreamLost:           {http.StatusBadGateway, "Upstream lost"},
 	refusals.DeadlinePassedRunning:  {http.StatusGatewayTimeout, "Deadline passed while running"},
--- a/internal/state/refusals/refusals.go
+++ b/internal/state/refusals/refusals.go
@@ -32,6 +32,7 @@
 	UpstreamRefused        Reason = "upstream_refused"
 	UpstreamRejecting      Reason = "upstream_rejecting"
 	UpstreamLimited        Reason = "upstream_limited"
+	RequestQuarantined     Reason = "request_quarantined"
 	UpstreamConnectFailed  Reason = "upstream_connect_failed"
 	UpstreamLost           Reason = "upstream_lost"
 	DeadlinePassedRunning  Reason = "deadline_passed_running"
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -17,6 +17,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
@@ -39,6 +40,8 @@
 	// PermitRequest asks for permits for an endpoint with a rate limit, and Grant is the response to such a request.
 	PermitRequest *ratelimit.Request `cbor:"9,keyasint,omitempty"`
 	Grant         *ratelimit.Grant   `cbor:"10,keyasint,omitempty"`
+	// Crashes is news about requests that end the endpoints which run them.
+	Crashes *quarantine.News `cbor:"11,keyasint,omitempty"`
 }
 
 // MaxLeaving is the maximum length of Message.Leaving. An endpoint's ID takes about 50 bytes.
@@ -203,6 +206,9 @@
 	if err := m.checkLimits(); err != nil {
 		return err
 	}
+	if err := m.Crashes.Check(); err != nil {
+		return err
+	}
 	if m.Status.Rate < 0 {
 		return trace.BadParameter("the rate is %d: negative", m.Status.Rate)
 	}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -73,7 +73,7 @@
 
 // sendError returns the SendError of a request that got no response on this connection.
 func (c *conn) sendError(err error) error {
-	return &executor.SendError{Written: c.guarded.requestWritten(), Partial: c.guarded.headerBegun(), Err: errtext.Bound(err)}
+	return &executor.SendError{Written: c.guarded.requestWritten(), Partial: c.guarded.headerBegun(), Broken: true, Err: errtext.Bound(err)}
 }
 
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
