quarantine: the evidence decides whether caller and query belong to a request

Cause, as far as it can be told without its logs: the fingerprint had the caller's address and the query. Change: a verdict is the narrowest pattern of content, caller and query that explains all ends but one. What an endpoint answers clears every pattern that matches it of the ends before that, and a caller whose request was answered is not met by a wider verdict.

--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -27,33 +28,53 @@
 
 // VerdictReport is a Verdict in a message.
 type VerdictReport struct {
-	Request Fingerprint `cbor:"1,keyasint"`
-	ForMS   int64       `cbor:"2,keyasint"` // until the end of the quarantine
-	Cleared bool        `cbor:"3,keyasint,omitempty"`
+	Pattern      Fingerprint `cbor:"1,keyasint"`
+	ForMS        int64       `cbor:"2,keyasint"` // until the end of the quarantine
+	DecidedAgoMS int64       `cbor:"3,keyasint"`
 }
 
+// maxAgeMS bounds the ages in a message in milliseconds. A request that comes again stays quarantined, but no process runs for ten years.
+const maxAgeMS = 10 * 365 * 24 * 3_600_000
+
 // Check returns an error if the report has figures that no host sends.
 func (r *VerdictReport) Check() error {
-	if r.ForMS < 0 || r.ForMS > quarantineTime.Milliseconds() {
-		return trace.BadParameter("request %s is quarantined for %d ms: not 0 to %d", r.Request, r.ForMS, quarantineTime.Milliseconds())
+	if r.ForMS < 0 || r.ForMS > quarantineTime.Milliseconds() || r.DecidedAgoMS < 0 || r.DecidedAgoMS > maxAgeMS {
+		return trace.BadParameter("request %s is quarantined for %d ms since %d ms ago: not 0 to %d ms, or not 0 to %d", r.Pattern, r.ForMS, r.DecidedAgoMS,
+			quarantineTime.Milliseconds(), int64(maxAgeMS))
+	}
+	return nil
+}
+
+// AnsweredReport says in a message when an endpoint answered a request that was suspected.
+type AnsweredReport struct {
+	Request Fingerprint `cbor:"1,keyasint"`
+	AgoMS   int64       `cbor:"2,keyasint"`
+}
+
+// Check returns an error if the report has figures that no host sends.
+func (r *AnsweredReport) Check() error {
+	if r.AgoMS < 0 || r.AgoMS > maxAgeMS {
+		return trace.BadParameter("request %s was answered %d ms ago: not 0 to %d", r.Request, r.AgoMS, int64(maxAgeMS))
 	}
 	return nil
 }
 
 // News is what a message carries about requests that end endpoints.
 type News struct {
-	Crashes  []CrashReport   `cbor:"1,keyasint,omitempty"`
-	Verdicts []VerdictReport `cbor:"2,keyasint,omitempty"`
+	Crashes  []CrashReport    `cbor:"1,keyasint,omitempty"`
+	Verdicts []VerdictReport  `cbor:"2,keyasint,omitempty"`
+	Answered []AnsweredReport `cbor:"3,keyasint,omitempty"`
 }
 
-// Limits of News. A crash takes up to 1.1 KB, usually 150 bytes, a verdict 25 bytes.
+// Limits of News. A crash takes up to 2.6 KB, usually 200 bytes, a verdict or an answered request 50 bytes.
 const (
 	MaxCrashes  = 8
-	MaxVerdicts = 32
+	MaxVerdicts = 16
+	MaxAnswered = 16
 )
 
 // Empty reports whether there is no news.
-func (n *News) Empty() bool { return n == nil || len(n.Crashes)+len(n.Verdicts) == 0 }
+func (n *News) Empty() bool { return n == nil || len(n.Crashes)+len(n.Verdicts)+len(n.Answered) == 0 }
 
 // Check returns an error if the news is none that a host sends.
 func (n *News) Check() error {
@@ -70,22 +91,27 @@
 			return err
 		}
 	}
+	for i := range n.Answered {
+		if err := n.Answered[i].Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
 // ZoneNews returns the news for the next message to the hosts of this zone, and RelayNews those for the hosts of other zones that pass them on. Both
 // return nil if there are none.
 func (g *Guard) ZoneNews(now time.Time) *News {
-	return g.news(g.crashNews.Zone.Next(MaxCrashes), g.verdictNews.Zone.Next(MaxVerdicts), now)
+	return g.news(g.crashNews.Zone.Next(MaxCrashes), g.verdictNews.Zone.Next(MaxVerdicts), g.answeredNews.Zone.Next(MaxAnswered), now)
 }
 
 // RelayNews is described with ZoneNews.
 func (g *Guard) RelayNews(now time.Time) *News {
-	return g.news(g.crashNews.Relays.Next(MaxCrashes), g.verdictNews.Relays.Next(MaxVerdicts), now)
+	return g.news(g.crashNews.Relays.Next(MaxCrashes), g.verdictNews.Relays.Next(MaxVerdicts), g.answeredNews.Relays.Next(MaxAnswered), now)
 }
 
-func (g *Guard) news(crashes []endpoints.ID, verdicts []Fingerprint, now time.Time) *News {
-	if len(crashes)+len(verdicts) == 0 {
+func (g *Guard) news(crashes []endpoints.ID, verdicts, answered []Fingerprint, now time.Time) *News {
+	if len(crashes)+len(verdicts)+len(answered) == 0 {
 		return nil
 	}
 	g.mu.Lock()
@@ -93,34 +119,48 @@
 	n := &News{}
 	for _, id := range crashes {
 		if c := g.crashes[id]; c != nil && now.Sub(c.At) <= evidenceLifetime {
-			n.Crashes = append(n.Crashes, CrashReport{Endpoint: id, Requests: append([]Fingerprint(nil), c.Requests...), AgoMS: max(0, now.Sub(c.At).Milliseconds()), Alive: c.Alive})
+			n.Crashes = append(n.Crashes, CrashReport{Endpoint: id, Requests: slices.Clone(c.Requests), AgoMS: age(c.At, now), Alive: c.Alive})
 		}
 	}
 	for _, f := range verdicts {
 		if e := g.verdicts[f]; e != nil && now.Before(e.Until) {
-			n.Verdicts = append(n.Verdicts, VerdictReport{Request: f, ForMS: e.Until.Sub(now).Milliseconds(), Cleared: e.Cleared})
+			n.Verdicts = append(n.Verdicts, VerdictReport{Pattern: f, ForMS: e.Until.Sub(now).Milliseconds(), DecidedAgoMS: age(e.DecidedAt, now)})
+		}
+	}
+	for _, f := range answered {
+		if at, ok := g.answered[f]; ok {
+			n.Answered = append(n.Answered, AnsweredReport{Request: f, AgoMS: age(at, now)})
 		}
 	}
 	return n
 }
 
+// age returns the time since a moment in milliseconds, for a message.
+func age(at, now time.Time) int64 { return max(0, now.Sub(at).Milliseconds()) }
+
 // HandleNews records the news of another host. What is new and comes from another zone is passed on to the hosts of this zone.
 func (g *Guard) HandleNews(n *News, from string, ownZone bool, now time.Time) {
 	if n.Empty() {
 		return
 	}
+	before := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	urgent := false
 	for _, r := range n.Crashes[:min(MaxCrashes, len(n.Crashes))] {
-		c := Crash{Endpoint: r.Endpoint, Requests: r.Requests, At: now.Add(-time.Duration(r.AgoMS) * time.Millisecond), Alive: r.Alive}
-		if g.addCrash(c, from) && !ownZone {
+		if g.addCrash(Crash{Endpoint: r.Endpoint, Requests: r.Requests, At: before(r.AgoMS), Alive: r.Alive}, from) && !ownZone {
 			g.crashNews.Forward(r.Endpoint)
 			urgent = true
 		}
 	}
+	for _, r := range n.Answered[:min(MaxAnswered, len(n.Answered))] {
+		if g.addAnswered(r.Request, before(r.AgoMS), from) && !ownZone {
+			g.answeredNews.Forward(r.Request)
+			urgent = true
+		}
+	}
 	for _, r := range n.Verdicts[:min(MaxVerdicts, len(n.Verdicts))] {
-		v := Verdict{Request: r.Request, Until: now.Add(time.Duration(r.ForMS) * time.Millisecond), Cleared: r.Cleared}
+		v := Verdict{Pattern: r.Pattern, DecidedAt: before(r.DecidedAgoMS), Until: now.Add(time.Duration(r.ForMS) * time.Millisecond)}
 		if g.addVerdict(v, from, now) && !ownZone {
-			g.verdictNews.Forward(r.Request)
+			g.verdictNews.Forward(r.Pattern)
 			urgent = true
 		}
 	}
@@ -132,6 +172,6 @@
 // Refresh announces the firm verdicts again, for hosts that have missed them. One host of a zone is to call it, about once a second.
 func (g *Guard) Refresh(now time.Time) {
 	for _, v := range g.Firm(now) {
-		g.verdictNews.Refresh(v.Request)
+		g.verdictNews.Refresh(v.Pattern)
 	}
 }
--- a/internal/coordination/quarantine/fingerprint.go
+++ b/internal/coordination/quarantine/fingerprint.go
@@ -6,26 +6,70 @@
 	"encoding/hex"
 	"hash"
 	"net/netip"
+	"strings"
 )
 
-// Fingerprint identifies a request whose attempts have different ids: the requests of one caller with the same method, host, target and body have
-// the same one on all hosts.
-type Fingerprint [16]byte
+// Fingerprint identifies a request whose attempts have different ids, on all hosts. It is also a pattern for several requests: a zero Caller or
+// Query stands for any.
+type Fingerprint struct {
+	Content [16]byte `cbor:"1,keyasint"` // hash of method, host, path and body
+	Caller  [8]byte  `cbor:"2,keyasint"` // hash of the caller's address
+	Query   [8]byte  `cbor:"3,keyasint"` // hash of the query
+}
 
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+// String returns the parts in hexadecimal, with "*" for any.
+func (f Fingerprint) String() string {
+	part := func(b [8]byte) string {
+		if b == [8]byte{} {
+			return "*"
+		}
+		return hex.EncodeToString(b[:])
+	}
+	return hex.EncodeToString(f.Content[:]) + "." + part(f.Caller) + "." + part(f.Query)
+}
 
 // NewFingerprint returns the fingerprint of a request. target is the path with the query, caller the address of the caller without its port.
-func NewFingerprint(caller netip.Addr, method, host, target string, body []byte) Fingerprint {
+func NewFingerprint(caller netip.Addr, method, host, target string, body []byte) (f Fingerprint) {
+	path, query, _ := strings.Cut(target, "?")
+	copy(f.Content[:], digest([]byte(method), []byte(host), []byte(path), body))
+	copy(f.Caller[:], digest([]byte(caller.String())))
+	copy(f.Query[:], digest([]byte(query)))
+	return f
+}
+
+// digest returns a hash of fields, each after its length, so that no two lists of fields are hashed alike.
+func digest(fields ...[]byte) []byte {
 	h := sha256.New()
-	for _, field := range []string{caller.String(), method, host, target} {
-		writeField(h, []byte(field))
+	for _, field := range fields {
+		writeField(h, field)
 	}
-	writeField(h, body)
-	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
+	return h.Sum(nil)
 }
 
-// writeField writes a field after its length, so that no two lists of fields are written alike.
 func writeField(h hash.Hash, field []byte) {
 	h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field)))) // a hash returns no error
 	h.Write(field)
 }
+
+// patterns returns the patterns that match a request, the narrowest first.
+func (f Fingerprint) patterns() [4]Fingerprint {
+	return [4]Fingerprint{f, {Content: f.Content, Caller: f.Caller}, {Content: f.Content, Query: f.Query}, {Content: f.Content}}
+}
+
+// breadth returns the place of a pattern in the result of patterns.
+func (f Fingerprint) breadth() int {
+	n := 0
+	if f.Query == [8]byte{} {
+		n++
+	}
+	if f.Caller == [8]byte{} {
+		n += 2
+	}
+	return n
+}
+
+// compare orders fingerprints: by content, then the narrower patterns first.
+func (f Fingerprint) compare(other Fingerprint) int {
+	return strings.Compare(string(f.Content[:])+string(rune(f.breadth()))+string(f.Caller[:])+string(f.Query[:]),
+		string(other.Content[:])+string(rune(other.breadth()))+string(other.Caller[:])+string(other.Query[:]))
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -24,11 +24,9 @@
 	evidenceLifetime = 5 * time.Minute
 	// firmTime is the age from which a decision is passed on as such. A younger one may still be reversed by evidence that is on its way.
 	firmTime = time.Second
-	// clearedTime is how long a request that was answered is not suspected, whatever older evidence is still on its way.
-	clearedTime = 10 * time.Second
 	// checkTimeout bounds the check of whether an endpoint's process has ended.
 	checkTimeout = 50 * time.Millisecond
-	// maxCrashes, maxRequestsPerCrash and maxVerdicts bound the state. The oldest crashes and verdicts are dropped first.
+	// maxCrashes, maxRequestsPerCrash and maxVerdicts bound the state; maxVerdicts also bounds the answered requests. The oldest are dropped first.
 	maxCrashes          = 512
 	maxRequestsPerCrash = 64
 	maxVerdicts         = 1024
@@ -40,7 +38,7 @@
 	HasEnded func(ctx context.Context, e endpoints.Endpoint) bool
 	// OnCrash is called when this host has noticed, or has first heard, that an endpoint ended under requests. source is SourceSelf or the name of a host.
 	OnCrash func(c Crash, source string)
-	// OnVerdict is called when a request is quarantined or no longer is.
+	// OnVerdict is called when requests are quarantined or no longer are. evidence is the number of endpoints that ended under them, 0 if it is not known.
 	OnVerdict func(v Verdict, evidence int, source string)
 	// OnUrgent is called when the other hosts should get this host's news at once.
 	OnUrgent func()
@@ -60,37 +58,38 @@
 	Alive    bool // the process answered later, so that it had not ended
 }
 
-// Verdict says whether a request is quarantined.
+// Verdict says that the requests that match a pattern are quarantined.
 type Verdict struct {
-	Request Fingerprint
-	Until   time.Time // end of the quarantine
-	Cleared bool      // the request is not suspected until Until, because an endpoint has answered it
+	Pattern   Fingerprint
+	DecidedAt time.Time
+	Until     time.Time // end of the quarantine; not after DecidedAt if it was reversed
 }
 
 // entry is a verdict with its reason.
 type entry struct {
 	Verdict
-	decidedAt time.Time
 	// derived is set if this host's evidence is the reason. Such a verdict is reversed if the evidence changes before firmTime.
 	derived bool
 }
 
 // Guard holds the evidence and the verdicts of one host. It is safe for concurrent use.
 type Guard struct {
-	cfg         Config
-	checks      singleflight.Group // by endpoint
-	crashNews   announce.Broadcast[endpoints.ID]
-	verdictNews announce.Broadcast[Fingerprint]
-	active      atomic.Bool // there is evidence or a verdict
+	cfg          Config
+	checks       singleflight.Group // by endpoint
+	crashNews    announce.Broadcast[endpoints.ID]
+	verdictNews  announce.Broadcast[Fingerprint]
+	answeredNews announce.Broadcast[Fingerprint]
+	active       atomic.Bool // there is evidence or a verdict
 
 	mu       sync.Mutex
 	crashes  map[endpoints.ID]*Crash
-	verdicts map[Fingerprint]*entry
+	verdicts map[Fingerprint]*entry    // by pattern
+	answered map[Fingerprint]time.Time // by pattern, when an endpoint has last answered a suspected request that matches it
 }
 
 // New returns a guard without evidence.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}}
+	return &Guard{cfg: cfg, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
 }
 
 // Active reports whether there is evidence or a verdict. If not, no request has to be identified.
@@ -100,15 +99,21 @@
 func (g *Guard) Quarantined(f Fingerprint, now time.Time) (until time.Time, quarantined bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := g.verdicts[f]
-	if e == nil || e.Cleared || !now.Before(e.Until) {
-		return time.Time{}, false
-	}
-	if e.Until.Sub(now) < quarantineTime/2 {
-		e.Until = now.Add(quarantineTime)
-		g.verdictNews.Announce(f)
+	for _, pattern := range f.patterns() {
+		e := g.verdicts[pattern]
+		if e == nil || !now.Before(e.Until) {
+			if _, answered := g.answered[pattern]; answered && pattern.Caller == f.Caller {
+				return time.Time{}, false // this caller's request was answered, so a wider verdict is about others
+			}
+			continue
+		}
+		if e.Until.Sub(now) < quarantineTime/2 {
+			e.Until = now.Add(quarantineTime)
+			g.verdictNews.Announce(pattern)
+		}
+		return e.Until, true
 	}
-	return e.Until, true
+	return time.Time{}, false
 }
 
 // ConnectionBroke is to be called when the connection of a request to an endpoint ended without a whole answer. If the endpoint's process is gone,
@@ -138,29 +143,14 @@
 	}
 }
 
-// Succeeded records that an endpoint has answered a request and is up: the request is not the cause of the ends of endpoints beside which it ran.
+// Succeeded records that an endpoint has answered a request: it is not the cause of the ends of endpoints beside which it ran before.
 func (g *Guard) Succeeded(f Fingerprint, now time.Time) {
-	g.mu.Lock()
-	suspected := g.suspected(f)
-	g.mu.Unlock()
-	if suspected {
-		g.addVerdict(Verdict{Request: f, Until: now.Add(clearedTime), Cleared: true}, SourceSelf, now)
+	if g.addAnswered(f, now, SourceSelf) {
+		g.answeredNews.Announce(f)
+		g.cfg.OnUrgent()
 	}
 }
 
-// suspected reports whether there is evidence against a request, or a verdict. g.mu must be held.
-func (g *Guard) suspected(f Fingerprint) bool {
-	if e := g.verdicts[f]; e != nil && !e.Cleared {
-		return true
-	}
-	for _, c := range g.crashes {
-		if slices.Contains(c.Requests, f) {
-			return true
-		}
-	}
-	return false
-}
-
 // addCrash adds evidence and decides anew. It returns whether the evidence is new.
 func (g *Guard) addCrash(c Crash, source string) (isNew bool) {
 	g.mu.Lock()
@@ -212,7 +202,7 @@
 	delete(g.crashes, oldest.Endpoint)
 }
 
-// change is a changed verdict and the number of endpoints that ended under its request.
+// change is a changed verdict and the number of endpoints that ended under its requests.
 type change struct {
 	Verdict
 	evidence int
@@ -230,14 +220,14 @@
 	for f, evidence := range condemned {
 		if e := g.verdicts[f]; e == nil || !now.Before(e.Until) {
 			g.dropOldestVerdict()
-			g.verdicts[f] = &entry{Verdict{Request: f, Until: now.Add(quarantineTime)}, now, true}
+			g.verdicts[f] = &entry{Verdict{Pattern: f, DecidedAt: now, Until: now.Add(quarantineTime)}, true}
 			changes = append(changes, change{g.verdicts[f].Verdict, evidence})
 		}
 	}
 	for f, e := range g.verdicts {
-		if _, still := condemned[f]; e.derived && !still && now.Sub(e.decidedAt) < firmTime {
+		if _, still := condemned[f]; e.derived && !still && now.Sub(e.DecidedAt) < firmTime {
 			delete(g.verdicts, f)
-			changes = append(changes, change{Verdict{Request: f, Until: now}, 0})
+			changes = append(changes, change{Verdict{Pattern: f, DecidedAt: e.DecidedAt}, 0})
 		}
 	}
 	return changes
@@ -254,130 +244,88 @@
 			oldest = e
 		}
 	}
-	delete(g.verdicts, oldest.Request)
+	delete(g.verdicts, oldest.Pattern)
 }
 
-const (
-	// minEvidence is the number of endpoints that have to end under a request before it is quarantined. Of several requests that explain the same ends
-	// none is, until there are minSharedEvidence: some of them may only have run beside the others.
-	minEvidence       = 3
-	minSharedEvidence = 5
-)
-
-// culprits returns the requests that the evidence condemns, with the number of endpoints that ended under each: repeatedly the request under which most
-// of the endpoints ended whose end no other request explains yet. g.mu must be held.
-func (g *Guard) culprits(now time.Time) map[Fingerprint]int {
-	ends := g.unexplainedEnds(now)
-	condemned := map[Fingerprint]int{}
-	for len(ends) > 0 {
-		first := mostEnds(ends)
-		count := len(ends[first])
-		if count < minEvidence {
-			break
+// addAnswered records that an endpoint answered a request at a time. It returns whether that changes what counts against the request.
+func (g *Guard) addAnswered(f Fingerprint, at time.Time, source string) (isNew bool) {
+	g.mu.Lock()
+	var changes []change
+	for _, pattern := range f.patterns() {
+		if !at.After(g.answered[pattern]) || !g.suspected(pattern, at) {
+			continue
 		}
-		alike := explainSame(ends, first)
-		explained := map[endpoints.ID]bool{}
-		for _, f := range alike {
-			for _, id := range ends[f] {
-				explained[id] = true
-			}
-			if len(alike) == 1 || count >= minSharedEvidence {
-				condemned[f] = count
+		isNew = true
+		g.dropOldestAnswered()
+		g.answered[pattern] = at
+	}
+	if isNew {
+		condemned := g.culprits(time.Now())
+		for _, pattern := range f.patterns() {
+			e := g.verdicts[pattern]
+			if _, still := condemned[pattern]; e != nil && (at.After(e.DecidedAt) || e.derived && !still) {
+				delete(g.verdicts, pattern)
+				changes = append(changes, change{Verdict{Pattern: pattern, DecidedAt: e.DecidedAt}, 0})
 			}
-			delete(ends, f)
-		}
-		for f := range ends {
-			ends[f] = slices.DeleteFunc(ends[f], func(id endpoints.ID) bool { return explained[id] })
 		}
 	}
-	return condemned
+	g.mu.Unlock()
+	g.report(changes, source)
+	return isNew
 }
 
-// unexplainedEnds returns the endpoints that ended under each request that is not cleared. g.mu must be held.
-func (g *Guard) unexplainedEnds(now time.Time) map[Fingerprint][]endpoints.ID {
-	ends := map[Fingerprint][]endpoints.ID{}
-	for id, c := range g.crashes {
-		if c.Alive || now.Sub(c.At) > evidenceLifetime {
+// suspected reports whether something that an answer at a time refutes counts against the requests that match a pattern. g.mu must be held.
+func (g *Guard) suspected(pattern Fingerprint, at time.Time) bool {
+	if e := g.verdicts[pattern]; e != nil && at.After(e.DecidedAt) {
+		return true
+	}
+	for _, c := range g.crashes {
+		if !c.At.After(g.answered[pattern]) || c.At.After(at) {
 			continue
 		}
 		for _, f := range c.Requests {
-			if e := g.verdicts[f]; e == nil || !e.Cleared || !now.Before(e.Until) {
-				ends[f] = append(ends[f], id)
+			if patterns := f.patterns(); slices.Contains(patterns[:], pattern) {
+				return true
 			}
 		}
 	}
-	return ends
+	return false
 }
 
-// mostEnds returns the request with the most ends, of several the one with the least fingerprint, so that all hosts decide alike.
-func mostEnds(ends map[Fingerprint][]endpoints.ID) (first Fingerprint) {
-	most := -1
-	for f, list := range ends {
-		if len(list) > most || len(list) == most && slices.Compare(f[:], first[:]) < 0 {
-			first, most = f, len(list)
-		}
+// dropOldestAnswered makes room for one more answered request. g.mu must be held.
+func (g *Guard) dropOldestAnswered() {
+	if len(g.answered) < maxVerdicts {
+		return
 	}
-	return first
-}
-
-// explainSame returns the first request and those that have as many ends, but too few that the first does not explain.
-func explainSame(ends map[Fingerprint][]endpoints.ID, first Fingerprint) []Fingerprint {
-	alike := []Fingerprint{first}
-	for f, list := range ends {
-		if f == first || len(list) < len(ends[first]) {
-			continue
-		}
-		own := 0
-		for _, id := range list {
-			if !slices.Contains(ends[first], id) {
-				own++
-			}
-		}
-		if own < minEvidence {
-			alike = append(alike, f)
+	var oldest Fingerprint
+	var at time.Time
+	for f, t := range g.answered {
+		if at.IsZero() || t.Before(at) {
+			oldest, at = f, t
 		}
 	}
-	return alike
+	delete(g.answered, oldest)
 }
 
-// addVerdict records a verdict of another host, of the store, or that a request was answered. It returns whether the verdict is new.
+// addVerdict records a verdict of another host or of the store. It returns whether the verdict is new.
 func (g *Guard) addVerdict(v Verdict, source string, now time.Time) (isNew bool) {
 	g.mu.Lock()
-	known := g.verdicts[v.Request]
-	switch {
-	case !now.Before(v.Until):
-	case known != nil && known.Cleared && now.Before(known.Until) && !v.Cleared: // a verdict from before it was answered
-	case v.Cleared && known != nil && known.Cleared && g.suspected(v.Request): // evidence has come since, and does not count either
-		isNew = true
-	case known != nil && known.Cleared == v.Cleared && v.Until.Sub(known.Until) < quarantineTime/4 && now.Before(known.Until):
-	default:
-		isNew = true
-	}
-	if isNew {
+	known := g.verdicts[v.Pattern]
+	valid := now.Before(v.Until) && v.DecidedAt.After(g.answered[v.Pattern])
+	if isNew = valid && (known == nil || !now.Before(known.Until) || v.Until.Sub(known.Until) > quarantineTime/4); isNew {
 		g.dropOldestVerdict()
-		g.verdicts[v.Request] = &entry{v, now, false}
-		if v.Cleared {
-			g.forget(v.Request)
-		}
+		g.verdicts[v.Pattern] = &entry{v, false}
 	}
-	g.active.Store(len(g.crashes)+len(g.verdicts) > 0)
+	g.updateActive()
 	g.mu.Unlock()
 	if isNew {
-		if source == SourceSelf {
-			g.verdictNews.Announce(v.Request)
-			g.cfg.OnUrgent()
-		}
 		g.cfg.OnVerdict(v, 0, source)
 	}
 	return isNew
 }
 
-// forget removes a request from the evidence. g.mu must be held.
-func (g *Guard) forget(f Fingerprint) {
-	for _, c := range g.crashes {
-		c.Requests = slices.DeleteFunc(c.Requests, func(r Fingerprint) bool { return r == f })
-	}
-}
+// updateActive sets active. g.mu must be held.
+func (g *Guard) updateActive() { g.active.Store(len(g.crashes)+len(g.verdicts) > 0) }
 
 // Evict removes evidence and verdicts that have expired.
 func (g *Guard) Evict(now time.Time) {
@@ -391,15 +339,20 @@
 			delete(g.crashes, id)
 		}
 	}
+	for f, at := range g.answered {
+		if now.Sub(at) > evidenceLifetime {
+			delete(g.answered, f)
+		}
+	}
 	for f, e := range g.verdicts {
 		if !now.Before(e.Until) {
 			delete(g.verdicts, f)
 		}
 	}
-	g.active.Store(len(g.crashes)+len(g.verdicts) > 0)
+	g.updateActive()
 }
 
-// Firm returns the requests that are quarantined, without decisions that may still be reversed, in the order of their fingerprints.
+// Firm returns the verdicts in force, without those that may still be reversed, in the order of their patterns.
 func (g *Guard) Firm(now time.Time) []Verdict {
 	if !g.Active() {
 		return nil
@@ -408,25 +361,21 @@
 	defer g.mu.Unlock()
 	var list []Verdict
 	for _, e := range g.verdicts {
-		if !e.Cleared && now.Before(e.Until) && (!e.derived || now.Sub(e.decidedAt) >= firmTime) {
+		if now.Before(e.Until) && (!e.derived || now.Sub(e.DecidedAt) >= firmTime) {
 			list = append(list, e.Verdict)
 		}
 	}
-	slices.SortFunc(list, func(a, b Verdict) int { return slices.Compare(a.Request[:], b.Request[:]) })
+	slices.SortFunc(list, func(a, b Verdict) int { return a.Pattern.compare(b.Pattern) })
 	return list
 }
 
 // Restore records verdicts that the store holds.
 func (g *Guard) Restore(list []Verdict, now time.Time) {
 	for _, v := range list[:min(maxVerdicts, len(list))] {
-		v.Until = minTime(v.Until, now.Add(quarantineTime))
+		if latest := now.Add(quarantineTime); v.Until.After(latest) {
+			v.Until = latest
+		}
+		v.DecidedAt = now
 		g.addVerdict(v, SourceStore, now)
 	}
 }
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -38,6 +38,21 @@
 	}
 }
 
+// brokeFor is broke for a request of a caller, with a query.
+func (g *Guard) brokeFor(name string, caller byte, query string) {
+	g.ConnectionBroke(context.Background(), endpoints.Endpoint{ID: endpoint(name)}, variant(caller, query))
+}
+
+// variant returns the fingerprint of the same request of another caller, and with another query.
+func variant(caller byte, query string) Fingerprint {
+	return NewFingerprint(netip.AddrFrom4([4]byte{10, 0, 0, caller}), "GET", "shop.example", "/v?"+query, nil)
+}
+
+func (g *Guard) quarantinedFor(caller byte, query string) bool {
+	_, ok := g.Quarantined(variant(caller, query), time.Now())
+	return ok
+}
+
 func (g *Guard) quarantined(requests ...string) (list []string) {
 	for _, r := range requests {
 		if _, ok := g.Quarantined(fingerprint(r), time.Now()); ok {
@@ -91,6 +106,69 @@
 	}
 }
 
+// TestNarrowestPattern guards against proper requests that are condemned because they differ from the culprit in their caller or query only, and against
+// a culprit that goes free because its caller or query changes.
+func TestNarrowestPattern(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		run                   func(g *Guard)
+		same, other, otherAll bool // whether the request, one of another caller, and one of another caller and query are quarantined
+	}{
+		{"the same request", func(g *Guard) {
+			for i := range 3 {
+				g.brokeFor(fmt.Sprint("e", i), 1, "q")
+			}
+		}, true, false, false},
+		{"other queries", func(g *Guard) {
+			for i := range 3 {
+				g.brokeFor(fmt.Sprint("e", i), 1, fmt.Sprint("p", i))
+			}
+		}, true, false, false},
+		{"other callers", func(g *Guard) {
+			for i := range 3 {
+				g.brokeFor(fmt.Sprint("e", i), byte(10+i), "q")
+			}
+		}, true, true, false},
+		{"other callers and queries", func(g *Guard) {
+			for i := range 3 {
+				g.brokeFor(fmt.Sprint("e", i), byte(10+i), fmt.Sprint("p", i))
+			}
+		}, true, true, true},
+		{"one caller, and one end under another's", func(g *Guard) {
+			for i := range 4 {
+				g.brokeFor(fmt.Sprint("e", i), 1, "q")
+			}
+			g.brokeFor("f", 2, "q")
+		}, true, false, false},
+		{"two callers, while another one is answered", func(g *Guard) {
+			for i := range 6 {
+				g.brokeFor(fmt.Sprint("e", i), byte(10+i%2), fmt.Sprint("p", i))
+				g.brokeFor(fmt.Sprint("e", i), 2, "q") // runs beside
+				time.Sleep(time.Millisecond)
+				g.Succeeded(variant(2, "q"), time.Now())
+			}
+		}, true, false, false},
+		{"other callers, while one is answered", func(g *Guard) {
+			for i := range 3 {
+				g.brokeFor(fmt.Sprint("e", i), 1, "q")
+				time.Sleep(time.Millisecond)
+				g.Succeeded(variant(2, "q"), time.Now())
+			}
+		}, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newGuard()
+				c.run(g)
+				is.Equal(g.quarantinedFor(1, "q") || g.quarantinedFor(10, "q"), c.same)
+				is.Equal(g.quarantinedFor(2, "q"), c.other)
+				is.Equal(g.quarantinedFor(2, "r"), c.otherAll)
+			})
+		})
+	}
+}
+
 // TestBrokenConnectionsAreNoEvidence guards against requests that are condemned although no endpoint ended: connections that are reset, and endpoints
 // that only could not be reached for a moment.
 func TestBrokenConnectionsAreNoEvidence(t *testing.T) {
@@ -124,22 +202,24 @@
 		}
 		late := g.ZoneNews(time.Now())
 		is.Equal(g.quarantined("a"), []string{"a"})
+		time.Sleep(time.Millisecond)
 		g.Succeeded(fingerprint("a"), time.Now())
 		is.Equal(len(g.quarantined("a")), 0)
 		other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
 		other.HandleNews(late, "g", true, time.Now())
+		other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now()) // each is announced several times
 		is.Equal(len(other.quarantined("a")), 0)
-		for _, name := range []string{"e4", "e5", "e6"} { // ends while it is cleared, between answers
+		for _, name := range []string{"e4", "e5", "e6"} { // ends between answers
+			time.Sleep(time.Second)
 			g.broke(name, "a")
 			other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
+			time.Sleep(time.Millisecond)
 			g.Succeeded(fingerprint("a"), time.Now())
 			other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
 		}
-		time.Sleep(clearedTime)
-		g.broke("e7", "b")
-		other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
 		is.Equal(len(g.quarantined("a"))+len(other.quarantined("a")), 0)
 		for _, name := range []string{"e8", "e9", "e10"} {
+			time.Sleep(time.Millisecond)
 			g.broke(name, "a")
 		}
 		is.Equal(g.quarantined("a"), []string{"a"})
@@ -200,7 +280,7 @@
 		}
 		is.Equal(len(g.crashes), maxCrashes)
 		for i := range 2 * maxVerdicts {
-			g.Restore([]Verdict{{Request: fingerprint(fmt.Sprint("s", i)), Until: time.Now().Add(time.Hour)}}, time.Now())
+			g.Restore([]Verdict{{Pattern: fingerprint(fmt.Sprint("s", i)), Until: time.Now().Add(time.Hour)}}, time.Now())
 		}
 		is.True(len(g.verdicts) <= maxVerdicts)
 		until, ok := g.Quarantined(fingerprint(fmt.Sprint("s", 2*maxVerdicts-1)), time.Now())
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -24,16 +24,16 @@
 	quarantineWriteTimeout  = 2 * time.Second
 )
 
-// storedVerdict is a quarantined request in the store.
+// storedVerdict is a verdict in the store.
 type storedVerdict struct {
-	Request quarantine.Fingerprint `cbor:"1,keyasint"`
+	Pattern quarantine.Fingerprint `cbor:"1,keyasint"`
 	UntilMS int64                  `cbor:"2,keyasint"` // end of the quarantine in Unix milliseconds
 }
 
 // storedQuarantine remembers what the store holds of this zone's list.
 type storedQuarantine struct {
 	mu        sync.Mutex
-	requests  []byte // the fingerprints in order; nil if the store has none, or another epoch
+	requests  []byte // the patterns in order; nil if the store has none, or another epoch
 	lastWrite time.Time
 }
 
@@ -69,8 +69,8 @@
 	var list []storedVerdict
 	var requests []byte
 	for _, v := range verdicts {
-		list = append(list, storedVerdict{v.Request, v.Until.UnixMilli()})
-		requests = append(requests, v.Request[:]...)
+		list = append(list, storedVerdict{v.Pattern, v.Until.UnixMilli()})
+		requests = append(requests, v.Pattern.String()...)
 	}
 	if !g.storedQuarantine.due(requests, now) {
 		return
@@ -101,7 +101,7 @@
 	}
 	var verdicts []quarantine.Verdict
 	for _, v := range list {
-		verdicts = append(verdicts, quarantine.Verdict{Request: v.Request, Until: time.UnixMilli(v.UntilMS)})
+		verdicts = append(verdicts, quarantine.Verdict{Pattern: v.Pattern, Until: time.UnixMilli(v.UntilMS)})
 	}
 	g.crashGuard.Restore(verdicts, now)
 	return true
@@ -125,14 +125,13 @@
 	return strings.Join(names, ",")
 }
 
-// logVerdict logs that a request is quarantined or no longer is.
+// logVerdict logs that requests are quarantined or no longer are.
 func (g *Gateway) logVerdict(v quarantine.Verdict, evidence int, source string) {
 	state := "quarantined"
-	if v.Cleared {
-		state = "cleared"
-	} else if !time.Now().Before(v.Until) {
+	if !time.Now().Before(v.Until) {
 		state = "released"
 	}
 	g.metrics.Add("quarantine_"+state+"_total", 1)
-	g.log.Info("quarantine", "request", v.Request, "state", state, "endpoints", evidence, "for_ms", max(0, ms(time.Until(v.Until))), "source", source)
+	g.log.Info("quarantine", "request", v.Pattern, "state", state, "endpoints", evidence, "for_ms", max(0, ms(time.Until(v.Until))),
+		"decided_ms_ago", ms(time.Since(v.DecidedAt)), "source", source)
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -31,7 +31,7 @@
 		first := newGateway()
 		is.NoErr(first.follower.Refresh(t.Context()))
 		culprit := quarantine.NewFingerprint(netip.Addr{}, "GET", "shop.example", "/lots/1", nil)
-		first.crashGuard.Restore([]quarantine.Verdict{{Request: culprit, Until: time.Now().Add(8 * time.Minute)}}, time.Now())
+		first.crashGuard.Restore([]quarantine.Verdict{{Pattern: culprit, Until: time.Now().Add(8 * time.Minute)}}, time.Now())
 		time.Sleep(coordinatorSettleTime + time.Second)
 		first.updateStatus()
 		restarted := func() bool {
--- a/internal/transport/peerlink/fuzz_test.go
+++ b/internal/transport/peerlink/fuzz_test.go
@@ -24,8 +24,9 @@
 		{From: host, Update: &follow.Update{AgeMS: 5, Feeds: []follow.FeedUpdate{{Topic: "t", From: 1, Next: 3, Records: []follow.Record{
 			{Key: "k", Value: bytes.Repeat([]byte("x"), 1200), Offset: 1}, {Key: "l", Offset: 2}}}}}},
 		{From: host, Limits: []ratelimit.Statement{limit}}, {From: host, PermitRequest: &ratelimit.Request{ID: limit.ID, Zone: "z", Number: 3, Statement: limit, MaxWaitMS: 40}},
-		{From: host, Crashes: &quarantine.News{Crashes: []quarantine.CrashReport{{Endpoint: limit.ID, Requests: []quarantine.Fingerprint{{1, 2}}, AgoMS: 4}},
-			Verdicts: []quarantine.VerdictReport{{Request: quarantine.Fingerprint{3}, ForMS: 900}}}},
+		{From: host, Crashes: &quarantine.News{Crashes: []quarantine.CrashReport{{Endpoint: limit.ID, Requests: []quarantine.Fingerprint{{Content: [16]byte{1, 2}}}, AgoMS: 4}},
+			Verdicts: []quarantine.VerdictReport{{Pattern: quarantine.Fingerprint{Caller: [8]byte{3}}, ForMS: 900, DecidedAgoMS: 3}},
+			Answered: []quarantine.AnsweredReport{{AgoMS: 4}}}},
 		{From: host, Grant: &ratelimit.Grant{ID: limit.ID, Number: 3, Permits: 1, AfterMS: 7, Statement: limit}}} {
 		data, err := encode(&m)
 		if err != nil {
