quarantine: endpoints behind relays, open patterns only from five ends, and two trials

Causes: a relay before an ended endpoint accepts connections, so that no end counted as evidence; ends without a known culprit fell on requests that ran beside it, by the pattern that leaves the query open; and a request that is condemned by mistake could never prove the opposite. Change: an address that closes two connections without a response, while the endpoint answers nothing else, counts as ended; a pattern that leaves open caller or query needs five ends; 20 s and 3 min after a decision one host sends one matching request once.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -133,6 +133,7 @@
 	// allRejectingUntil is the time before which no endpoint of the service wants requests; zero if one does, as found by the last search.
 	allRejectingUntil time.Time
 	limits            limitedEndpoints // found by the last search
+	onTrial           bool             // the request is quarantined and is sent once
 	// mayHaveRun says that an endpoint may have run the request.
 	mayHaveRun  bool
 	sends       int                  // sends that count as attempts: all but those that failed before a byte was written
--- a/internal/coordination/forward/quarantine.go
+++ b/internal/coordination/forward/quarantine.go
@@ -15,6 +15,8 @@
 	Active() bool
 	// Quarantined returns until when a request is not to be sent. It returns false if it may be sent.
 	Quarantined(f quarantine.Fingerprint, now time.Time) (until time.Time, quarantined bool)
+	// Try reports whether a quarantined request is to be sent once all the same.
+	Try(f quarantine.Fingerprint, now time.Time) bool
 	// ConnectionBroke records that the connection of a request to an endpoint ended without a whole answer.
 	ConnectionBroke(ctx context.Context, e endpoints.Endpoint, f quarantine.Fingerprint)
 	// Succeeded records that an endpoint has answered a request.
@@ -38,6 +40,10 @@
 	if !quarantined {
 		return true
 	}
+	if r.sends == 0 && r.inFlight == 0 && (r.onTrial || guard.Try(r.call.fingerprint(), now)) {
+		r.onTrial = true
+		return true
+	}
 	r.result.Detail = "endpoints have ended while they ran this request"
 	if r.sends == 0 && r.inFlight == 0 {
 		r.result.Outcome, r.result.RetryAfter = RefusedQuarantined, until.Sub(now)
--- a/internal/coordination/peers/coordinator.go
+++ b/internal/coordination/peers/coordinator.go
@@ -21,7 +21,7 @@
 		if len(ranked) > 0 {
 			return t.hosts[ranked[failures%len(ranked)]].Host, false, true
 		}
-		if home := rendezvous.First(coordinatorKey+key, t.zones()); home != t.cfg.Self.Zone {
+		if home := t.homeZone(key); home != t.cfg.Self.Zone {
 			ranked = t.rankedNames(home, now)
 			return t.hosts[ranked[failures%len(ranked)]].Host, false, true
 		}
@@ -44,3 +44,13 @@
 	}
 	return t.hosts[first].Host, false, true
 }
+
+// HomeZone returns the zone in which something is coordinated that belongs to no zone.
+func (t *Table) HomeZone(key string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.homeZone(key)
+}
+
+// homeZone does the work of HomeZone. t.mu must be held.
+func (t *Table) homeZone(key string) string { return rendezvous.First(coordinatorKey+key, t.zones()) }
--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// minEvidence is the number of endpoints that have to end under a request before it is quarantined. Of several requests that explain the same ends
-	// none is, until there are minSharedEvidence: some of them may only have run beside the others.
+	// minEvidence is the number of endpoints that have to end under a request before it is quarantined. Several requests that explain the same ends
+	// need minSharedEvidence, since some of them may only have run beside the others, and so do requests that differ in their caller or query.
 	minEvidence       = 3
 	minSharedEvidence = 5
 )
@@ -101,7 +101,9 @@
 			narrowest = f
 		}
 	}
-	condemned[narrowest] = len(e[narrowest])
+	if count := len(e[narrowest]); narrowest.breadth() == 0 || count >= minSharedEvidence {
+		condemned[narrowest] = count
+	}
 }
 
 // without returns the ids of a list that another list does not have.
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -24,18 +24,28 @@
 	evidenceLifetime = 5 * time.Minute
 	// firmTime is the age from which a decision is passed on as such. A younger one may still be reversed by evidence that is on its way.
 	firmTime = time.Second
-	// checkTimeout bounds the check of whether an endpoint's process has ended.
+	// checkTimeout bounds one check of whether an endpoint's process has ended.
 	checkTimeout = 50 * time.Millisecond
+	// unansweredChecks is the number of connections that an endpoint has to close without a response, at intervals of unansweredInterval in which it
+	// does not answer other requests either, until it counts as ended although it does not refuse connections.
+	unansweredChecks   = 2
+	unansweredInterval = 60 * time.Millisecond
 	// maxCrashes, maxRequestsPerCrash and maxVerdicts bound the state; maxVerdicts also bounds the answered requests. The oldest are dropped first.
 	maxCrashes          = 512
 	maxRequestsPerCrash = 64
 	maxVerdicts         = 1024
 )
 
-// Config holds the functions that a Guard calls. Each must return soon, except HasEnded.
+// Config holds the functions that a Guard calls. Each must return soon, except the first two, whose time ctx bounds.
 type Config struct {
-	// HasEnded reports whether the process of an endpoint is gone, as far as its address tells. ctx bounds the time.
-	HasEnded func(ctx context.Context, e endpoints.Endpoint) bool
+	// RefusesConnections reports whether an endpoint's address refuses connections: its process has ended.
+	RefusesConnections func(ctx context.Context, e endpoints.Endpoint) bool
+	// ClosesUnanswered reports whether it closes connections without a response. Nil means that this is not known.
+	ClosesUnanswered func(ctx context.Context, e endpoints.Endpoint) bool
+	// AnsweredSince reports whether this host has got a response of an endpoint after a time.
+	AnsweredSince func(id endpoints.ID, at time.Time) bool
+	// MayTry reports whether this host is the one that sends a quarantined request once more, see Try.
+	MayTry func(pattern Fingerprint) bool
 	// OnCrash is called when this host has noticed, or has first heard, that an endpoint ended under requests. source is SourceSelf or the name of a host.
 	OnCrash func(c Crash, source string)
 	// OnVerdict is called when requests are quarantined or no longer are. evidence is the number of endpoints that ended under them, 0 if it is not known.
@@ -70,8 +80,15 @@
 	Verdict
 	// derived is set if this host's evidence is the reason. Such a verdict is reversed if the evidence changes before firmTime.
 	derived bool
+	tried   [len(trialTimes)]bool // this host has sent the request once more
 }
 
+// trialTimes are the times after a decision at which one host sends one matching request once more, if one comes within trialWindow: a proper request that
+// was condemned by mistake is released by the answer.
+var trialTimes = [...]time.Duration{20 * time.Second, 3 * time.Minute}
+
+const trialWindow = 10 * time.Second
+
 // Guard holds the evidence and the verdicts of one host. It is safe for concurrent use.
 type Guard struct {
 	cfg          Config
@@ -116,17 +133,58 @@
 	return time.Time{}, false
 }
 
+// Try reports whether this host is to send a quarantined request once more, although it is quarantined, to find out whether an endpoint answers it.
+func (g *Guard) Try(f Fingerprint, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, pattern := range f.patterns() {
+		e := g.verdicts[pattern]
+		if e == nil || !now.Before(e.Until) {
+			continue
+		}
+		for i, after := range trialTimes {
+			since := now.Sub(e.DecidedAt) - after
+			if since >= 0 && since < trialWindow && !e.tried[i] && g.cfg.MayTry(pattern) {
+				e.tried[i] = true
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ConnectionBroke is to be called when the connection of a request to an endpoint ended without a whole answer. If the endpoint's process is gone,
-// the request is evidence.
+// the request is evidence. It returns once that is known of an endpoint that refuses connections; other checks go on for a while.
 func (g *Guard) ConnectionBroke(ctx context.Context, e endpoints.Endpoint, f Fingerprint) {
-	ended, _, _ := g.checks.Do(e.ID.String(), func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+	at := time.Now()
+	ctx = context.WithoutCancel(ctx)
+	evidence := func() { g.addCrash(Crash{Endpoint: e.ID, Requests: []Fingerprint{f}, At: at}, SourceSelf) }
+	if g.check(ctx, "refuses "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.RefusesConnections(ctx, e) }) {
+		evidence()
+		return
+	}
+	if g.cfg.ClosesUnanswered == nil {
+		return
+	}
+	go func() {
+		for range unansweredChecks {
+			time.Sleep(unansweredInterval)
+			if g.cfg.AnsweredSince(e.ID, at) || !g.check(ctx, "closes "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.ClosesUnanswered(ctx, e) }) {
+				return
+			}
+		}
+		evidence()
+	}()
+}
+
+// check runs a check with checkTimeout. Calls with the same key at the same time share one.
+func (g *Guard) check(ctx context.Context, key string, run func(ctx context.Context) bool) bool {
+	result, _, _ := g.checks.Do(key, func() (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 		defer cancel()
-		return g.cfg.HasEnded(ctx, e), nil
+		return run(ctx), nil
 	})
-	if ended.(bool) {
-		g.addCrash(Crash{Endpoint: e.ID, Requests: []Fingerprint{f}, At: time.Now()}, SourceSelf)
-	}
+	return result.(bool)
 }
 
 // Answered records that an endpoint has answered a request that was sent to it at a time: its process has not ended before that.
@@ -220,7 +278,7 @@
 	for f, evidence := range condemned {
 		if e := g.verdicts[f]; e == nil || !now.Before(e.Until) {
 			g.dropOldestVerdict()
-			g.verdicts[f] = &entry{Verdict{Pattern: f, DecidedAt: now, Until: now.Add(quarantineTime)}, true}
+			g.verdicts[f] = &entry{Verdict: Verdict{Pattern: f, DecidedAt: now, Until: now.Add(quarantineTime)}, derived: true}
 			changes = append(changes, change{g.verdicts[f].Verdict, evidence})
 		}
 	}
@@ -314,7 +372,7 @@
 	valid := now.Before(v.Until) && v.DecidedAt.After(g.answered[v.Pattern])
 	if isNew = valid && (known == nil || !now.Before(known.Until) || v.Until.Sub(known.Until) > quarantineTime/4); isNew {
 		g.dropOldestVerdict()
-		g.verdicts[v.Pattern] = &entry{v, false}
+		g.verdicts[v.Pattern] = &entry{Verdict: v}
 	}
 	g.updateActive()
 	g.mu.Unlock()
@@ -375,7 +433,9 @@
 		if latest := now.Add(quarantineTime); v.Until.After(latest) {
 			v.Until = latest
 		}
-		v.DecidedAt = now
+		if v.DecidedAt.IsZero() || v.DecidedAt.After(now) {
+			v.DecidedAt = now
+		}
 		g.addVerdict(v, SourceStore, now)
 	}
 }
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -21,14 +21,15 @@
 
 // newGuard returns a guard that takes each endpoint for ended, unless it is in alive.
 func newGuard(alive ...string) *Guard {
-	return New(Config{HasEnded: func(_ context.Context, e endpoints.Endpoint) bool {
+	return New(Config{RefusesConnections: func(_ context.Context, e endpoints.Endpoint) bool {
 		for _, name := range alive {
 			if e.Address == name {
 				return false
 			}
 		}
 		return true
-	}, OnCrash: func(Crash, string) {}, OnVerdict: func(Verdict, int, string) {}, OnUrgent: func() {}})
+	}, MayTry: func(Fingerprint) bool { return false },
+		OnCrash: func(Crash, string) {}, OnVerdict: func(Verdict, int, string) {}, OnUrgent: func() {}})
 }
 
 // broke reports that the connections of requests to an endpoint broke.
@@ -120,17 +121,17 @@
 			}
 		}, true, false, false},
 		{"other queries", func(g *Guard) {
-			for i := range 3 {
+			for i := range 5 {
 				g.brokeFor(fmt.Sprint("e", i), 1, fmt.Sprint("p", i))
 			}
 		}, true, false, false},
 		{"other callers", func(g *Guard) {
-			for i := range 3 {
+			for i := range 5 {
 				g.brokeFor(fmt.Sprint("e", i), byte(10+i), "q")
 			}
 		}, true, true, false},
 		{"other callers and queries", func(g *Guard) {
-			for i := range 3 {
+			for i := range 5 {
 				g.brokeFor(fmt.Sprint("e", i), byte(10+i), fmt.Sprint("p", i))
 			}
 		}, true, true, true},
@@ -141,7 +142,7 @@
 			g.brokeFor("f", 2, "q")
 		}, true, false, false},
 		{"two callers, while another one is answered", func(g *Guard) {
-			for i := range 6 {
+			for i := range 10 {
 				g.brokeFor(fmt.Sprint("e", i), byte(10+i%2), fmt.Sprint("p", i))
 				g.brokeFor(fmt.Sprint("e", i), 2, "q") // runs beside
 				time.Sleep(time.Millisecond)
@@ -287,3 +288,66 @@
 		is.True(ok && time.Until(until) <= quarantineTime) // a time of the store that lies too far ahead is cut
 	})
 }
+
+// TestEndBehindRelay guards against an endpoint that ended and does not count, because a relay before it still accepts connections, and against one that
+// counts although it only closes connections for a moment, or answers other requests.
+func TestEndBehindRelay(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		closes   []bool // results of the checks
+		answered bool   // it answers other requests
+		evidence bool
+	}{
+		{"ended", []bool{true, true}, false, true},
+		{"full for a moment", []bool{true, false}, false, false},
+		{"full for callers, answers others", []bool{true, true}, true, false},
+		{"only a connection was reset", []bool{false}, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			faketime.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				checks := 0
+				g := New(Config{RefusesConnections: func(context.Context, endpoints.Endpoint) bool { return false },
+					ClosesUnanswered: func(context.Context, endpoints.Endpoint) bool {
+						checks++
+						return c.closes[checks-1]
+					},
+					AnsweredSince: func(endpoints.ID, time.Time) bool { return c.answered && checks > 0 },
+					OnCrash:       func(Crash, string) {}, OnVerdict: func(Verdict, int, string) {}, OnUrgent: func() {}})
+				begin := time.Now()
+				g.broke("e1", "a")
+				is.Equal(time.Since(begin), time.Duration(0)) // a repeat does not wait for it
+				time.Sleep(time.Second)
+				is.Equal(g.Active(), c.evidence)
+			})
+		})
+	}
+}
+
+// TestTrial guards against a proper request that stays condemned although endpoints would answer it, and against more than two trials of a culprit, or trials by
+// several hosts.
+func TestTrial(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		chosen, other := newGuard(), newGuard()
+		chosen.cfg.MayTry = func(Fingerprint) bool { return true }
+		for _, g := range []*Guard{chosen, other} {
+			for _, name := range []string{"e1", "e2", "e3"} {
+				g.broke(name, "a")
+			}
+		}
+		trials := 0
+		for range 590 {
+			time.Sleep(time.Second)
+			is.Equal(chosen.quarantined("a"), []string{"a"})
+			is.True(!other.Try(fingerprint("a"), time.Now()))
+			if chosen.Try(fingerprint("a"), time.Now()) {
+				trials++
+			}
+		}
+		is.Equal(trials, len(trialTimes))
+		chosen.Succeeded(fingerprint("a"), time.Now())
+		other.HandleNews(chosen.ZoneNews(time.Now()), "chosen", true, time.Now())
+		is.Equal(len(chosen.quarantined("a"))+len(other.quarantined("a")), 0)
+	})
+}
--- a/internal/coordination/quarantine/sim_test.go
+++ b/internal/coordination/quarantine/sim_test.go
@@ -58,7 +58,7 @@
 	}
 	for i := range hosts {
 		h := &simHost{zone: i % simZones, urgent: make(chan struct{}, 1)}
-		h.guard = New(Config{HasEnded: func(_ context.Context, e endpoints.Endpoint) bool { return s.hasEnded(e.ID) }, OnCrash: func(Crash, string) {},
+		h.guard = New(Config{RefusesConnections: func(_ context.Context, e endpoints.Endpoint) bool { return s.hasEnded(e.ID) }, OnCrash: func(Crash, string) {},
 			OnVerdict: func(Verdict, int, string) {}, OnUrgent: func() {
 				select {
 				case h.urgent <- struct{}{}:
--- a/internal/gateway/endpoint_limits.go
+++ b/internal/gateway/endpoint_limits.go
@@ -71,13 +71,19 @@
 		e, ok := g.endpoints.Endpoint(id)
 		return e.Endpoint, ok
 	}, func(e endpoints.Endpoint) {
-		t := g.routes.Load()
-		if t == nil {
-			return
-		}
 		full, ok := g.endpoints.Endpoint(e.ID)
-		if s := t.Service(e.Service); ok && s != nil && s.HealthPath != "" {
-			g.forwarder.CheckEndpoint(full, s.HealthPath)
+		if path := g.healthPath(e.Service); ok && path != "" {
+			g.forwarder.CheckEndpoint(full, path)
 		}
 	}, now)
 }
+
+// healthPath returns the path of the health check of a service's endpoints. It is empty if there is none, or no configuration in force.
+func (g *Gateway) healthPath(service string) string {
+	if t := g.routes.Load(); t != nil {
+		if s := t.Service(service); s != nil {
+			return s.HealthPath
+		}
+	}
+	return ""
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
@@ -28,6 +29,7 @@
 type storedVerdict struct {
 	Pattern quarantine.Fingerprint `cbor:"1,keyasint"`
 	UntilMS int64                  `cbor:"2,keyasint"` // end of the quarantine in Unix milliseconds
+	SinceMS int64                  `cbor:"3,keyasint"` // when it was decided, likewise
 }
 
 // storedQuarantine remembers what the store holds of this zone's list.
@@ -69,7 +71,7 @@
 	var list []storedVerdict
 	var requests []byte
 	for _, v := range verdicts {
-		list = append(list, storedVerdict{v.Pattern, v.Until.UnixMilli()})
+		list = append(list, storedVerdict{v.Pattern, v.Until.UnixMilli(), v.DecidedAt.UnixMilli()})
 		requests = append(requests, v.Pattern.String()...)
 	}
 	if !g.storedQuarantine.due(requests, now) {
@@ -101,12 +103,25 @@
 	}
 	var verdicts []quarantine.Verdict
 	for _, v := range list {
-		verdicts = append(verdicts, quarantine.Verdict{Pattern: v.Pattern, Until: time.UnixMilli(v.UntilMS)})
+		verdicts = append(verdicts, quarantine.Verdict{Pattern: v.Pattern, Until: time.UnixMilli(v.UntilMS), DecidedAt: time.UnixMilli(v.SinceMS)})
 	}
 	g.crashGuard.Restore(verdicts, now)
 	return true
 }
 
+// mayTryQuarantined reports whether this host sends a quarantined request once more: one host of one zone.
+func (g *Gateway) mayTryQuarantined(pattern quarantine.Fingerprint) bool {
+	key := quarantineCoordination + pattern.String()
+	_, self, ok := g.peers.Coordinator(g.peers.HomeZone(key), key, 0, time.Now())
+	return ok && self
+}
+
+// closesUnanswered reports whether an endpoint closes connections without a response to a health check.
+func (g *Gateway) closesUnanswered(ctx context.Context, e endpoints.Endpoint) bool {
+	path := g.healthPath(e.Service)
+	return path != "" && g.pool.ClosesUnanswered(ctx, e, path)
+}
+
 // logCrash logs that an endpoint has ended under requests, or that it has answered since.
 func (g *Gateway) logCrash(c quarantine.Crash, source string) {
 	g.metrics.Add("endpoint_crashes_total", 1)
