soak: requests that end the endpoints which run them

A request comes at any host, from one to three callers, half of the time with changing queries; the endpoint that runs it ends and is back after a second.

--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -13,23 +13,24 @@
 
 // Names of the checks, in the order in which they are printed.
 const (
-	ownResponses       = "whole and own answers"
-	retryAfterGiven    = "refusals say when to come back"
-	validServed        = "proper requests are not turned away"
-	onlySentRequests   = "endpoints run what was sent"
-	atMostOnce         = "non-idempotent at most once"
-	refusedNotRun      = "refused means not run"
-	attemptLimit       = "attempts within the route's limit"
-	remainingDeadline  = "endpoints get what time is left"
-	routedService      = "requests go where routes say"
-	expectedExits      = "processes end when told to"
-	failuresLogged     = "failures are in the log"
-	hostsRecover       = "each host serves again"
-	configNeverReverts = "no older configuration after a newer"
-	testInfrastructure = "the soak itself"
-	plannedLosesNone   = "planned work loses nothing"
-	stoppedAnswersOwn  = "planned work replaces no answers"
-	readAnswered       = "requests that were read are answered"
+	ownResponses         = "whole and own answers"
+	retryAfterGiven      = "refusals say when to come back"
+	validServed          = "proper requests are not turned away"
+	onlySentRequests     = "endpoints run what was sent"
+	atMostOnce           = "non-idempotent at most once"
+	refusedNotRun        = "refused means not run"
+	attemptLimit         = "attempts within the route's limit"
+	remainingDeadline    = "endpoints get what time is left"
+	routedService        = "requests go where routes say"
+	expectedExits        = "processes end when told to"
+	failuresLogged       = "failures are in the log"
+	hostsRecover         = "each host serves again"
+	configNeverReverts   = "no older configuration after a newer"
+	testInfrastructure   = "the soak itself"
+	plannedLosesNone     = "planned work loses nothing"
+	stoppedAnswersOwn    = "planned work replaces no answers"
+	readAnswered         = "requests that were read are answered"
+	properNotQuarantined = "proper requests are not quarantined"
 
 	repeatBudget        = "repeats within the budget (timed)"
 	configInForce       = "configuration in force (timed)"
@@ -43,13 +44,14 @@
 	noneAfterStatedLeaving = "none after leaving was passed on (timed)"
 	noneAfterKnown         = "none for who has left (timed)"
 	rejectionsObserved     = "rejections with a delay are observed (timed)"
+	crashesStopped         = "requests that end endpoints are stopped (timed)"
 	limitsKept             = "limits of endpoints are kept (timed)"
 	servedAfterPowerLoss   = "served after the loss of power (timed)"
 )
 
-var checkNames = []string{ownResponses, retryAfterGiven, validServed, onlySentRequests, atMostOnce, refusedNotRun, attemptLimit, remainingDeadline, routedService, expectedExits, failuresLogged, hostsRecover, configNeverReverts, testInfrastructure, plannedLosesNone, stoppedAnswersOwn, readAnswered,
+var checkNames = []string{ownResponses, retryAfterGiven, validServed, onlySentRequests, atMostOnce, refusedNotRun, attemptLimit, remainingDeadline, routedService, expectedExits, failuresLogged, hostsRecover, configNeverReverts, testInfrastructure, plannedLosesNone, stoppedAnswersOwn, readAnswered, properNotQuarantined,
 	repeatBudget, configInForce, noneAfterDrain, undisturbedAnswered, answersInTime, noneAfterCancel, stopsInTime, servedAtEnd,
-	noneAfterStatedLeaving, noneAfterKnown, rejectionsObserved, limitsKept, servedAfterPowerLoss}
+	noneAfterStatedLeaving, noneAfterKnown, rejectionsObserved, limitsKept, crashesStopped, servedAfterPowerLoss}
 
 // Bounds of the checks in auditCounts.
 const (
@@ -116,11 +118,13 @@
 		s.auditRequest(r, arrivals[r.id], logs[r.host])
 	}
 	s.auditVersions(arrivals)
+	s.auditQuarantine(sent, logs)
 	if s.Timed {
 		s.auditResponses(sent)
 		s.auditRecovery()
 		s.auditRepeats(sent)
 		s.auditLimits(sent)
+		s.auditCrashes(sent)
 		s.auditCounts(arrivals)
 	}
 }
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -51,6 +52,15 @@
 	r.sent, r.ended, a.At = r.sent.Add(d), r.ended.Add(d), a.At.Add(d)
 }
 
+// printing returns an ended process whose output has the given lines.
+func printing(t *testing.T, lines []string) *testbed.Process {
+	t.Helper()
+	p, err := testbed.Start("a-1", "/usr/bin/printf", strings.Join(lines, "\\n")+"\\n")
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(p.Wait(t.Context()))
+	return p
+}
+
 // TestAudit guards against checks that cannot fail. Each row adds one violation, which the named check must report. Without it, the run
 // must have no breach.
 func TestAudit(t *testing.T) {
@@ -136,6 +146,28 @@
 				})
 			}
 		}},
+		"sent on after it has ended three endpoints": {crashesStopped, func(s *soak) {
+			for i := range 3 + maxAfterCrashes + 1 {
+				s.record(fmt.Sprint(i+2), "lookup", func(r *request, a *platformtest.Arrival) {
+					r.target, a.Endpoint = "/lookup/"+crashPrefix+"1", fmt.Sprint("i-", i)
+					a.Target = r.target
+					if i >= 3 {
+						sentAfter(r, a, crashSettleTime+time.Second)
+					}
+				})
+			}
+		}},
+		"proper requests quarantined": {properNotQuarantined, func(s *soak) {
+			var lines []string
+			for i := range maxWrongRefusals + 2 {
+				id := fmt.Sprint("proper-", i)
+				s.record(id, "lookup", func(r *request, a *platformtest.Arrival) {
+					r.signed, r.status, a.ID = false, http.StatusServiceUnavailable, ""
+				})
+				lines = append(lines, "msg=request id="+id+" outcome=refused_quarantined")
+			}
+			s.hosts[0].processes = append(s.hosts[0].processes, printing(t, lines))
+		}},
 		"more than an endpoint's limit": {limitsKept, func(s *soak) {
 			s.requests.endpointLimited("i-2", 1, time.Now().Add(-limitSettleTime))
 			for range int(limitFactor*limitWindow.Seconds()) + limitAllowance + 1 {
--- a/internal/soak/connections.go
+++ b/internal/soak/connections.go
@@ -100,6 +100,9 @@
 			body = bytes.Repeat(body, maxBodyBytes/200)
 		}
 	}
+	if crashes(r.target) && len(body) > 0 {
+		body = []byte(crashPrefix) // the same in all its attempts
+	}
 	sum := sha256.Sum256(body)
 	r.digest = hex.EncodeToString(sum[:])
 	fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.method, r.target, virtualHost,
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,6 +48,7 @@
 	{"endpoint-leaves-in-responses", false, (*soak).leaveInResponses},
 	{"endpoint-rejects", false, (*soak).rejectRequests},
 	{"endpoint-limits", false, (*soak).limitRequests},
+	{"crashing-request", false, (*soak).sendCrashingRequest},
 	{"endpoint-slow", false, (*soak).slowEndpoints},
 	{"endpoint-network", false, (*soak).breakEndpointNetwork},
 	{"burst", false, (*soak).raiseLoad},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -248,11 +248,14 @@
 		return nil, err
 	}
 	cfg := platformtest.EndpointConfig{Service: service, Zone: zoneName(i), Listen: real.String(), Address: advertised.String(), Slots: endpointSlots,
-		Work: serviceTime, ExtraWork: extraWork, Record: s.requests.arrived, Completed: s.requests.runCompleted}
+		Work: serviceTime, ExtraWork: extraWork, Record: s.requests.arrived, Completed: s.requests.runCompleted,
+		Crashes: func(a platformtest.Arrival) bool { return crashes(a.Target) }}
 	if i == 0 {
 		cfg.Idle = 700 * time.Millisecond // this endpoint closes idle connections earlier than hosts do
 	}
-	e := &endpoint{Endpoint: platformtest.NewEndpoint(s.store, cfg), relay: r, service: service}
+	e := &endpoint{relay: r, service: service}
+	cfg.Crashed = func(a platformtest.Arrival) { s.restartCrashed(e, a) }
+	e.Endpoint = platformtest.NewEndpoint(s.store, cfg)
 	return e, e.Start(s.nextID(), 0)
 }
 
