lingering: TestLastResponseIsNotLost waits until the server stops

Cause: the test released the first response after it had started the goroutine that calls Shutdown, and the server may then read the second request before it stops, which is right.

--- a/internal/transport/lingering/lingering_test.go
+++ b/internal/transport/lingering/lingering_test.go
@@ -82,7 +82,10 @@
 			is.NoErr(err)
 			stopped := make(chan error, 1)
 			if c.stop {
+				stopping := make(chan struct{}) // closed once the server reads no further requests
+				s.RegisterOnShutdown(func() { close(stopping) })
 				go func() { stopped <- s.Shutdown(t.Context()) }()
+				<-stopping
 			} else {
 				stopped <- nil
 			}
