--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
 	is.NoErr(err)
-	for _, seed := range []uint64{3980} { // draws all kinds of faults
+	for _, seed := range []uint64{3980} { // draws faults of all kinds of parts
 		is.NoErr(soak.Run(t.Context(), soak.Config{Seed: seed, Hosts: 5, Length: 24 * time.Second, Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
 	}
 }
@@ -31,3 +31,14 @@
 	is.NoErr(err)
 	is.NoErr(soak.Run(t.Context(), soak.Config{Seed: 1, Hosts: 3, Length: 4 * time.Second, Only: []string{"overlapping-stops"}, Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
 }
+
+// TestSoakRequestsThatEndEndpoints guards against proper requests that are refused for the ends of endpoints beside them, while endpoints also end
+// for other reasons, limit their requests, and hosts are killed.
+func TestSoakRequestsThatEndEndpoints(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
+	is.NoErr(err)
+	is.NoErr(soak.Run(t.Context(), soak.Config{Seed: 4, Hosts: 3, Length: 8 * time.Second, Only: []string{"crashing-request", "endpoint-limits", "endpoint-killed", "kill"},
+		Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
+}
