--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,7 @@
 	g.endpointStats = placement.NewEndpointStats(cfg)
 	poolConfig := upstreamconn.DefaultConfig()
 	poolConfig.Dialect, poolConfig.IdleTimeout, poolConfig.ConnectTimeout = a.Dialect, upstreamIdleTimeout, upstreamConnectTimeout
-	poolConfig.MaxPerEndpoint = g.maxConnections
+	poolConfig.MaxPerEndpoint, poolConfig.SourceIP = g.maxConnections, s.upstreamSourceIP
 	poolConfig.OnResponse, poolConfig.Leaving = g.recordResponse, g.endpoints.Withdrawn
 	poolConfig.Rejecting = func(id endpoints.ID) bool {
 		return g.endpointStats.AnyRejecting() && g.endpointStats.Rejecting(id, time.Now())
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,9 @@
 	// AdvertisedIP replaces the IP of peer_address and state_address in the messages to other hosts, for networks with address translation
 	// between hosts. Empty means that other hosts use the addresses as configured.
 	AdvertisedIP string `json:"advertised_ip"`
+	// UpstreamSourceIP is the local IP of connections to endpoints, for hosts with several networks. Empty leaves the choice to the operating
+	// system.
+	UpstreamSourceIP string `json:"upstream_source_ip"`
 	// Seeds are the state addresses of hosts that a starting host contacts first. Some of them may be down.
 	Seeds []string `json:"seeds"`
 	// FirstStart says that all hosts of the deployment start for the first time.
@@ -59,7 +62,8 @@
 	// LogLevel is debug, info, warn or error. Empty means info.
 	LogLevel string `json:"log_level"`
 
-	level log.Level
+	level            log.Level
+	upstreamSourceIP netip.Addr
 }
 
 // Defaults and limits of optional settings.
@@ -112,6 +116,11 @@
 		_, err := netip.ParseAddr(s.AdvertisedIP)
 		check(err == nil, "advertised_ip is %q: use an IP without port, or leave it out", s.AdvertisedIP)
 	}
+	if s.UpstreamSourceIP != "" {
+		ip, err := netip.ParseAddr(s.UpstreamSourceIP)
+		check(err == nil, "upstream_source_ip is %q: use an IP without port, or leave it out", s.UpstreamSourceIP)
+		s.upstreamSourceIP = ip
+	}
 	s.RepeatWindowS = cmp.Or(s.RepeatWindowS, defaultRepeatWindowS)
 	s.ProbesPerS = cmp.Or(s.ProbesPerS, defaultProbesPerS)
 	s.GraceS = cmp.Or(s.GraceS, defaultGraceS)
--- a/internal/testbed/relay.go
+++ b/internal/testbed/relay.go
@@ -21,6 +21,7 @@
 	MuteForward             // traffic to the target is dropped; traffic from the target is forwarded
 	MuteReturn              // traffic from the target is dropped; traffic to the target is forwarded
 	CutAnswers              // every third TCP chunk from the target is forwarded in part, and its connection is closed
+	RefuseNew               // new connections are closed; open ones and datagrams are forwarded
 )
 
 // cutInterval is the number of chunks of which CutAnswers truncates one. The others are forwarded whole, so that retries can succeed.
@@ -48,8 +49,9 @@
 
 	mu           sync.Mutex
 	mode         Mode
-	changed      chan struct{} // closed and replaced when the mode changes
-	openConns    map[net.Conn]bool
+	sourceModes  map[netip.Addr]Mode             // modes of the TCP connections from some sources, in place of mode
+	changed      chan struct{}                   // closed and replaced when the mode changes
+	openConns    map[net.Conn]netip.Addr         // open connections, by their source
 	silenceCh    chan struct{}                   // closed and replaced by Silence
 	sockets      map[netip.AddrPort]*net.UDPConn // source -> socket connected to the target
 	dropped      int
@@ -66,7 +68,7 @@
 		return nil, err
 	}
 	r := &Relay{target: target, delay: delay, tcp: tcp, udp: udp, done: make(chan struct{}), changed: make(chan struct{}),
-		openConns: map[net.Conn]bool{}, silenceCh: make(chan struct{}), sockets: map[netip.AddrPort]*net.UDPConn{}}
+		openConns: map[net.Conn]netip.Addr{}, sourceModes: map[netip.Addr]Mode{}, silenceCh: make(chan struct{}), sockets: map[netip.AddrPort]*net.UDPConn{}}
 	r.wg.Go(r.acceptConns)
 	r.wg.Go(r.forwardDatagrams)
 	return r, nil
@@ -101,15 +103,49 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.mode = m
+	r.applyModes()
+}
+
+// SetModeFor changes the mode for the TCP connections from a source address. Pass has them follow the mode of the relay again. Cut and RefuseNew
+// reset connections, so that the source sees no orderly end.
+func (r *Relay) SetModeFor(source netip.Addr, m Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sourceModes[source] = m
+	if m == Pass {
+		delete(r.sourceModes, source)
+	}
+	r.applyModes()
+}
+
+// applyModes lets traffic that is delayed or stalled follow changed modes. r.mu must be held.
+func (r *Relay) applyModes() {
 	close(r.changed)
 	r.changed = make(chan struct{})
-	if m == Cut {
-		for c := range r.openConns {
-			c.Close()
+	for c, source := range r.openConns {
+		if r.modeOf(source) == Cut {
+			r.refuse(c, source)
 		}
 	}
 }
 
+// refuse closes a connection, with a reset if its source has a mode of its own. r.mu must be held.
+func (r *Relay) refuse(c net.Conn, source netip.Addr) {
+	if _, ok := r.sourceModes[source]; ok {
+		resetConn(c)
+		return
+	}
+	c.Close()
+}
+
+// modeOf returns the mode for the connections from a source. The zero address stands for datagrams. r.mu must be held.
+func (r *Relay) modeOf(source netip.Addr) Mode {
+	if m, ok := r.sourceModes[source]; ok {
+		return m
+	}
+	return r.mode
+}
+
 // Silence permanently drops all further traffic of the TCP connections that are open now, in both directions, and keeps them open.
 // Connections that are opened later work normally.
 func (r *Relay) Silence() {
@@ -181,11 +217,11 @@
 	r.wg.Wait()
 }
 
-// admit reports whether a chunk or datagram is forwarded in the current mode, and counts it. It blocks in mode Stall.
-func (r *Relay) admit(forward bool, size int) bool {
+// admit reports whether a chunk from a source, or a datagram, is forwarded in the current mode, and counts it. It blocks in mode Stall.
+func (r *Relay) admit(source netip.Addr, forward bool, size int) bool {
 	for {
 		r.mu.Lock()
-		mode, changed := r.mode, r.changed
+		mode, changed := r.modeOf(source), r.changed
 		blocked := mode == Cut || mode == MuteForward && forward || mode == MuteReturn && !forward
 		switch {
 		case blocked:
@@ -205,19 +241,19 @@
 	}
 }
 
-// track registers a connection and returns true. In mode Cut or after Close it closes the connection and returns false.
-func (r *Relay) track(c net.Conn) bool {
+// track registers a connection and returns true. In mode Cut, in mode RefuseNew or after Close it closes the connection and returns false.
+func (r *Relay) track(c net.Conn, source netip.Addr) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	select {
 	case <-r.done:
 	default:
-		if r.mode != Cut {
-			r.openConns[c] = true
+		if m := r.modeOf(source); m != Cut && m != RefuseNew {
+			r.openConns[c] = source
 			return true
 		}
 	}
-	c.Close()
+	r.refuse(c, source)
 	return false
 }
 
@@ -234,25 +270,26 @@
 		if err != nil {
 			return
 		}
-		if r.track(in) {
-			r.wg.Go(func() { r.forwardConn(in) })
+		source := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+		if r.track(in, source) {
+			r.wg.Go(func() { r.forwardConn(in, source) })
 		}
 	}
 }
 
 // forwardConn opens a connection to the target and forwards traffic between the two connections until both directions have ended.
-func (r *Relay) forwardConn(in net.Conn) {
+func (r *Relay) forwardConn(in net.Conn, source netip.Addr) {
 	defer r.untrack(in)
 	silenced := r.nextSilence()
 	out, err := net.Dial("tcp", r.target.String())
-	if err != nil || !r.track(out) {
+	if err != nil || !r.track(out, source) {
 		return
 	}
 	defer r.untrack(out)
-	delay := r.delay(in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap())
+	delay := r.delay(source)
 	var both sync.WaitGroup
-	both.Go(func() { r.forwardStream(out, in, delay, true, silenced) })
-	both.Go(func() { r.forwardStream(in, out, delay, false, silenced) })
+	both.Go(func() { r.forwardStream(out, in, source, delay, true, silenced) })
+	both.Go(func() { r.forwardStream(in, out, source, delay, false, silenced) })
 	both.Wait()
 }
 
@@ -264,7 +301,7 @@
 
 // forwardStream forwards one direction of a connection with the delay. At the end of the stream it closes the write side of the
 // connection to, or resets it if the stream ended with a reset, unless traffic of that direction was dropped.
-func (r *Relay) forwardStream(to, from net.Conn, delay time.Duration, forward bool, silenced <-chan struct{}) {
+func (r *Relay) forwardStream(to, from net.Conn, source netip.Addr, delay time.Duration, forward bool, silenced <-chan struct{}) {
 	queue := make(chan chunk, maxQueuedChunks)
 	var reset atomic.Bool
 	go func() {
@@ -287,7 +324,7 @@
 		if !silent {
 			time.Sleep(time.Until(r.transferred(forward, len(c.data))))
 		}
-		silent = !r.admit(forward, len(c.data)) || silent || isClosed(silenced)
+		silent = !r.admit(source, forward, len(c.data)) || silent || isClosed(silenced)
 		if silent || reset.Load() {
 			continue
 		}
@@ -305,7 +342,7 @@
 		return
 	}
 	if reset.Load() {
-		if r.admit(forward, 0) && !isClosed(silenced) {
+		if r.admit(source, forward, 0) && !isClosed(silenced) {
 			resetConn(to)
 		}
 		return
@@ -356,7 +393,7 @@
 // afterDelay calls send after the delay for the source and the time of the transfer, unless the mode at that time drops the datagram.
 func (r *Relay) afterDelay(source netip.AddrPort, forward bool, size int, send func()) {
 	time.AfterFunc(r.delay(source.Addr())+time.Until(r.transferred(forward, size)), func() {
-		if r.admit(forward, size) {
+		if r.admit(netip.Addr{}, forward, size) {
 			send()
 		}
 	})
--- a/internal/testbed/relay_test.go
+++ b/internal/testbed/relay_test.go
@@ -174,15 +174,15 @@
 	const size, bitsPerSecond, connections = 50_000, 4e6, 2
 	faketime.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		r := &Relay{done: make(chan struct{}), openConns: map[net.Conn]bool{}, silenceCh: make(chan struct{})}
+		r := &Relay{done: make(chan struct{}), openConns: map[net.Conn]netip.Addr{}, silenceCh: make(chan struct{})}
 		transfer := func() time.Duration {
 			begin := time.Now()
 			var all sync.WaitGroup
 			for range connections {
 				c, in := net.Pipe()
 				out, target := net.Pipe()
-				go r.forwardStream(out, in, 0, true, r.nextSilence())
-				go r.forwardStream(in, out, 0, false, r.nextSilence())
+				go r.forwardStream(out, in, netip.Addr{}, 0, true, r.nextSilence())
+				go r.forwardStream(in, out, netip.Addr{}, 0, false, r.nextSilence())
 				go func() { io.Copy(target, target) }()
 				go c.Write(make([]byte, size))
 				all.Go(func() {
@@ -244,3 +244,44 @@
 	}
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+// TestModeForSource guards against a mode for one source that acts on the connections of others, closes what it has to leave open, or lasts after it
+// was lifted.
+func TestModeForSource(t *testing.T) {
+	is := is.New(t)
+	r, err := NewRelay(netip.MustParseAddrPort("127.0.0.1:0"), startEchoServer(t), func(netip.Addr) time.Duration { return 0 })
+	is.NoErr(err)
+	defer r.Close()
+	dial := func(source string) net.Conn {
+		c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}).Dial("tcp", r.Address().String())
+		is.NoErr(err)
+		return c
+	}
+	echo := func(c net.Conn) error {
+		is.NoErr(c.SetDeadline(time.Now().Add(200 * time.Millisecond)))
+		if _, err := c.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	const cut, other = "127.0.0.2", "127.0.0.3"
+	source := netip.MustParseAddr(cut)
+	for _, c := range []struct {
+		mode      Mode
+		openLives bool
+	}{{Cut, false}, {Stall, false}, {MuteReturn, false}, {MuteForward, false}, {RefuseNew, true}} {
+		open, calm := dial(cut), dial(other)
+		is.NoErr(echo(open))
+		is.NoErr(echo(calm))
+		r.SetModeFor(source, c.mode)
+		is.Equal(echo(open) == nil, c.openLives)
+		is.NoErr(echo(calm))
+		is.NoErr(echo(dial(other)))
+		is.True(echo(dial(cut)) != nil)
+		r.SetModeFor(source, Pass)
+		is.NoErr(echo(dial(cut)))
+		open.Close()
+		calm.Close()
+	}
+}
--- a/internal/transport/upstreamconn/ended.go
+++ b/internal/transport/upstreamconn/ended.go
@@ -13,7 +13,7 @@
 // RefusesConnections reports whether the address of an endpoint refuses connections, as it does once the endpoint's process has ended. An address that does
 // not answer says nothing, since the network may be the cause.
 func (p *Pool) RefusesConnections(ctx context.Context, e endpoints.Endpoint) bool {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.Address)
+	conn, err := p.dialer.DialContext(ctx, "tcp", e.Address)
 	if err == nil {
 		conn.Close()
 	}
@@ -23,7 +23,7 @@
 // ClosesUnanswered reports whether the address of an endpoint refuses connections or accepts one and closes it without any response to a GET request
 // for path. That is what a relay does whose endpoint has ended, and also an endpoint that has too many connections.
 func (p *Pool) ClosesUnanswered(ctx context.Context, e endpoints.Endpoint, path string) bool {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", e.Address)
+	conn, err := p.dialer.DialContext(ctx, "tcp", e.Address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -8,6 +8,7 @@
 	"hash/maphash"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	IdleTimeout time.Duration
 	// ConnectTimeout bounds connection set-up.
 	ConnectTimeout time.Duration
+	// SourceIP is the local IP of the connections to upstreams. The zero value leaves the choice to the operating system.
+	SourceIP netip.Addr
 	// WriteTimeout is the timeout of one write. If an upstream accepts no more bytes for this long, the request fails even before its
 	// deadline.
 	WriteTimeout time.Duration
@@ -61,6 +64,7 @@
 // Pool keeps idle connections per endpoint incarnation. It is split into shards, each with its own lock.
 type Pool struct {
 	cfg       Config
+	dialer    *net.Dialer
 	transport *http.Transport
 	shards    [shardCount]poolShard
 }
@@ -73,13 +77,15 @@
 
 // NewPool returns an empty pool.
 func NewPool(cfg Config) *Pool {
-	p := &Pool{cfg: cfg}
-	dialer := &net.Dialer{Timeout: cfg.ConnectTimeout}
+	p := &Pool{cfg: cfg, dialer: &net.Dialer{Timeout: cfg.ConnectTimeout}}
+	if cfg.SourceIP.IsValid() {
+		p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.SourceIP, 0))
+	}
 	p.transport = &http.Transport{
 		DisableCompression:     true, // the caller's Accept-Encoding is forwarded unchanged
 		MaxResponseHeaderBytes: cfg.MaxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			nc, err := dialer.DialContext(ctx, network, address)
+			nc, err := p.dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
