peers: hosts that have lost their way to endpoints are advertised last

They serve through other hosts, at the cost of both. Callers get them only if the others of the zone are too few, and if all hosts of a zone are cut off, the addresses of hosts of other zones that are not. TestCutOffHostsAreAdvertisedLast.

--- a/internal/coordination/peers/advertised.go
+++ b/internal/coordination/peers/advertised.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -52,7 +53,8 @@
 
 // advertised returns the hosts of this zone whose addresses callers are given. These are the ones with the most cores, and as few as can
 // handle the zone's requests: a host that handles many requests knows the load of the endpoints better than one that handles few. Callers
-// spread their requests evenly over them. t.mu must be held.
+// spread their requests evenly over them. Hosts that have lost their way to endpoints follow after all others: they serve through these, at the cost of
+// both. t.mu must be held.
 func (t *Table) advertised(now time.Time) []Host {
 	ready := map[string]Host{} // by caller address
 	add := func(h Host) {
@@ -61,6 +63,7 @@
 		}
 	}
 	rate, cores := 0, 0.0
+	cutOff := map[string]bool{t.cfg.Self.Name: t.status.CutOff} // by name
 	if t.status.Ready && !t.status.Leaving {
 		add(t.cfg.Self)
 	}
@@ -70,6 +73,7 @@
 			continue
 		}
 		rate += p.Rate
+		cutOff[p.Name] = p.CutOff
 		if p.Ready && !p.Leaving {
 			add(p.Host)
 		}
@@ -83,14 +87,23 @@
 		ranked = append(ranked, byName[name])
 		cores += byName[name].Cores
 	}
-	slices.SortStableFunc(ranked, func(a, b Host) int { return cmp.Compare(b.Cores, a.Cores) })
+	slices.SortStableFunc(ranked, func(a, b Host) int {
+		if cutOff[a.Name] != cutOff[b.Name] {
+			if cutOff[a.Name] {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.Cores, a.Cores)
+	})
 	need := float64(rate) * t.cfg.RequestCPUTime.Seconds() / t.cfg.TargetUtilization // in cores
-	sum := 0.0
+	sum, fewest := 0.0, math.Inf(1)
 	for i, h := range ranked {
 		sum += h.Cores
+		fewest = min(fewest, h.Cores)
 		n := i + 1
-		// h has the fewest cores of the first n hosts, but gets as many requests as each of them, so they can handle only n times its load.
-		if n >= t.cfg.MinAdvertised && sum >= t.cfg.MinAdvertisedShare*cores && h.Cores*float64(n) >= need {
+		// The host with the fewest cores gets as many requests as each of the others, so they can handle only n times its load.
+		if n >= t.cfg.MinAdvertised && sum >= t.cfg.MinAdvertisedShare*cores && fewest*float64(n) >= need {
 			return ranked[:n]
 		}
 	}
@@ -103,7 +116,7 @@
 }
 
 // Addresses returns the addresses that callers are given, at most limit. If no host of this zone is ready, they are those of the known
-// hosts of other zones.
+// hosts of other zones. If all of this zone have lost their way to endpoints, they are those of the hosts of other zones that have not.
 func (t *Table) Addresses(now time.Time, limit int) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,6 +124,11 @@
 	for _, h := range t.advertised(now) {
 		list = append(list, h.CallerAddress)
 	}
+	if t.allCutOff(now) {
+		if others := t.reachingElsewhere(now); len(others) >= t.cfg.MinAdvertised {
+			list = others
+		}
+	}
 	if len(list) == 0 {
 		for _, p := range t.hosts {
 			if p.Zone != t.cfg.Self.Zone {
@@ -122,3 +140,33 @@
 	}
 	return list[:min(limit, len(list))]
 }
+
+// allCutOff reports whether all ready hosts of this zone have lost their way to endpoints. t.mu must be held.
+func (t *Table) allCutOff(now time.Time) bool {
+	if !t.status.CutOff && t.status.Ready && !t.status.Leaving {
+		return false
+	}
+	cutOff := t.status.CutOff
+	for _, p := range t.hosts {
+		if p.Zone != t.cfg.Self.Zone || !t.isLive(p, now) || !p.Ready || p.Leaving {
+			continue
+		}
+		if !p.CutOff {
+			return false
+		}
+		cutOff = true
+	}
+	return cutOff
+}
+
+// reachingElsewhere returns the caller addresses of the live hosts of other zones that accept requests and have not lost their way to endpoints, in order.
+// t.mu must be held.
+func (t *Table) reachingElsewhere(now time.Time) (list []string) {
+	for _, p := range t.hosts {
+		if p.Zone != t.cfg.Self.Zone && t.isLive(p, now) && p.Ready && !p.Leaving && !p.CutOff {
+			list = append(list, p.CallerAddress)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -381,3 +381,30 @@
 		}
 	})
 }
+
+// TestCutOffHostsAreAdvertisedLast guards against callers that are sent to hosts which have lost their way to the endpoints, while others of the zone, or
+// of other zones, have not.
+func TestCutOffHostsAreAdvertisedLast(t *testing.T) {
+	is := is.New(t)
+	table := deployment([]string{"a", "b"}, 4)["a-0"]
+	report := func(n int, zone string, cutOff bool) {
+		table.RecordMessage(host(n, zone), Status{Ready: true, CutOff: cutOff}, start)
+	}
+	table.SetStatus(Status{Ready: true, CutOff: true})
+	report(1, "a", true)
+	list := table.Addresses(start, 64)
+	slices.Sort(list)
+	is.Equal(list, []string{"a-2:1", "a-3:1"})
+	report(2, "a", true)
+	list = table.Addresses(start, 64)
+	is.Equal(len(list), 2) // one alone would be too few
+	is.Equal(list[0], "a-3:1")
+	report(3, "a", true)
+	is.Equal(len(table.Addresses(start, 64)), 2) // no host of another zone is known to be live
+	report(1, "b", false)
+	report(2, "b", false)
+	report(3, "b", true)
+	is.Equal(table.Addresses(start, 64), []string{"b-1:1", "b-2:1"})
+	table.SetStatus(Status{Ready: true})
+	is.Equal(table.Addresses(start, 64)[0], "a-0:1")
+}
