quarantine: a host that no endpoint answers holds none of them for ended

A host now probes up to three other endpoints of the service before an end counts as evidence; if none answers, it may itself be cut off.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -42,6 +42,9 @@
 	RefusesConnections func(ctx context.Context, e endpoints.Endpoint) bool
 	// ClosesUnanswered reports whether it closes connections without a response. Nil means that this is not known.
 	ClosesUnanswered func(ctx context.Context, e endpoints.Endpoint) bool
+	// OthersAnswer reports whether another endpoint answers this host at the moment. If none does, this host may have lost its own way to all of them, which
+	// says nothing about their processes. Nil means that others always answer.
+	OthersAnswer func(ctx context.Context, e endpoints.Endpoint) bool
 	// AnsweredSince reports whether this host has got a response of an endpoint after a time.
 	AnsweredSince func(id endpoints.ID, at time.Time) bool
 	// MayTry reports whether this host is the one that sends a quarantined request once more, see Try.
@@ -158,7 +161,12 @@
 func (g *Guard) ConnectionBroke(ctx context.Context, e endpoints.Endpoint, f Fingerprint) {
 	at := time.Now()
 	ctx = context.WithoutCancel(ctx)
-	evidence := func() { g.addCrash(Crash{Endpoint: e.ID, Requests: []Fingerprint{f}, At: at}, SourceSelf) }
+	evidence := func() {
+		if g.cfg.OthersAnswer != nil && !g.check(ctx, "others "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.OthersAnswer(ctx, e) }) {
+			return
+		}
+		g.addCrash(Crash{Endpoint: e.ID, Requests: []Fingerprint{f}, At: at}, SourceSelf)
+	}
 	if g.check(ctx, "refuses "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.RefusesConnections(ctx, e) }) {
 		evidence()
 		return
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -122,6 +123,37 @@
 	return path != "" && g.pool.ClosesUnanswered(ctx, e, path)
 }
 
+// askedOthers is the number of endpoints of which othersAnswer probes the load.
+const askedOthers = 3
+
+// othersAnswer reports whether another endpoint of a service answers this host now. It is true if the service has no other one that may be probed.
+func (g *Gateway) othersAnswer(ctx context.Context, e endpoints.Endpoint) bool {
+	path, list := g.healthPath(e.Service), g.endpoints.Snapshot().Services[e.Service]
+	others := make([]endpoints.Endpoint, 0, askedOthers)
+	for n, start := 0, rand.IntN(max(1, len(list))); n < len(list) && len(others) < askedOthers; n++ {
+		if other := list[(start+n)%len(list)].Endpoint; other.Address != e.Address && path != "" && g.endpointStats.StartProbe(other.ID, time.Now()) {
+			others = append(others, other)
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	answers := make(chan bool, len(others))
+	for _, other := range others {
+		go func() {
+			_, err := g.pool.ProbeLoad(ctx, other, path)
+			g.endpointStats.EndProbe(other.ID, time.Now())
+			answers <- err == nil
+		}()
+	}
+	for range others {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 // logCrash logs that an endpoint has ended under requests, or that it has answered since.
 func (g *Gateway) logCrash(c quarantine.Crash, source string) {
 	g.metrics.Add("endpoint_crashes_total", 1)
