soak: hosts that lose their way to the endpoints, and hedges through hosts that it showed to be refused

The fault host-partition cuts random hosts, or all of a zone, off from the endpoints of one service or all: silently, with resets, one way, sparing open connections, for up to 5.5 s or again and again. The check compares callers' requests at these hosts with those at the others, from 3 s on.

The hop now says that a late answer is wanted, and another host is asked if the first one could not send the request.

--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -38,6 +38,7 @@
 	Attempts int            // endpoints to which the request may be sent
 	Tried    []endpoints.ID // endpoints to which it is not sent again
 	Counted  bool           // that host has counted it for its repeat budget
+	Late     bool           // an answer after the target latency is better than none
 }
 
 const (
@@ -140,7 +141,7 @@
 		allowed-- // one is left in case that the connection to the host breaks
 	}
 	request := &hop.Request{Service: r.call.Service.Name, Version: r.call.Version, Waited: now.Sub(r.call.Arrived).Milliseconds(), Attempts: allowed, Caller: r.call.Caller,
-		Tried: r.tried, Counted: r.counted}
+		Tried: r.tried, Counted: r.counted, Late: r.sends > 0}
 	r.counted = true
 	r.result.Outcome, r.result.RetryAfter = "", 0
 	expected := hopDurationFactor * r.serviceTime
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -182,6 +182,9 @@
 	}
 	if c.Handover != nil {
 		r.tried, r.counted = slices.Clone(c.Handover.Tried), c.Handover.Counted
+		if c.Handover.Late {
+			r.lateAt = c.Due
+		}
 	}
 	if !r.checkQuarantine() {
 		return r.result
@@ -222,6 +225,9 @@
 				return
 			}
 			if r.inFlight > 0 {
+				if got.through != "" {
+					hedgeTimer.Reset(r.hedgeDelay()) // the other send still hangs
+				}
 				continue
 			}
 			if !r.repeat(ctx) {
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/hop/hop.go
@@ -41,6 +41,8 @@
 	Tried    []endpoints.ID `cbor:"7,keyasint,omitempty"` // endpoints to which the request is not sent again
 	// Counted is set if the first host has counted the request for its repeat budget.
 	Counted bool `cbor:"8,keyasint,omitempty"`
+	// Late is set if an answer after the target latency is wanted, because an earlier send has failed or hangs.
+	Late bool `cbor:"9,keyasint,omitempty"`
 }
 
 // WaitedFor returns Waited as a duration.
--- a/internal/soak/endpointfaults.go
+++ b/internal/soak/endpointfaults.go
@@ -103,7 +103,7 @@
 
 func (s *soak) breakEndpointNetwork(ctx context.Context, rng *rand.Rand) {
 	defer s.timeline.begin(scopeEndpoints, scopeLinks)()
-	s.breakRelay(ctx, rng, s.randomEndpoint(rng).relay)
+	s.breakRelays(ctx, rng, s.randomEndpoint(rng).relay)
 }
 
 // raiseLoad raises the load of the callers to 5 to 14 times the usual load.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,6 +51,7 @@
 	{"crashing-request", false, (*soak).sendCrashingRequest},
 	{"endpoint-slow", false, (*soak).slowEndpoints},
 	{"endpoint-network", false, (*soak).breakEndpointNetwork},
+	{"host-partition", false, (*soak).partitionHosts},
 	{"burst", false, (*soak).raiseLoad},
 }
 
@@ -186,32 +187,40 @@
 
 var relayModes = []testbed.Mode{testbed.Cut, testbed.Stall, testbed.MuteForward, testbed.MuteReturn, testbed.CutAnswers}
 
-// breakRelay injects a random network fault at a relay. Either the relay has a fault mode for a random time, or all connections that are
-// open now stay silent until they are closed.
-func (s *soak) breakRelay(ctx context.Context, rng *rand.Rand, r *testbed.Relay) {
-	if rng.IntN(len(relayModes)+1) == 0 {
-		r.Silence()
+// breakRelays injects a random network fault at relays. Either they have a fault mode for a random time, or all connections that are open now
+// stay silent until they are closed.
+func (s *soak) breakRelays(ctx context.Context, rng *rand.Rand, relays ...*testbed.Relay) {
+	silence := rng.IntN(len(relayModes)+1) == 0
+	if silence {
+		for _, r := range relays {
+			r.Silence()
+		}
 		return
 	}
-	r.SetMode(relayModes[rng.IntN(len(relayModes))])
+	mode := relayModes[rng.IntN(len(relayModes))]
+	for _, r := range relays {
+		r.SetMode(mode)
+	}
 	pause(ctx, randomDuration(rng))
-	r.SetMode(testbed.Pass)
+	for _, r := range relays {
+		r.SetMode(testbed.Pass)
+	}
 }
 
 func (s *soak) breakCallerNetwork(ctx context.Context, rng *rand.Rand) {
 	h := s.randomHost(rng)
 	defer s.timeline.begin(h.scope())()
-	s.breakRelay(ctx, rng, h.callerRelay)
+	s.breakRelays(ctx, rng, h.callerRelay)
 }
 
 func (s *soak) breakPeerNetwork(ctx context.Context, rng *rand.Rand) {
 	h := s.hosts[rng.IntN(min(len(s.hosts), maxPeerRelays))]
 	defer s.timeline.begin(h.scope())()
-	s.breakRelay(ctx, rng, h.peerRelay)
+	s.breakRelays(ctx, rng, h.peerRelay, h.hopRelay)
 }
 
 func (s *soak) breakStoreNetwork(ctx context.Context, rng *rand.Rand) {
 	h := s.randomHost(rng)
 	defer s.timeline.begin(h.scope())()
-	s.breakRelay(ctx, rng, h.storeRelay)
+	s.breakRelays(ctx, rng, h.storeRelay)
 }
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -26,6 +26,7 @@
 	lookupURL   string
 	callerRelay *testbed.Relay
 	peerRelay   *testbed.Relay // nil if peers reach the host directly
+	hopRelay    *testbed.Relay // nil like peerRelay
 	storeRelay  *testbed.Relay
 	front       *platformtest.Front // the store as this host sees it
 
@@ -52,6 +53,9 @@
 			return nil, err
 		}
 		peerAddress = h.peerRelay.Address()
+		if h.hopRelay, err = relay(advertised(hopPort), real(hopPort), 0); err != nil {
+			return nil, err
+		}
 	}
 	front := s.address(201, 1+i, storePort)
 	if err := s.serve(front, h.front); err != nil {
@@ -66,7 +70,7 @@
 	}
 	h.settings, err = testbed.WriteJSON(s.Dir, h.name+".json", gateway.Settings{Host: h.name, Zone: zoneName(i),
 		CallerAddress: real(callerPort).String(), ReadyAddress: real(readyPort).String(), DirectoryAddress: real(directoryPort).String(),
-		PeerAddress: real(statePort).String(), StateAddress: real(statePort).String(), AdvertisedIP: peerAddress.Addr().String(),
+		PeerAddress: real(statePort).String(), StateAddress: real(statePort).String(), DetourAddress: real(hopPort).String(), UpstreamSourceIP: s.hostIP(i).String(), AdvertisedIP: peerAddress.Addr().String(),
 		StoreAddress: h.storeRelay.Address().String(), Seeds: seeds, RepeatRatio: repeatRatio, RepeatBurst: repeatBurst,
 		RepeatWindowS: repeatWindow.Seconds(), ProbesPerS: 60, GraceS: gracePeriod.Seconds(), AddressLifetimeS: addressLifetimeS, MaxDescriptors: 4096})
 	return h, err
@@ -264,3 +268,6 @@
 
 // scope returns the scope of faults of this host alone.
 func (h *host) scope() string { return "host " + h.name }
+
+// detours returns the scope of the times in which the host may have no way to endpoints of its own, so that other hosts send its requests.
+func (h *host) detours() string { return "detours of " + h.name }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,6 +60,7 @@
 	directoryPort = 8143
 	statePort     = 8146 // TCP, and UDP for gossip between hosts
 	storePort     = 8142
+	hopPort       = 8147 // TCP, for requests that other hosts hand over
 	endpointPort  = 9000
 )
 
@@ -68,25 +69,28 @@
 // soak is the state of one run.
 type soak struct {
 	Config
-	network     byte         // second byte of all addresses of the run
-	networkLock net.Listener // keeps the network reserved for this run
-	rng         *rand.Rand
-	startTime   time.Time
-	store       *platformtest.Store
-	hosts       []*host
-	endpoints   []*endpoint
-	servers     []*http.Server
-	ledger      *testbed.Ledger
-	timeline    *timeline
-	configs     configHistory
-	changing    sync.Mutex // held by faults while they change the configuration
-	falling     sync.Mutex // guards lastFall
-	lastFall    time.Time  // when the store returned from a copy, or when callers began to send requests
-	requests    requestLog
-	loadFactor  multiplier   // factor by which callers raise their usual load
-	serial      counter      // numbers the endpoint ids
-	connections counter      // numbers the connections of callers
-	stops       atomic.Int64 // planned stops under way
+	network      byte         // second byte of all addresses of the run
+	networkLock  net.Listener // keeps the network reserved for this run
+	rng          *rand.Rand
+	startTime    time.Time
+	store        *platformtest.Store
+	hosts        []*host
+	endpoints    []*endpoint
+	servers      []*http.Server
+	ledger       *testbed.Ledger
+	timeline     *timeline
+	configs      configHistory
+	changing     sync.Mutex // held by faults while they change the configuration
+	falling      sync.Mutex // guards lastFall
+	partitioning sync.Mutex // held by a fault while it cuts hosts off from endpoints
+	partitionsMu sync.Mutex // guards partitions
+	partitions   []partition
+	lastFall     time.Time // when the store returned from a copy, or when callers began to send requests
+	requests     requestLog
+	loadFactor   multiplier   // factor by which callers raise their usual load
+	serial       counter      // numbers the endpoint ids
+	connections  counter      // numbers the connections of callers
+	stops        atomic.Int64 // planned stops under way
 }
 
 // Run executes one run and returns an error if a check failed.
@@ -195,6 +199,7 @@
 		h.callerRelay.Close()
 		if h.peerRelay != nil {
 			h.peerRelay.Close()
+			h.hopRelay.Close()
 		}
 		h.storeRelay.Close()
 	}
@@ -215,6 +220,9 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.network, byte(a), byte(b)}), uint16(port))
 }
 
+// hostIP returns the IP of the host with an index, from which it opens connections to endpoints.
+func (s *soak) hostIP(i int) netip.Addr { return s.address(1+i%zoneCount, 1+i, 0).Addr() }
+
 // relay starts a relay that adds a delay each way.
 func relay(listen, target netip.AddrPort, delay time.Duration) (*testbed.Relay, error) {
 	return testbed.NewRelay(listen, target, func(netip.Addr) time.Duration { return delay })
