--- a/internal/coordination/detour/reach.go
+++ b/internal/coordination/detour/reach.go
@@ -4,8 +4,10 @@
 package detour
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -327,7 +329,7 @@
 	Failures      int    `json:"failures"`        // since that answer
 }
 
-// States returns the states of all services that this host has used, in no order.
+// States returns the states of all services that this host has used, ordered by service.
 func (t *Tracker) States(now time.Time) (list []ServiceState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -338,6 +340,7 @@
 		}
 		list = append(list, s)
 	}
+	slices.SortFunc(list, func(a, b ServiceState) int { return cmp.Compare(a.Service, b.Service) })
 	return list
 }
 
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
 	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 )
@@ -38,6 +39,8 @@
 	AdvertisedAddresses  []string       `json:"offered"`    // host addresses that callers get from the directory
 	LiveHosts            []string       `json:"live_hosts"` // other hosts of this zone from which a message arrived recently
 	EndpointCount        int            `json:"endpoint_count"`
+	// Ways are this host's ways to the endpoints of the services that it has used.
+	Ways []detour.ServiceState `json:"ways"`
 	Endpoints            []EndpointDump `json:"endpoints"`
 }
 
@@ -101,7 +104,7 @@
 	d := Dump{Host: g.settings.Host, Zone: g.settings.Zone, Ready: g.ready(), Draining: g.draining.Load(), UptimeSeconds: int64(now.Sub(g.started).Seconds()),
 		StoreAgeMS: -1, StoreFailingMS: ms(g.follower.FailingFor(now)), ActiveRequests: g.callers.Unanswered(),
 		CallerConnections: g.callers.Connections(), AdvertisedAddresses: g.peers.Addresses(now, maxDirectoryAddresses),
-		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total}
+		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total, Ways: g.ways.States(now)}
 	if t := g.routes.Load(); t != nil {
 		d.ConfigurationVersion = t.Version
 	}
@@ -157,6 +160,9 @@
 	d := g.dump(time.Now())
 	g.log.Info("dump", "ready", d.Ready, "configuration", d.ConfigurationVersion, "store_age_ms", d.StoreAgeMS,
 		"store_away_ms", d.StoreFailingMS, "active", d.ActiveRequests, "connections", d.CallerConnections, "offered", d.AdvertisedAddresses, "live_hosts", d.LiveHosts)
+	for _, w := range d.Ways {
+		g.log.Info("dump_way", "service", w.Service, "state", w.State, "since_ms", w.SinceMS, "answered_ago_ms", w.AnsweredAgoMS, "failures", w.Failures)
+	}
 	for _, e := range d.Endpoints {
 		g.log.Info("dump_endpoint", "service", e.Service, "name", e.Name, "running", e.Running, "waiting", e.Waiting, "slowness", e.Slowness,
 			"load_age_ms", e.LoadAgeMS, "own", e.InFlight, "failing", e.FailureRate, "suspect", e.Suspect)
