--- a/internal/coordination/announce/announce_test.go
+++ b/internal/coordination/announce/announce_test.go
@@ -32,7 +32,7 @@
 	})
 }
 
-// TestNewFactsGoFirst guards against news that waits behind repetitions and refreshed facts, and against queues that grow without end.
+// TestNewFactsGoFirst guards against a new fact that waits behind repetitions and refreshed facts, and against queues that grow without end.
 func TestNewFactsGoFirst(t *testing.T) {
 	is := is.New(t)
 	var b Broadcast[int]
--- a/internal/coordination/forward/limited_test.go
+++ b/internal/coordination/forward/limited_test.go
@@ -23,7 +23,7 @@
 	limits := ratelimits.NewTable()
 	now := time.Now()
 	for name, perSecond := range named {
-		limits.Record(endpoints.ID{Address: name, Incarnation: name}, ratelimits.Statement{PerSecond: perSecond, AskedAt: now.Add(-time.Second), AnsweredAt: now})
+		limits.Record(endpoints.ID{Address: name, Incarnation: name}, ratelimits.Statement{PerSecond: perSecond, SentAt: now.Add(-time.Second), AnsweredAt: now})
 	}
 	limiter := ratelimit.New(ratelimit.Config{Limits: limits, Hosts: func() int { return 1 },
 		Coordinator: func(string, endpoints.ID, int, time.Time) (peers.Host, bool, bool) { return peers.Host{}, true, true }})
--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -59,25 +59,25 @@
 	return nil
 }
 
-// News is what a message carries about requests that end endpoints.
-type News struct {
+// Update is what a message carries about requests that end endpoints.
+type Update struct {
 	Crashes  []CrashReport    `cbor:"1,keyasint,omitempty"`
 	Verdicts []VerdictReport  `cbor:"2,keyasint,omitempty"`
 	Answered []AnsweredReport `cbor:"3,keyasint,omitempty"`
 }
 
-// Limits of News. A crash takes up to 2.6 KB, usually 200 bytes, a verdict or an answered request 50 bytes.
+// Limits of an Update. A crash takes up to 2.6 KB, usually 200 bytes, a verdict or an answered request 50 bytes.
 const (
 	MaxCrashes  = 8
 	MaxVerdicts = 16
 	MaxAnswered = 16
 )
 
-// Empty reports whether there is no news.
-func (n *News) Empty() bool { return n == nil || len(n.Crashes)+len(n.Verdicts)+len(n.Answered) == 0 }
+// Empty reports whether the update says nothing.
+func (n *Update) Empty() bool { return n == nil || len(n.Crashes)+len(n.Verdicts)+len(n.Answered) == 0 }
 
-// Check returns an error if the news is none that a host sends.
-func (n *News) Check() error {
+// Check returns an error if the update is none that a host sends.
+func (n *Update) Check() error {
 	if n == nil {
 		return nil
 	}
@@ -99,24 +99,24 @@
 	return nil
 }
 
-// ZoneNews returns the news for the next message to the hosts of this zone, and RelayNews those for the hosts of other zones that pass them on. Both
-// return nil if there are none.
-func (g *Guard) ZoneNews(now time.Time) *News {
-	return g.news(g.crashNews.Zone.Next(MaxCrashes), g.verdictNews.Zone.Next(MaxVerdicts), g.answeredNews.Zone.Next(MaxAnswered), now)
+// ZoneUpdate returns the update for the next message to the hosts of this zone, and RelayUpdate the one for the hosts of other zones that pass it on. Both
+// return nil if there is none.
+func (g *Guard) ZoneUpdate(now time.Time) *Update {
+	return g.update(g.crashUpdates.Zone.Next(MaxCrashes), g.verdictUpdates.Zone.Next(MaxVerdicts), g.answeredUpdates.Zone.Next(MaxAnswered), now)
 }
 
-// RelayNews is described with ZoneNews.
-func (g *Guard) RelayNews(now time.Time) *News {
-	return g.news(g.crashNews.Relays.Next(MaxCrashes), g.verdictNews.Relays.Next(MaxVerdicts), g.answeredNews.Relays.Next(MaxAnswered), now)
+// RelayUpdate is described with ZoneUpdate.
+func (g *Guard) RelayUpdate(now time.Time) *Update {
+	return g.update(g.crashUpdates.Relays.Next(MaxCrashes), g.verdictUpdates.Relays.Next(MaxVerdicts), g.answeredUpdates.Relays.Next(MaxAnswered), now)
 }
 
-func (g *Guard) news(crashes []endpoints.ID, verdicts, answered []Fingerprint, now time.Time) *News {
+func (g *Guard) update(crashes []endpoints.ID, verdicts, answered []Fingerprint, now time.Time) *Update {
 	if len(crashes)+len(verdicts)+len(answered) == 0 {
 		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := &News{}
+	n := &Update{}
 	for _, id := range crashes {
 		if c := g.crashes[id]; c != nil && now.Sub(c.At) <= evidenceLifetime {
 			n.Crashes = append(n.Crashes, CrashReport{Endpoint: id, Requests: slices.Clone(c.Requests), AgoMS: age(c.At, now), Alive: c.Alive})
@@ -138,8 +138,8 @@
 // age returns the time since a moment in milliseconds, for a message.
 func age(at, now time.Time) int64 { return max(0, now.Sub(at).Milliseconds()) }
 
-// HandleNews records the news of another host. What is new and comes from another zone is passed on to the hosts of this zone.
-func (g *Guard) HandleNews(n *News, from string, ownZone bool, now time.Time) {
+// HandleUpdate records the update of another host. What is new and comes from another zone is passed on to the hosts of this zone.
+func (g *Guard) HandleUpdate(n *Update, from string, ownZone bool, now time.Time) {
 	if n.Empty() {
 		return
 	}
@@ -147,20 +147,20 @@
 	urgent := false
 	for _, r := range n.Crashes[:min(MaxCrashes, len(n.Crashes))] {
 		if g.addCrash(Crash{Endpoint: r.Endpoint, Requests: r.Requests, At: before(r.AgoMS), Alive: r.Alive}, from) && !ownZone {
-			g.crashNews.Forward(r.Endpoint)
+			g.crashUpdates.Forward(r.Endpoint)
 			urgent = true
 		}
 	}
 	for _, r := range n.Answered[:min(MaxAnswered, len(n.Answered))] {
 		if g.addAnswered(r.Request, before(r.AgoMS), from) && !ownZone {
-			g.answeredNews.Forward(r.Request)
+			g.answeredUpdates.Forward(r.Request)
 			urgent = true
 		}
 	}
 	for _, r := range n.Verdicts[:min(MaxVerdicts, len(n.Verdicts))] {
 		v := Verdict{Pattern: r.Pattern, DecidedAt: before(r.DecidedAgoMS), Until: now.Add(time.Duration(r.ForMS) * time.Millisecond)}
 		if g.addVerdict(v, from, now) && !ownZone {
-			g.verdictNews.Forward(r.Pattern)
+			g.verdictUpdates.Forward(r.Pattern)
 			urgent = true
 		}
 	}
@@ -172,6 +172,6 @@
 // Refresh announces the firm verdicts again, for hosts that have missed them. One host of a zone is to call it, about once a second.
 func (g *Guard) Refresh(now time.Time) {
 	for _, v := range g.Firm(now) {
-		g.verdictNews.Refresh(v.Pattern)
+		g.verdictUpdates.Refresh(v.Pattern)
 	}
 }
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -53,7 +53,7 @@
 	OnCrash func(c Crash, source string)
 	// OnVerdict is called when requests are quarantined or no longer are. evidence is the number of endpoints that ended under them, 0 if it is not known.
 	OnVerdict func(v Verdict, evidence int, source string)
-	// OnUrgent is called when the other hosts should get this host's news at once.
+	// OnUrgent is called when the other hosts should get this host's updates at once.
 	OnUrgent func()
 }
 
@@ -94,12 +94,12 @@
 
 // Guard holds the evidence and the verdicts of one host. It is safe for concurrent use.
 type Guard struct {
-	cfg          Config
-	checks       singleflight.Group // by endpoint
-	crashNews    announce.Broadcast[endpoints.ID]
-	verdictNews  announce.Broadcast[Fingerprint]
-	answeredNews announce.Broadcast[Fingerprint]
-	active       atomic.Bool // there is evidence or a verdict
+	cfg             Config
+	checks          singleflight.Group // by endpoint
+	crashUpdates    announce.Broadcast[endpoints.ID]
+	verdictUpdates  announce.Broadcast[Fingerprint]
+	answeredUpdates announce.Broadcast[Fingerprint]
+	active          atomic.Bool // there is evidence or a verdict
 
 	mu       sync.Mutex
 	crashes  map[endpoints.ID]*Crash
@@ -129,7 +129,7 @@
 		}
 		if e.Until.Sub(now) < quarantineTime/2 {
 			e.Until = now.Add(quarantineTime)
-			g.verdictNews.Announce(pattern)
+			g.verdictUpdates.Announce(pattern)
 		}
 		return e.Until, true
 	}
@@ -212,7 +212,7 @@
 // Succeeded records that an endpoint has answered a request: it is not the cause of the ends of endpoints beside which it ran before.
 func (g *Guard) Succeeded(f Fingerprint, now time.Time) {
 	if g.addAnswered(f, now, SourceSelf) {
-		g.answeredNews.Announce(f)
+		g.answeredUpdates.Announce(f)
 		g.cfg.OnUrgent()
 	}
 }
@@ -246,7 +246,7 @@
 	if isNew {
 		g.cfg.OnCrash(c, source)
 		if source == SourceSelf {
-			g.crashNews.Announce(c.Endpoint)
+			g.crashUpdates.Announce(c.Endpoint)
 			g.cfg.OnUrgent()
 		}
 	}
@@ -268,128 +268,6 @@
 	delete(g.crashes, oldest.Endpoint)
 }
 
-// change is a changed verdict and the number of endpoints that ended under its requests.
-type change struct {
-	Verdict
-	evidence int
-}
-
-func (g *Guard) report(changes []change, source string) {
-	for _, c := range changes {
-		g.cfg.OnVerdict(c.Verdict, c.evidence, source)
-	}
-}
-
-// decide quarantines the requests that the evidence condemns, and reverses young verdicts that it no longer supports. g.mu must be held.
-func (g *Guard) decide(now time.Time) (changes []change) {
-	condemned := g.culprits(now)
-	for f, evidence := range condemned {
-		if e := g.verdicts[f]; e == nil || !now.Before(e.Until) {
-			g.dropOldestVerdict()
-			g.verdicts[f] = &entry{Verdict: Verdict{Pattern: f, DecidedAt: now, Until: now.Add(quarantineTime)}, derived: true}
-			changes = append(changes, change{g.verdicts[f].Verdict, evidence})
-		}
-	}
-	for f, e := range g.verdicts {
-		if _, still := condemned[f]; e.derived && !still && now.Sub(e.DecidedAt) < firmTime {
-			delete(g.verdicts, f)
-			changes = append(changes, change{Verdict{Pattern: f, DecidedAt: e.DecidedAt}, 0})
-		}
-	}
-	return changes
-}
-
-// dropOldestVerdict makes room for one more verdict. g.mu must be held.
-func (g *Guard) dropOldestVerdict() {
-	if len(g.verdicts) < maxVerdicts {
-		return
-	}
-	var oldest *entry
-	for _, e := range g.verdicts {
-		if oldest == nil || e.Until.Before(oldest.Until) {
-			oldest = e
-		}
-	}
-	delete(g.verdicts, oldest.Pattern)
-}
-
-// addAnswered records that an endpoint answered a request at a time. It returns whether that changes what counts against the request.
-func (g *Guard) addAnswered(f Fingerprint, at time.Time, source string) (isNew bool) {
-	g.mu.Lock()
-	var changes []change
-	for _, pattern := range f.patterns() {
-		if !at.After(g.answered[pattern]) || !g.suspected(pattern, at) {
-			continue
-		}
-		isNew = true
-		g.dropOldestAnswered()
-		g.answered[pattern] = at
-	}
-	if isNew {
-		condemned := g.culprits(time.Now())
-		for _, pattern := range f.patterns() {
-			e := g.verdicts[pattern]
-			if _, still := condemned[pattern]; e != nil && (at.After(e.DecidedAt) || e.derived && !still) {
-				delete(g.verdicts, pattern)
-				changes = append(changes, change{Verdict{Pattern: pattern, DecidedAt: e.DecidedAt}, 0})
-			}
-		}
-	}
-	g.mu.Unlock()
-	g.report(changes, source)
-	return isNew
-}
-
-// suspected reports whether something that an answer at a time refutes counts against the requests that match a pattern. g.mu must be held.
-func (g *Guard) suspected(pattern Fingerprint, at time.Time) bool {
-	if e := g.verdicts[pattern]; e != nil && at.After(e.DecidedAt) {
-		return true
-	}
-	for _, c := range g.crashes {
-		if !c.At.After(g.answered[pattern]) || c.At.After(at) {
-			continue
-		}
-		for _, f := range c.Requests {
-			if patterns := f.patterns(); slices.Contains(patterns[:], pattern) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// dropOldestAnswered makes room for one more answered request. g.mu must be held.
-func (g *Guard) dropOldestAnswered() {
-	if len(g.answered) < maxVerdicts {
-		return
-	}
-	var oldest Fingerprint
-	var at time.Time
-	for f, t := range g.answered {
-		if at.IsZero() || t.Before(at) {
-			oldest, at = f, t
-		}
-	}
-	delete(g.answered, oldest)
-}
-
-// addVerdict records a verdict of another host or of the store. It returns whether the verdict is new.
-func (g *Guard) addVerdict(v Verdict, source string, now time.Time) (isNew bool) {
-	g.mu.Lock()
-	known := g.verdicts[v.Pattern]
-	valid := now.Before(v.Until) && v.DecidedAt.After(g.answered[v.Pattern])
-	if isNew = valid && (known == nil || !now.Before(known.Until) || v.Until.Sub(known.Until) > quarantineTime/4); isNew {
-		g.dropOldestVerdict()
-		g.verdicts[v.Pattern] = &entry{Verdict: v}
-	}
-	g.updateActive()
-	g.mu.Unlock()
-	if isNew {
-		g.cfg.OnVerdict(v, 0, source)
-	}
-	return isNew
-}
-
 // updateActive sets active. g.mu must be held.
 func (g *Guard) updateActive() { g.active.Store(len(g.crashes)+len(g.verdicts) > 0) }
 
@@ -417,33 +295,3 @@
 	}
 	g.updateActive()
 }
-
-// Firm returns the verdicts in force, without those that may still be reversed, in the order of their patterns.
-func (g *Guard) Firm(now time.Time) []Verdict {
-	if !g.Active() {
-		return nil
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list []Verdict
-	for _, e := range g.verdicts {
-		if now.Before(e.Until) && (!e.derived || now.Sub(e.DecidedAt) >= firmTime) {
-			list = append(list, e.Verdict)
-		}
-	}
-	slices.SortFunc(list, func(a, b Verdict) int { return a.Pattern.compare(b.Pattern) })
-	return list
-}
-
-// Restore records verdicts that the store holds.
-func (g *Guard) Restore(list []Verdict, now time.Time) {
-	for _, v := range list[:min(maxVerdicts, len(list))] {
-		if latest := now.Add(quarantineTime); v.Until.After(latest) {
-			v.Until = latest
-		}
-		if v.DecidedAt.IsZero() || v.DecidedAt.After(now) {
-			v.DecidedAt = now
-		}
-		g.addVerdict(v, SourceStore, now)
-	}
-}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -201,22 +201,22 @@
 		for _, name := range []string{"e1", "e2", "e3"} {
 			g.broke(name, "a")
 		}
-		late := g.ZoneNews(time.Now())
+		late := g.ZoneUpdate(time.Now())
 		is.Equal(g.quarantined("a"), []string{"a"})
 		time.Sleep(time.Millisecond)
 		g.Succeeded(fingerprint("a"), time.Now())
 		is.Equal(len(g.quarantined("a")), 0)
-		other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
-		other.HandleNews(late, "g", true, time.Now())
-		other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now()) // each is announced several times
+		other.HandleUpdate(g.ZoneUpdate(time.Now()), "g", true, time.Now())
+		other.HandleUpdate(late, "g", true, time.Now())
+		other.HandleUpdate(g.ZoneUpdate(time.Now()), "g", true, time.Now()) // each is announced several times
 		is.Equal(len(other.quarantined("a")), 0)
 		for _, name := range []string{"e4", "e5", "e6"} { // ends between answers
 			time.Sleep(time.Second)
 			g.broke(name, "a")
-			other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
+			other.HandleUpdate(g.ZoneUpdate(time.Now()), "g", true, time.Now())
 			time.Sleep(time.Millisecond)
 			g.Succeeded(fingerprint("a"), time.Now())
-			other.HandleNews(g.ZoneNews(time.Now()), "g", true, time.Now())
+			other.HandleUpdate(g.ZoneUpdate(time.Now()), "g", true, time.Now())
 		}
 		is.Equal(len(g.quarantined("a"))+len(other.quarantined("a")), 0)
 		for _, name := range []string{"e8", "e9", "e10"} {
@@ -263,7 +263,7 @@
 		is.Equal(g.quarantined("a"), []string{"a"})
 		is.Equal(len(g.Firm(time.Now())), 0)
 		time.Sleep(firmTime / 2)
-		g.HandleNews(culprits.ZoneNews(time.Now()), "culprits", true, time.Now())
+		g.HandleUpdate(culprits.ZoneUpdate(time.Now()), "culprits", true, time.Now())
 		is.Equal(g.quarantined("a", "p"), []string{"p"})
 		time.Sleep(firmTime)
 		is.Equal(len(g.Firm(time.Now())), 1)
@@ -347,7 +347,7 @@
 		}
 		is.Equal(trials, len(trialTimes))
 		chosen.Succeeded(fingerprint("a"), time.Now())
-		other.HandleNews(chosen.ZoneNews(time.Now()), "chosen", true, time.Now())
+		other.HandleUpdate(chosen.ZoneUpdate(time.Now()), "chosen", true, time.Now())
 		is.Equal(len(chosen.quarantined("a"))+len(other.quarantined("a")), 0)
 	})
 }
--- a/internal/coordination/quarantine/sim_test.go
+++ b/internal/coordination/quarantine/sim_test.go
@@ -15,7 +15,7 @@
 )
 
 // simulation runs the guards of a deployment's hosts on a fake clock: endpoints that run requests and end, hosts that send requests to them and
-// exchange news, some of which is lost.
+// exchange updates, some of which is lost.
 type simulation struct {
 	mu        sync.Mutex
 	rng       *rand.Rand
@@ -68,7 +68,7 @@
 		s.hosts = append(s.hosts, h)
 	}
 	for _, h := range s.hosts {
-		s.running.Go(func() { s.sendNews(h) })
+		s.running.Go(func() { s.sendUpdates(h) })
 	}
 	return s
 }
@@ -122,24 +122,24 @@
 	return true
 }
 
-// sendNews sends a host's news to its zone and to two hosts of each other zone, at once or every 200 ms.
-func (s *simulation) sendNews(h *simHost) {
+// sendUpdates sends a host's updates to its zone and to two hosts of each other zone, at once or every 200 ms.
+func (s *simulation) sendUpdates(h *simHost) {
 	for s.ctx.Err() == nil {
 		now := time.Now()
-		zone, relayed := h.guard.ZoneNews(now), h.guard.RelayNews(now)
+		zone, relayed := h.guard.ZoneUpdate(now), h.guard.RelayUpdate(now)
 		relays := map[int]int{}
 		for _, to := range s.hosts {
-			news := zone
+			update := zone
 			if to.zone != h.zone {
 				if relays[to.zone]++; relays[to.zone] > 2 {
 					continue
 				}
-				news = relayed
+				update = relayed
 			}
-			if to == h || news.Empty() || float64(s.random(1000)) < 1000*s.loss {
+			if to == h || update.Empty() || float64(s.random(1000)) < 1000*s.loss {
 				continue
 			}
-			time.AfterFunc(2*time.Millisecond, func() { to.guard.HandleNews(news, "h", to.zone == h.zone, time.Now()) })
+			time.AfterFunc(2*time.Millisecond, func() { to.guard.HandleUpdate(update, "h", to.zone == h.zone, time.Now()) })
 		}
 		s.sleep(20 * time.Millisecond)
 		select {
--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -29,7 +29,7 @@
 		return
 	}
 	l.cfg.OnChange(id, *change, s, SourceResponse)
-	l.news.Announce(id)
+	l.announcements.Announce(id)
 	if change.Old == ratelimits.Unlimited || change.New == ratelimits.Unlimited || change.New < urgentChange*change.Old {
 		l.cfg.OnUrgent()
 	}
@@ -51,22 +51,22 @@
 	switch {
 	case from.OwnZone:
 	case change != nil:
-		l.news.Forward(s.ID)
+		l.announcements.Forward(s.ID)
 		l.cfg.OnUrgent()
 	case isNew:
-		l.news.Zone.Put(s.ID, 1)
+		l.announcements.Zone.Put(s.ID, 1)
 	}
 }
 
-// ZoneNews returns at most limit statements for the next message to the hosts of this zone, and RelayNews those for the hosts of other zones that
+// ZoneStatements returns at most limit statements for the next message to the hosts of this zone, and RelayNews those for the hosts of other zones that
 // pass them on.
-func (l *Limiter) ZoneNews(limit int, now time.Time) []Statement {
-	return l.statements(l.news.Zone.Next(limit), now)
+func (l *Limiter) ZoneStatements(limit int, now time.Time) []Statement {
+	return l.statements(l.announcements.Zone.Next(limit), now)
 }
 
-// RelayNews is described with ZoneNews.
-func (l *Limiter) RelayNews(limit int, now time.Time) []Statement {
-	return l.statements(l.news.Relays.Next(limit), now)
+// RelayStatements is described with ZoneStatements.
+func (l *Limiter) RelayStatements(limit int, now time.Time) []Statement {
+	return l.statements(l.announcements.Relays.Next(limit), now)
 }
 
 func (l *Limiter) statements(ids []endpoints.ID, now time.Time) []Statement {
--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -14,13 +14,13 @@
 type Statement struct {
 	ID            endpoints.ID `cbor:"1,keyasint"`
 	PerSecond     float64      `cbor:"2,keyasint"` // infinite if the endpoint names no limit any more
-	AskedAgoMS    int64        `cbor:"3,keyasint"` // since the request was sent
+	SentAgoMS     int64        `cbor:"3,keyasint"` // since the request was sent
 	AnsweredAgoMS int64        `cbor:"4,keyasint"` // since the response arrived
 }
 
 // NewStatement returns the message of a statement.
 func NewStatement(id endpoints.ID, s ratelimits.Statement, now time.Time) Statement {
-	return Statement{ID: id, PerSecond: s.PerSecond, AskedAgoMS: now.Sub(s.AskedAt).Milliseconds(), AnsweredAgoMS: now.Sub(s.AnsweredAt).Milliseconds()}
+	return Statement{ID: id, PerSecond: s.PerSecond, SentAgoMS: now.Sub(s.SentAt).Milliseconds(), AnsweredAgoMS: now.Sub(s.AnsweredAt).Milliseconds()}
 }
 
 // maxAgeMS bounds the ages in a message in milliseconds. No request runs, and no statement is repeated, for a day.
@@ -33,15 +33,15 @@
 		return trace.BadParameter("a limit names no endpoint")
 	case math.IsNaN(s.PerSecond) || s.PerSecond < 0:
 		return trace.BadParameter("the limit of %s is %v: no rate", s.ID, s.PerSecond)
-	case s.AnsweredAgoMS < 0 || s.AnsweredAgoMS > s.AskedAgoMS || s.AskedAgoMS > maxAgeMS:
-		return trace.BadParameter("the limit of %s is %d ms old, and was asked for %d ms ago", s.ID, s.AnsweredAgoMS, s.AskedAgoMS)
+	case s.AnsweredAgoMS < 0 || s.AnsweredAgoMS > s.SentAgoMS || s.SentAgoMS > maxAgeMS:
+		return trace.BadParameter("the limit of %s is %d ms old, and was asked for %d ms ago", s.ID, s.AnsweredAgoMS, s.SentAgoMS)
 	}
 	return nil
 }
 
 // At returns the statement with times of this host's clock.
 func (s *Statement) At(now time.Time) ratelimits.Statement {
-	return ratelimits.Statement{PerSecond: s.PerSecond, AskedAt: now.Add(-time.Duration(s.AskedAgoMS) * time.Millisecond),
+	return ratelimits.Statement{PerSecond: s.PerSecond, SentAt: now.Add(-time.Duration(s.SentAgoMS) * time.Millisecond),
 		AnsweredAt: now.Add(-time.Duration(s.AnsweredAgoMS) * time.Millisecond)}
 }
 
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -49,7 +49,7 @@
 	Hosts func() int
 	// OnChange is called after this host's belief about a limit has changed. source is SourceResponse or the name of a host.
 	OnChange func(id endpoints.ID, c ratelimits.Change, s ratelimits.Statement, source string)
-	// OnUrgent is called when the other hosts should get this host's news at once. Other news may go with the next regular message.
+	// OnUrgent is called when the other hosts should get this host's statements at once. Others may go with the next regular message.
 	OnUrgent func()
 	// SendRequest and SendGrant send a message to the address of a host, without waiting. Messages may be lost.
 	SendRequest func(address string, r Request)
@@ -58,8 +58,8 @@
 
 // Limiter holds the permits of this host, and the buckets of the endpoints that it coordinates. It is safe for concurrent use.
 type Limiter struct {
-	cfg  Config
-	news announce.Broadcast[endpoints.ID] // endpoints whose limits other hosts have to learn
+	cfg           Config
+	announcements announce.Broadcast[endpoints.ID] // endpoints whose limits are announced to other hosts
 
 	mu         sync.Mutex
 	stocks     map[endpoints.ID]*stock
@@ -255,7 +255,7 @@
 		}
 		l.mu.Unlock()
 		if due {
-			l.news.Refresh(id)
+			l.announcements.Refresh(id)
 		}
 		if now.Sub(statement.AnsweredAt) >= checkInterval {
 			if held, _, _ := l.request(e, 0, now); held {
--- a/internal/coordination/ratelimit/sim_test.go
+++ b/internal/coordination/ratelimit/sim_test.go
@@ -199,9 +199,9 @@
 func (h *simHost) beat() {
 	s := h.sim
 	h.table.SetStatus(h.status())
-	news, relayed := h.limiter.ZoneNews(32, s.now), h.limiter.RelayNews(32, s.now)
+	own, relayed := h.limiter.ZoneStatements(32, s.now), h.limiter.RelayStatements(32, s.now)
 	for _, to := range h.table.ZonePeers() {
-		h.send(to.PeerAddress, func(to *simHost) { to.limiter.HandleStatements(news, to.sender(h), s.now) })
+		h.send(to.PeerAddress, func(to *simHost) { to.limiter.HandleStatements(own, to.sender(h), s.now) })
 	}
 	if len(relayed) == 0 {
 		return
@@ -267,7 +267,7 @@
 		limit := s.limit // when the endpoint answers
 		s.after(time.Millisecond, func() {
 			if !h.down && h.incarnation == incarnation && !h.cut {
-				h.limiter.RecordResponse(s.endpoint.ID, ratelimits.Statement{PerSecond: limit, AskedAt: asked, AnsweredAt: s.now})
+				h.limiter.RecordResponse(s.endpoint.ID, ratelimits.Statement{PerSecond: limit, SentAt: asked, AnsweredAt: s.now})
 			}
 		})
 	})
@@ -382,7 +382,7 @@
 	}
 }
 
-// TestLimitReachesAllHosts guards against hosts that go on as before because the news of a limit was lost on its way to them. One host of another zone
+// TestLimitReachesAllHosts guards against hosts that go on as before because the announcement of a limit was lost on its way to them. One host of another zone
 // than the endpoint's learns of the limit.
 func TestLimitReachesAllHosts(t *testing.T) {
 	for _, size := range []struct{ hosts, zones, seeds int }{{15, 3, 20}, {122, 3, 2}, {312, 5, 1}} {
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -23,25 +23,25 @@
 
 // Dump is a snapshot of a host's state for operators. It contains no secrets.
 type Dump struct {
-	Host                 string         `json:"host"`
-	Zone                 string         `json:"zone"`
-	Ready                bool           `json:"ready"`
-	Draining             bool           `json:"draining"`
-	UptimeSeconds        int64          `json:"uptime_s"`
-	ConfigurationVersion uint64         `json:"configuration"`   // version in force; 0 if none is known
-	StoreAgeMS           int64          `json:"store_age_ms"`    // age of this host's copy of the store; -1 if it has none
-	StoreFailingMS       int64          `json:"store_away_ms"`   // time since this host's reads of the store began to fail, also if it has not read it again; 0 if the last read succeeded
-	StoreOKMS            int64          `json:"store_ok_ms"`     // time since this host's last successful call to the store; -1 if there was none
-	StoreFailedMS        int64          `json:"store_failed_ms"` // time since its last failed call; -1 if there was none
-	StoreError           string         `json:"store_error"`     // error of its last call; empty if that succeeded
-	ActiveRequests       int64          `json:"active_requests"`
-	CallerConnections    int            `json:"caller_connections"`
-	AdvertisedAddresses  []string       `json:"offered"`    // host addresses that callers get from the directory
-	LiveHosts            []string       `json:"live_hosts"` // other hosts of this zone from which a message arrived recently
-	EndpointCount        int            `json:"endpoint_count"`
+	Host                 string   `json:"host"`
+	Zone                 string   `json:"zone"`
+	Ready                bool     `json:"ready"`
+	Draining             bool     `json:"draining"`
+	UptimeSeconds        int64    `json:"uptime_s"`
+	ConfigurationVersion uint64   `json:"configuration"`   // version in force; 0 if none is known
+	StoreAgeMS           int64    `json:"store_age_ms"`    // age of this host's copy of the store; -1 if it has none
+	StoreFailingMS       int64    `json:"store_away_ms"`   // time since this host's reads of the store began to fail, also if it has not read it again; 0 if the last read succeeded
+	StoreOKMS            int64    `json:"store_ok_ms"`     // time since this host's last successful call to the store; -1 if there was none
+	StoreFailedMS        int64    `json:"store_failed_ms"` // time since its last failed call; -1 if there was none
+	StoreError           string   `json:"store_error"`     // error of its last call; empty if that succeeded
+	ActiveRequests       int64    `json:"active_requests"`
+	CallerConnections    int      `json:"caller_connections"`
+	AdvertisedAddresses  []string `json:"offered"`    // host addresses that callers get from the directory
+	LiveHosts            []string `json:"live_hosts"` // other hosts of this zone from which a message arrived recently
+	EndpointCount        int      `json:"endpoint_count"`
 	// Ways are this host's ways to the endpoints of the services that it has used.
-	Ways []detour.ServiceState `json:"ways"`
-	Endpoints            []EndpointDump `json:"endpoints"`
+	Ways      []detour.ServiceState `json:"ways"`
+	Endpoints []EndpointDump        `json:"endpoints"`
 }
 
 // EndpointDump is what this host knows about an endpoint.
--- a/internal/gateway/endpoint_limits.go
+++ b/internal/gateway/endpoint_limits.go
@@ -23,7 +23,7 @@
 			"value", r.MalformedRateLimit[:min(maxLoggedHeader, len(r.MalformedRateLimit))])
 		return
 	}
-	s := ratelimits.Statement{PerSecond: ratelimits.Unlimited, AskedAt: r.SentAt, AnsweredAt: r.ReadAt}
+	s := ratelimits.Statement{PerSecond: ratelimits.Unlimited, SentAt: r.SentAt, AnsweredAt: r.ReadAt}
 	if r.HasRateLimit && r.RateLimit < maxLimit {
 		s.PerSecond = r.RateLimit
 	}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -50,12 +50,12 @@
 func (g *Gateway) sendHeartbeat() {
 	now := time.Now()
 	ways := g.ways.Report(now)
-	g.send(peerlink.Message{Ways: ways, Leaving: g.endpoints.LeavingToAnnounce(peerlink.MaxLeaving), Limits: g.rateLimiter.ZoneNews(peerlink.MaxLimits, now),
-		Crashes: g.crashGuard.ZoneNews(now)}, peerAddresses(g.peers.ZonePeers()))
+	g.send(peerlink.Message{Ways: ways, Leaving: g.endpoints.LeavingToAnnounce(peerlink.MaxLeaving), Limits: g.rateLimiter.ZoneStatements(peerlink.MaxLimits, now),
+		Crashes: g.crashGuard.ZoneUpdate(now)}, peerAddresses(g.peers.ZonePeers()))
 	if others := append(g.askOtherZones(ways), g.ways.TakeAskers()...); len(others) > 0 {
 		g.send(peerlink.Message{Ways: ways, RequestHosts: g.ways.KnowsNoHost(now)}, others)
 	}
-	limits, crashes := g.rateLimiter.RelayNews(peerlink.MaxLimits, now), g.crashGuard.RelayNews(now)
+	limits, crashes := g.rateLimiter.RelayStatements(peerlink.MaxLimits, now), g.crashGuard.RelayUpdate(now)
 	if len(limits) > 0 || !crashes.Empty() {
 		g.send(peerlink.Message{Limits: limits, Crashes: crashes}, peerAddresses(g.peers.Relays(now)))
 	}
@@ -96,7 +96,7 @@
 	}
 	g.handleWayReport(m, now)
 	g.handleLimits(m, now)
-	g.crashGuard.HandleNews(m.Crashes, m.From.Name, m.From.Zone == g.settings.Zone, now)
+	g.crashGuard.HandleUpdate(m.Crashes, m.From.Name, m.From.Zone == g.settings.Zone, now)
 	for _, h := range m.Hosts {
 		g.addHost(h, m.From.Name, now)
 	}
--- a/internal/state/ratelimits/ratelimits.go
+++ b/internal/state/ratelimits/ratelimits.go
@@ -17,17 +17,17 @@
 // Statement is what one response of an endpoint says about its limit.
 type Statement struct {
 	PerSecond  float64   // requests per second from all hosts together; Unlimited if the response names no limit
-	AskedAt    time.Time // when the request was sent: the endpoint made the statement later
+	SentAt     time.Time // when the request was sent: the endpoint made the statement later
 	AnsweredAt time.Time // when the response arrived: the endpoint made the statement earlier
 }
 
 // replaces reports whether s replaces an earlier known statement. A statement that was certainly made before the known one does not. If the order
 // of the two is not certain, the stricter one counts, so that a response that was delayed on its way never lifts a limit.
 func (s Statement) replaces(known Statement) bool {
-	if !s.AnsweredAt.After(known.AskedAt) {
+	if !s.AnsweredAt.After(known.SentAt) {
 		return false
 	}
-	return s.PerSecond <= known.PerSecond || !s.AskedAt.Before(known.AnsweredAt)
+	return s.PerSecond <= known.PerSecond || !s.SentAt.Before(known.AnsweredAt)
 }
 
 // withdrawnLifetime is how long a withdrawn limit is remembered, so that a delayed response that still names it does not bring it back.
@@ -67,8 +67,8 @@
 	case !s.replaces(known):
 		return false, nil
 	}
-	if s.AskedAt.Before(known.AskedAt) {
-		s.AskedAt = known.AskedAt
+	if s.SentAt.Before(known.SentAt) {
+		s.SentAt = known.SentAt
 	}
 	if s.AnsweredAt.Before(known.AnsweredAt) {
 		s.AnsweredAt = known.AnsweredAt
--- a/internal/state/ratelimits/ratelimits_test.go
+++ b/internal/state/ratelimits/ratelimits_test.go
@@ -21,7 +21,7 @@
 	id := endpoints.ID{Address: "10.0.0.1:80", Incarnation: "i-1@5"}
 	table := NewTable()
 	record := func(perSecond, asked, answered float64) bool {
-		_, change := table.Record(id, Statement{PerSecond: perSecond, AskedAt: at(asked), AnsweredAt: at(answered)})
+		_, change := table.Record(id, Statement{PerSecond: perSecond, SentAt: at(asked), AnsweredAt: at(answered)})
 		return change != nil
 	}
 	is.True(!record(Unlimited, 0, 1)) // nothing is kept of endpoints that never name a limit
@@ -57,9 +57,9 @@
 			r := response{asked: rapid.Float64Range(0, 5).Draw(t, "asked")}
 			r.made = r.asked + rapid.Float64Range(0, 3).Draw(t, "runs")
 			r.answered = r.made + rapid.Float64Range(0, 2).Draw(t, "on its way")
-			list = append(list, Statement{PerSecond: limits[min(int(r.made), len(limits)-1)], AskedAt: at(r.asked), AnsweredAt: at(r.answered)})
+			list = append(list, Statement{PerSecond: limits[min(int(r.made), len(limits)-1)], SentAt: at(r.asked), AnsweredAt: at(r.answered)})
 		}
-		last := Statement{PerSecond: limits[len(limits)-1], AskedAt: at(20), AnsweredAt: at(21)}
+		last := Statement{PerSecond: limits[len(limits)-1], SentAt: at(20), AnsweredAt: at(21)}
 		for _, order := range [][]Statement{list, rapid.Permutation(list).Draw(t, "order")} {
 			table := NewTable()
 			for _, s := range order {
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -41,8 +41,8 @@
 	// PermitRequest asks for permits for an endpoint with a rate limit, and Grant is the response to such a request.
 	PermitRequest *ratelimit.Request `cbor:"9,keyasint,omitempty"`
 	Grant         *ratelimit.Grant   `cbor:"10,keyasint,omitempty"`
-	// Crashes is news about requests that end the endpoints which run them.
-	Crashes *quarantine.News `cbor:"11,keyasint,omitempty"`
+	// Crashes is an update about requests that end the endpoints which run them.
+	Crashes *quarantine.Update `cbor:"11,keyasint,omitempty"`
 	// Ways says which services the sender reaches.
 	Ways *detour.Report `cbor:"12,keyasint,omitempty"`
 }
