gateway: tests of streams through another host, and of strangers at the port for other hosts

TestStreamsThroughHosts: an answer without a length arrives whole, one that breaks off behind the second hop does not look complete.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -130,6 +130,16 @@
 			return
 		}
 		d.ran.Add(1)
+		if size, cut, ok := largeResponse(r.URL.Path); ok {
+			half := make([]byte, size/2)
+			_, _ = w.Write(half) // fails if the host has left
+			http.NewResponseController(w).Flush()
+			if cut {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = w.Write(half)
+			return
+		}
 		if r.URL.Path == "/lots/held" {
 			d.waiting <- r.Header.Get("Upstream-Request-Id")
 			<-d.release
@@ -197,7 +207,7 @@
 	n := nextHost.Add(1)
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%256, n)
 	s := &Settings{Host: fmt.Sprintf("host-%d", n), Zone: "a", CallerAddress: ip + ":18080", ReadyAddress: ip + ":18081", DirectoryAddress: ip + ":18082",
-		PeerAddress: ip + ":18083", StateAddress: ip + ":18084", MetricsAddress: ip + ":18085", StoreAddress: "127.0.0.1:1", Seeds: seeds, GraceS: 1}
+		PeerAddress: ip + ":18083", StateAddress: ip + ":18084", MetricsAddress: ip + ":18085", DetourAddress: ip + ":18086", StoreAddress: "127.0.0.1:1", Seeds: seeds, GraceS: 1}
 	if err := s.Validate(); err != nil {
 		t.Fatal(err)
 	}
