detour: the messages of a hop belong to the coordination layer

TestImportsPointOneWay: forward imported protocol/hop. The two types moved to coordination/detour; protocol/hop encodes them. No change of behaviour.

--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -11,7 +11,6 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
-	"github.com/arbutusspan/arbutusspan/internal/protocol/hop"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
@@ -29,7 +28,7 @@
 	Unanswered(service string, id endpoints.ID, now time.Time)
 	// Send sends a request to a host, without repeating it. The error is an *executor.SendError. The result is nil if the host's server has refused the
 	// request before it was handled.
-	Send(ctx context.Context, h peers.Host, c *executor.Call, r *hop.Request) (*executor.Response, *hop.Result, error)
+	Send(ctx context.Context, h peers.Host, c *executor.Call, r *detour.HopRequest) (*executor.Response, *detour.HopResult, error)
 }
 
 // Handover is what another host, which got the request from its caller, says about it.
@@ -140,7 +139,7 @@
 	if allowed > 1 && r.call.Route.Idempotent {
 		allowed-- // one is left in case that the connection to the host breaks
 	}
-	request := &hop.Request{Service: r.call.Service.Name, Version: r.call.Version, Waited: now.Sub(r.call.Arrived).Milliseconds(), Attempts: allowed, Caller: r.call.Caller,
+	request := &detour.HopRequest{Service: r.call.Service.Name, Version: r.call.Version, Waited: now.Sub(r.call.Arrived).Milliseconds(), Attempts: allowed, Caller: r.call.Caller,
 		Tried: r.tried, Counted: r.counted, Late: r.sends > 0}
 	r.counted = true
 	r.result.Outcome, r.result.RetryAfter = "", 0
@@ -167,7 +166,7 @@
 }
 
 // sendThrough sends a request through a host and reads the answer.
-func (f *Forwarder) sendThrough(ctx context.Context, h peers.Host, c *executor.Call, request *hop.Request) sendResult {
+func (f *Forwarder) sendThrough(ctx context.Context, h peers.Host, c *executor.Call, request *detour.HopRequest) sendResult {
 	got := sendResult{written: true}
 	got.resp, got.hop, got.err = f.cfg.Detour.Send(ctx, h, c, request)
 	var sendErr *executor.SendError
@@ -181,7 +180,7 @@
 		got.err = errHopFailed
 	case got.hop == nil:
 		got.resp.Discard()
-		got.hop = &hop.Result{Outcome: string(RefusedNoEndpoint), Detail: http.StatusText(got.resp.Status)}
+		got.hop = &detour.HopResult{Outcome: string(RefusedNoEndpoint), Detail: http.StatusText(got.resp.Status)}
 	case Outcome(got.hop.Outcome) == Answered:
 		f.readAnswer(&got)
 	default:
@@ -200,7 +199,7 @@
 }
 
 // reachesNothing reports whether a host has found no endpoint for a request, so that another host may.
-func reachesNothing(r *hop.Result) bool {
+func reachesNothing(r *detour.HopResult) bool {
 	return r.Sends == 0 && (Outcome(r.Outcome) == RefusedNoEndpoint || Outcome(r.Outcome) == RefusedConnect)
 }
 
--- a/internal/coordination/forward/detour_test.go
+++ b/internal/coordination/forward/detour_test.go
@@ -16,13 +16,12 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/faketime"
-	"github.com/arbutusspan/arbutusspan/internal/protocol/hop"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
 // hopResponse is what a simulated host does with a request.
 type hopResponse struct {
-	result *hop.Result // nil with a status is a refusal of its server
+	result *detour.HopResult // nil with a status is a refusal of its server
 	status int
 	err    error
 	delay  time.Duration
@@ -34,7 +33,7 @@
 	decision  detour.Decision
 	state     string
 	responses []hopResponse
-	requests  []hop.Request
+	requests  []detour.HopRequest
 	failed    []string
 }
 
@@ -71,7 +70,7 @@
 	}
 }
 
-func (f *fakeHosts) Send(ctx context.Context, h peers.Host, _ *executor.Call, r *hop.Request) (*executor.Response, *hop.Result, error) {
+func (f *fakeHosts) Send(ctx context.Context, h peers.Host, _ *executor.Call, r *detour.HopRequest) (*executor.Response, *detour.HopResult, error) {
 	f.requests = append(f.requests, *r)
 	got := f.responses[len(f.requests)-1]
 	select {
@@ -93,16 +92,16 @@
 var (
 	errLost    = &executor.SendError{Written: true, Broken: true, Err: errors.New("reset")}
 	errRefused = &executor.SendError{Err: errors.New("connection refused")}
-	answered   = &hop.Result{Outcome: string(Answered), ID: endpoints.ID{Address: "far", Incarnation: "i-9"}}
+	answered   = &detour.HopResult{Outcome: string(Answered), ID: endpoints.ID{Address: "far", Incarnation: "i-9"}}
 )
 
 // TestHopsKeepPromises guards against a request that runs twice, reaches more endpoints than its route allows, or is called "not run" or refused in vain,
 // because the connection to another host broke, or because that host could not send it either.
 func TestHopsKeepPromises(t *testing.T) {
-	notReached := &hop.Result{Outcome: string(RefusedNoEndpoint)}
-	rejected := &hop.Result{Outcome: string(RefusedUpstream), Sends: 1, Retry: 40}
-	tooLate := &hop.Result{Outcome: string(RefusedTooLate), Retry: 70}
-	lost := &hop.Result{Outcome: string(LostAnswer), Sends: 1}
+	notReached := &detour.HopResult{Outcome: string(RefusedNoEndpoint)}
+	rejected := &detour.HopResult{Outcome: string(RefusedUpstream), Sends: 1, Retry: 40}
+	tooLate := &detour.HopResult{Outcome: string(RefusedTooLate), Retry: 70}
+	lost := &detour.HopResult{Outcome: string(LostAnswer), Sends: 1}
 	for name, c := range map[string]struct {
 		idempotent bool
 		responses  []hopResponse
@@ -205,7 +204,7 @@
 	faketime.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFakeService(map[string]*fakeUpstream{"a": {duration: time.Hour}})
-		hosts := &fakeHosts{state: detour.Reached, responses: []hopResponse{{result: &hop.Result{Outcome: string(RefusedTooLate)}}, {result: answered}}}
+		hosts := &fakeHosts{state: detour.Reached, responses: []hopResponse{{result: &detour.HopResult{Outcome: string(RefusedTooLate)}}, {result: answered}}}
 		forwarder := f.forwarder(largeBurst)
 		forwarder.cfg.Detour = hosts
 		go func() {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -13,10 +13,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
-	"github.com/arbutusspan/arbutusspan/internal/protocol/hop"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -155,11 +155,11 @@
 type sendResult struct {
 	attempt int // index in Result.Attempts
 	resp    *executor.Response
-	body    []byte        // the whole body, or the part that was read before stream
-	stream  io.ReadCloser // what follows body in large answers; nil if body is whole
-	through string        // host through which the request was sent; empty if this host sent it to an endpoint
-	hop     *hop.Result   // what that host says of it; nil after an error
-	allowed int           // endpoints to which that host was allowed to send it
+	body    []byte            // the whole body, or the part that was read before stream
+	stream  io.ReadCloser     // what follows body in large answers; nil if body is whole
+	through string            // host through which the request was sent; empty if this host sent it to an endpoint
+	hop     *detour.HopResult // what that host says of it; nil after an error
+	allowed int               // endpoints to which that host was allowed to send it
 	// reserved is the memory in bytes that is reserved for body.
 	reserved int64
 	// progress is the size of body when it last made progress, and progressAt the time of that.
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -69,7 +69,7 @@
 }
 
 // Send implements forward.Detour.
-func (s detourSender) Send(ctx context.Context, h peers.Host, c *executor.Call, r *hop.Request) (*executor.Response, *hop.Result, error) {
+func (s detourSender) Send(ctx context.Context, h peers.Host, c *executor.Call, r *detour.HopRequest) (*executor.Response, *detour.HopResult, error) {
 	g := s.g
 	call := *c
 	call.Header = c.Header.Clone()
@@ -170,7 +170,7 @@
 }
 
 // refuse refuses a request that was not forwarded, so that the other host may send it elsewhere.
-func (h hopHandler) refuse(r *ingress.Request, id string, request *hop.Request, outcome forward.Outcome, detail string) *ingress.Response {
+func (h hopHandler) refuse(r *ingress.Request, id string, request *detour.HopRequest, outcome forward.Outcome, detail string) *ingress.Response {
 	h.g.metrics.Add("hops_refused_total", 1)
 	h.g.log.Info("hop_refused", "id", id, "for", request.From, "outcome", outcome, "version", request.Version, "detail", detail)
 	return h.respond(r, &forward.Result{Outcome: outcome, Detail: detail})
@@ -182,7 +182,7 @@
 	if res.Outcome == forward.Answered {
 		out = responseOf(res)
 	}
-	result := &hop.Result{Outcome: string(res.Outcome), Retry: ms(res.RetryAfter), Sends: res.Sends(), ID: res.ID, Detail: res.Detail}
+	result := &detour.HopResult{Outcome: string(res.Outcome), Retry: ms(res.RetryAfter), Sends: res.Sends(), ID: res.ID, Detail: res.Detail}
 	if err := hop.SetResult(out.Header, result); err != nil {
 		panic(err) // strings and numbers only
 	}
