forward: the result of a hop names the endpoint that answered

Found by reading: hosts that sent a request on for another one left the endpoint out of the result, so that the first host did not learn from the answer that the endpoint leaves or limits its requests, and its log line named none. It passes that answer on, and so is bound by it. TestHandoversGoNoFurther and TestStreamsThroughHosts failed before.

--- a/internal/coordination/forward/detour_test.go
+++ b/internal/coordination/forward/detour_test.go
@@ -243,6 +243,7 @@
 		r = forwarder.Run(t.Context(), c)
 		is.Equal(r.Outcome, Answered)
 		is.Equal(string(r.Body), "b")
+		is.Equal(r.ID, endpoints.ID{Address: "b", Incarnation: "b"}) // the other host records what it says of itself
 		is.Equal(r.Sends(), 1)
 		time.Sleep(time.Second)
 	})
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -157,6 +157,7 @@
 	resp    *executor.Response
 	body    []byte            // the whole body, or the part that was read before stream
 	stream  io.ReadCloser     // what follows body in large answers; nil if body is whole
+	id      endpoints.ID      // endpoint to which this host sent the request
 	through string            // host through which the request was sent; empty if this host sent it to an endpoint
 	hop     *detour.HopResult // what that host says of it; nil after an error
 	allowed int               // endpoints to which that host was allowed to send it
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -15,7 +15,7 @@
 func (f *Forwarder) sendOnce(ctx context.Context, v placement.EndpointView, c *executor.Call, call *Call) sendResult {
 	route := call.Route
 	start := time.Now()
-	got := sendResult{written: true}
+	got := sendResult{written: true, id: v.ID}
 	got.resp, got.err = f.cfg.Sender.Send(ctx, v.Endpoint.Endpoint, c)
 	switch {
 	case got.err != nil:
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -64,6 +64,9 @@
 
 // setAnswer makes a send's response the result of the request.
 func (r *activeRequest) setAnswer(got sendResult) {
+	if got.through == "" {
+		r.result.ID = got.id
+	}
 	r.result.Outcome, r.result.Response, r.result.Body, r.result.Stream = Answered, got.resp, got.body, got.stream
 	if got.reserved > 0 {
 		if got.stream == nil {
--- a/internal/gateway/detour_test.go
+++ b/internal/gateway/detour_test.go
@@ -71,6 +71,11 @@
 	waitFor(t, "both lines", func() bool {
 		return strings.Contains(d.logged(), "through="+far.settings.Host) && strings.Contains(d.logged(), "for="+near.settings.Host)
 	})
+	for line := range strings.Lines(d.logged()) {
+		if strings.Contains(line, "through=") {
+			is.True(strings.Contains(line, "to=e-1"))
+		}
+	}
 	time.Sleep(2 * time.Second) // the way is back
 	status, n, err = get("/lots/large-cut", "cut")
 	is.Equal(status, http.StatusOK) // it has begun
