overload: estimate of the time a caller has waited, and the order of the queue

Cause: a returning caller counted as a new one, so that a request which could only be late took slots from ones that could be in time, and the queue ordered by priority and lateness alone. A request of the same priority that had just arrived passed by those that waited for a slot.

Change: package overload has the queue (moved from placement) and Waits, which takes the difference between the longest time stated recently on a route and the time that a request states as the time that its caller has waited. The target is counted from the first attempt. Requests that can be in time come first, by priority of the customer and of the route, by urgency (first attempt plus four times the work, so that shorter ones go first and none is postponed for ever) and by lateness; then those that can only be late. Arrivals join the queue behind requests of their rank that found no free slot. Only the first request polls; the others have one timer instead of a tick each 15 ms. HopRequest has field 10.

--- a/internal/coordination/detour/hop.go
+++ b/internal/coordination/detour/hop.go
@@ -27,11 +27,18 @@
 	Counted bool `cbor:"8,keyasint,omitempty"`
 	// Late is set if an answer after the target latency is wanted, because an earlier send has failed or hangs.
 	Late bool `cbor:"9,keyasint,omitempty"`
+	// WaitedBefore is how long the caller had waited before this attempt, in ms, by the times that it states. 0 from hosts that do not estimate it.
+	WaitedBefore int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // WaitedFor returns Waited as a duration.
 func (r *HopRequest) WaitedFor() time.Duration { return time.Duration(r.Waited) * time.Millisecond }
 
+// WaitedBeforeFor returns WaitedBefore as a duration.
+func (r *HopRequest) WaitedBeforeFor() time.Duration {
+	return time.Duration(r.WaitedBefore) * time.Millisecond
+}
+
 // HopResult is how a request ended at the host through which it went.
 type HopResult struct {
 	Outcome string       `cbor:"1,keyasint"`           // a forward.Outcome
--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -7,30 +7,33 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
-// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait or more urgent requests
-// wait. A hedge, and a repeat after an endpoint has rejected the request, do not wait: they get the best endpoint if that has a free slot and
+// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait or requests wait that come
+// before it. A hedge, and a repeat after an endpoint has rejected the request, do not wait: they get the best endpoint if that has a free slot and
 // is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the send is recorded at the endpoint: the
 // next request in the queue must not see the same slot free.
 func (r *activeRequest) findEndpoint(ctx context.Context, hedge bool) (view placement.EndpointView, expected time.Duration, ok bool) {
 	queue := r.forwarder.queue(r.call.Service.Name)
 	waits := !hedge && !r.wasRejected()
-	var waiter *placement.Waiter
+	var waiter *overload.Waiter
 	defer func() {
 		if waiter != nil {
-			queue.Remove(waiter)
+			queue.Remove(waiter, time.Now())
 			if !ok {
 				queue.WakeNext() // passes on a wake-up that this request may have received and does not use
 			}
 		}
 	}()
-	if waits && queue.HasMoreUrgent(r.call.Route.Priority) {
-		waiter = queue.Add(r.call.Route.Priority, r.call.Handover != nil, r.lateAt)
-		r.waitForTurn(ctx, queue, waiter)
+	now := time.Now()
+	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) {
+		if waiter = queue.Add(request, true, now); !queue.IsFirst(waiter, now) {
+			r.waitForTurn(ctx, queue, waiter)
+		}
 	}
 	for {
 		if r.lostWay() {
@@ -69,8 +72,11 @@
 			}
 			return placement.EndpointView{}, 0, false
 		}
+		starved := (best == nil || !best.HasFreeSlot()) && !r.limits.all // permits are divided by Queue.Ahead
 		if waiter == nil {
-			waiter = queue.Add(r.call.Route.Priority, r.call.Handover != nil, r.lateAt)
+			waiter = queue.Add(r.overloadRequest(), starved, now)
+		} else {
+			queue.SetStarved(waiter, starved)
 		}
 		r.waitForTurn(ctx, queue, waiter)
 	}
@@ -81,30 +87,6 @@
 	return r.lastFailure != nil && r.lastFailure.resp != nil && r.lastFailure.resp.NotRun
 }
 
-// waitForTurn returns when the request should look for an endpoint again: after a wake-up, or at a multiple of recheckInterval at which it
-// is the first of the queue or no more than its usual duration is left until lateAt. It also returns when ctx ends.
-func (r *activeRequest) waitForTurn(ctx context.Context, queue *placement.Queue, w *placement.Waiter) {
-	r.result.QueueWaits++
-	ticker := time.NewTicker(recheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-w.Wake:
-			return
-		case now := <-ticker.C:
-			if queue.IsFirst(w) || r.lateAt.Sub(now) <= r.serviceTime {
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// recheckInterval is the interval at which the first waiting request looks for an endpoint without a wake-up. A slot that a request of
-// another host frees causes no wake-up on this host.
-const recheckInterval = 15 * time.Millisecond
-
 // setRefusal sets the outcome of a request for which no endpoint was found. ended says whether its context has ended.
 func (r *activeRequest) setRefusal(best *placement.EndpointView, expected time.Duration, ended bool) {
 	switch {
--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -38,6 +38,8 @@
 	Tried    []endpoints.ID // endpoints to which it is not sent again
 	Counted  bool           // that host has counted it for its repeat budget
 	Late     bool           // an answer after the target latency is better than none
+	// WaitedBefore is how long the caller had waited before this attempt, by the times that it states.
+	WaitedBefore time.Duration
 }
 
 const (
@@ -140,7 +142,7 @@
 		allowed-- // one is left in case that the connection to the host breaks
 	}
 	request := &detour.HopRequest{Service: r.call.Service.Name, Version: r.call.Version, Waited: now.Sub(r.call.Arrived).Milliseconds(), Attempts: allowed, Caller: r.call.Caller,
-		Tried: r.tried, Counted: r.counted, Late: r.sends > 0}
+		Tried: r.tried, Counted: r.counted, Late: r.sends > 0, WaitedBefore: r.waitedFor.Milliseconds()}
 	r.counted = true
 	r.result.Outcome, r.result.RetryAfter = "", 0
 	expected := hopDurationFactor * r.serviceTime
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -60,7 +61,8 @@
 type Forwarder struct {
 	cfg          Config
 	serviceTimes serviceTimeEstimator
-	queues       sync.Map // service name -> *placement.Queue
+	queues       sync.Map // service name -> *overload.Queue
+	waits        overload.Waits
 
 	bufferedBytes atomic.Int64 // memory that is reserved for the bodies of answers
 }
@@ -97,6 +99,10 @@
 	Version uint64
 	// Handover is set if the request came through another host.
 	Handover *Handover
+	// Customer is the name of the customer; empty if it is not known.
+	Customer string
+	// CustomerPriority is the priority of the customer; 0 is the most urgent.
+	CustomerPriority int
 
 	fingerprintOnce sync.Once
 	fingerprintMemo quarantine.Fingerprint
@@ -132,7 +138,9 @@
 	call        *Call
 	start       time.Time
 	serviceTime time.Duration  // usual duration of the route's requests
-	lateAt      time.Time      // when the answer is late: at the target latency or the deadline, whichever is earlier
+	lateAt      time.Time      // when the answer is late: at the target latency or the deadline, whichever is earlier; at the deadline for a repeat
+	waitedFor   time.Duration  // how long the caller had waited before this attempt, by the times that it states
+	targetAt    time.Time      // when the target latency is exceeded, counted from the caller's first attempt; at most the deadline
 	tried       []endpoints.ID // endpoints to which the request was sent, also by another host
 	through     []string       // hosts through which it was sent
 	counted     bool           // it counts for the repeat budget
@@ -176,10 +184,16 @@
 	now := time.Now()
 	r := &activeRequest{forwarder: f, call: c, start: now, serviceTime: f.serviceTimes.estimate(c.Route), result: &Result{},
 		sendResults: make(chan sendResult, 8)}
-	r.lateAt = c.Due
-	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip); c.Route.TargetLatency > 0 && late.Before(c.Due) {
-		r.lateAt = late
+	if c.Handover != nil {
+		r.waitedFor = c.Handover.WaitedBefore
+	} else {
+		r.waitedFor = f.waits.Estimate(c.Route.Name, c.Due.Sub(c.Arrived), now)
 	}
+	r.targetAt = c.Due
+	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip - r.waitedFor); c.Route.TargetLatency > 0 && late.Before(c.Due) {
+		r.targetAt = late
+	}
+	r.lateAt = r.targetAt
 	if c.Handover != nil {
 		r.tried, r.counted = slices.Clone(c.Handover.Tried), c.Handover.Counted
 		if c.Handover.Late {
@@ -269,15 +283,3 @@
 	r.send(ctx, view, expected, hedge)
 	return true
 }
-
-// queue returns the queue of a service.
-func (f *Forwarder) queue(service string) *placement.Queue {
-	if q, ok := f.queues.Load(service); ok {
-		return q.(*placement.Queue)
-	}
-	q, _ := f.queues.LoadOrStore(service, &placement.Queue{})
-	return q.(*placement.Queue)
-}
-
-// WakeAll has all waiting requests of a service look for an endpoint anew, because this host's way to them has changed.
-func (f *Forwarder) WakeAll(service string) { f.queue(service).WakeAll() }
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -161,7 +161,8 @@
 		service = route.ServiceAt(g.nextSplitPosition(route.Name))
 	}
 	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.HeaderReadAt.Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
-		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late},
+		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late,
+			WaitedBefore: request.WaitedBeforeFor()},
 		Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target, Header: callerapi.EndToEndHeaders(r.Header, hop.IsHeader), Body: r.Body,
 			Deadline: deadline, Host: r.Host}}
 	res := g.forwarder.Run(ctx, call)
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/hop/hop.go
@@ -54,7 +54,7 @@
 	if err := get(h, headerRequest, &r); err != nil {
 		return nil, err
 	}
-	if r.From == "" || r.Service == "" || r.Waited < 0 || r.Attempts < 1 || len(r.Tried) > detour.MaxTried {
+	if r.From == "" || r.Service == "" || r.Waited < 0 || r.WaitedBefore < 0 || r.Attempts < 1 || len(r.Tried) > detour.MaxTried {
 		return nil, trace.BadParameter("%s: it names no host or service, or a figure that no host sends: %d ms, %d attempts, %d endpoints", headerRequest, r.Waited, r.Attempts, len(r.Tried))
 	}
 	return &r, nil
