overload: refusals by estimate, at once, with a Retry-After that spreads the returns

Cause: a request that found no free slot waited until it could only be late and was refused then, for most of its target latency, and its caller was told to come back after 50 ms, while the slots were still taken.

Change: the queue measures the work per second that this host's requests get done (completed in the last second, or what runs divided by its present slowness if that is more), and the work per second that arrives by rank. Queue.Decide refuses a request at once if those served before it leave no capacity in time and no capacity is left over for late ones before its deadline. Late requests otherwise wait for capacity that no request which can be in time needs, and use spare load probes only. Queue.RetryAfter gives the callers of one rank successive times at the rate at which capacity is left over, after more urgent ranks; if none is left over, a random time in the second half of what callers honour. Late requests of a rank that is served less often than a less urgent one come before it. Without a completed request in the last second, and for requests that wait for permits or a faster endpoint, all is decided as before.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -31,8 +31,9 @@
 	}()
 	now := time.Now()
 	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) {
-		if waiter = queue.Add(request, true, now); !queue.IsFirst(waiter, now) {
-			r.waitForTurn(ctx, queue, waiter)
+		waiter = queue.Add(request, true, now)
+		if !queue.IsFirst(waiter, now) && !r.waitForTurn(ctx, queue, waiter, true) {
+			return placement.EndpointView{}, 0, false
 		}
 	}
 	for {
@@ -66,7 +67,7 @@
 			}
 			continue
 		}
-		if decision == placement.Refuse || ctx.Err() != nil {
+		if decision == placement.Refuse && !r.mayWaitLate(best) || ctx.Err() != nil {
 			if len(r.result.Attempts) == 0 {
 				r.setRefusal(best, expected, ctx.Err() != nil)
 			}
@@ -78,7 +79,12 @@
 		} else {
 			queue.SetStarved(waiter, starved)
 		}
-		r.waitForTurn(ctx, queue, waiter)
+		if !r.waitForTurn(ctx, queue, waiter, starved) {
+			if r.overload.Reason == overload.Unknown {
+				r.setRefusal(best, expected, false)
+			}
+			return placement.EndpointView{}, 0, false
+		}
 	}
 }
 
@@ -165,6 +171,9 @@
 			break
 		}
 		take := r.forwarder.cfg.ProbeBudget.Take
+		if waiting && r.overload.Late {
+			take = r.forwarder.cfg.ProbeBudget.TakeSpare // the other probes are for requests that can be in time
+		}
 		fastEnough := best >= 0 && cfg.FastEnough(&views[best], expected, r.serviceTime)
 		if fastEnough {
 			round = slices.DeleteFunc(round, func(i int) bool { return !views[i].Local })
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -149,9 +149,10 @@
 	inFlight    int // sends in flight
 	// allRejectingUntil is the time before which no endpoint of the service wants requests; zero if one does, as found by the last search.
 	allRejectingUntil time.Time
-	limits            limitedEndpoints // found by the last search
-	onTrial           bool             // the request is quarantined and is sent once
-	direct            bool             // the request looks for an endpoint although this host has lost its way
+	limits            limitedEndpoints  // found by the last search
+	onTrial           bool              // the request is quarantined and is sent once
+	overload          overload.Estimate // the last one while the request waited
+	direct            bool              // the request looks for an endpoint although this host has lost its way
 	// mayHaveRun says that an endpoint may have run the request.
 	mayHaveRun  bool
 	sends       int                  // sends that count as attempts: all but those that failed before a byte was written
@@ -203,6 +204,8 @@
 	if !r.checkQuarantine() {
 		return r.result
 	}
+	request := r.overloadRequest()
+	f.queue(c.Service.Name).Arrived(&request, now)
 	ctx, cancel := context.WithDeadline(ctx, c.Due)
 	r.serve(ctx)
 	if r.result.Stream == nil {
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -146,9 +146,14 @@
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
 	execCall.Deadline = r.call.Due
+	queue, begin := r.forwarder.queue(r.call.Service.Name), time.Now()
+	request := r.overloadRequest()
+	queue.Started(&request, n == 0, begin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true} // stays so if the send panics
 		defer func() {
+			completed := got.err == nil && got.resp != nil && !got.resp.NotRun && got.resp.Status < http.StatusInternalServerError
+			queue.Ended(r.serviceTime, time.Since(begin), completed, time.Now())
 			if errors.Is(got.err, errPanicked) {
 				r.forwarder.cfg.EndpointStats.RecordEnd(v.ID, true, time.Now())
 			}
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 )
 
 // queue returns the queue of a service.
@@ -26,32 +27,88 @@
 		Work: r.serviceTime, FirstSent: c.Arrived.Add(-r.waitedFor), LateAt: r.targetAt, Due: c.Due}
 }
 
-// recheckInterval is the interval at which the first waiting request looks for an endpoint without a wake-up. A slot that a request of
-// another host frees causes no wake-up on this host.
-const recheckInterval = 15 * time.Millisecond
-
-// waitForTurn returns when the request should look for an endpoint again: after a wake-up, after recheckInterval if it is the first of the queue,
-// and when it can no longer be answered before lateAt or its deadline. It also returns when ctx ends.
-func (r *activeRequest) waitForTurn(ctx context.Context, queue *overload.Queue, w *overload.Waiter) {
-	r.result.QueueWaits++
-	timer := time.NewTimer(r.nextCheck(queue, w, time.Now()))
-	defer timer.Stop()
-	select {
-	case <-w.Wake:
-	case <-timer.C:
-	case <-ctx.Done():
+const (
+	// recheckInterval is the interval at which the first waiting request looks for an endpoint without a wake-up. A slot that a request of
+	// another host frees causes no wake-up on this host.
+	recheckInterval = 15 * time.Millisecond
+	// lateRecheckInterval is the same for a request that can only be late.
+	lateRecheckInterval = 60 * time.Millisecond
+)
+
+// mayBeLate reports whether the request waits although it can only be late, whatever the load: an earlier attempt has failed.
+func (r *activeRequest) mayBeLate() bool {
+	return r.lateAt.Equal(r.call.Due) && !r.targetAt.Equal(r.call.Due)
+}
+
+// mayWaitLate reports whether a request that Admit refuses may wait for capacity that no request which can be in time needs: the endpoint that was
+// found, if any, has no free slot, and nothing but load keeps the request from the service.
+func (r *activeRequest) mayWaitLate(best *placement.EndpointView) bool {
+	return (best == nil || !best.HasFreeSlot()) && r.result.Candidates > 0 && r.allRejectingUntil.IsZero() && !r.limits.all && !r.mayBeLate() &&
+		time.Until(r.call.Due) > r.serviceTime
+}
+
+// waitForTurn returns true when the request should look for an endpoint again: after a wake-up, after an interval if it is the first of the queue,
+// when it can no longer be answered before lateAt or its deadline, and when ctx ends. It returns false if the request is refused because too many
+// requests are served before it, which is decided at once and while it waits. starved says that it has found no free slot.
+func (r *activeRequest) waitForTurn(ctx context.Context, queue *overload.Queue, w *overload.Waiter, starved bool) bool {
+	for first := true; ; first = false {
+		now := time.Now()
+		if starved && !r.mayBeLate() {
+			if r.overload = queue.Decide(w, now); r.overload.Reason != overload.NoReason {
+				r.refuseOverload(queue, now)
+				return false
+			}
+		}
+		if first {
+			r.result.QueueWaits++
+		}
+		wait, search := r.nextCheck(queue, w, now)
+		if decision := queue.NextDecision(w, now); starved && !search && decision < wait {
+			wait = decision
+		} else {
+			search = true
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-w.Wake:
+			timer.Stop()
+			return true
+		case <-timer.C:
+			if search || queue.IsFirst(w, time.Now()) {
+				return true
+			}
+		case <-ctx.Done():
+			timer.Stop()
+			return true
+		}
 	}
 }
 
-// nextCheck returns how long a waiting request waits for a wake-up. One that becomes the first of the queue is woken.
-func (r *activeRequest) nextCheck(queue *overload.Queue, w *overload.Waiter, now time.Time) time.Duration {
+// nextCheck returns how long a waiting request waits for a wake-up, and whether it is the first of the queue, which looks for an endpoint then. One
+// that becomes the first is woken.
+func (r *activeRequest) nextCheck(queue *overload.Queue, w *overload.Waiter, now time.Time) (wait time.Duration, first bool) {
+	interval := recheckInterval
+	if r.overload.Late {
+		interval = lateRecheckInterval
+	}
 	if queue.IsFirst(w, now) {
-		return recheckInterval
+		return interval, true
 	}
 	for _, at := range []time.Time{r.lateAt, r.call.Due} {
 		if left := at.Sub(now) - r.serviceTime; left > 0 {
-			return left
+			return left, false
 		}
 	}
-	return recheckInterval
+	return interval, false
+}
+
+// refuseOverload refuses the request because of the load of the service.
+func (r *activeRequest) refuseOverload(queue *overload.Queue, now time.Time) {
+	if len(r.result.Attempts) > 0 {
+		return
+	}
+	const steps = 1000
+	request := r.overloadRequest()
+	r.result.Outcome = RefusedTooLate
+	r.result.RetryAfter = queue.RetryAfter(&request, now, func() float64 { return float64(r.forwarder.cfg.Random(steps)) / steps })
 }
--- /dev/null
+++ b/internal/coordination/overload/meters.go
@@ -0,0 +1,121 @@
+package overload
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// completionTime is the time constant of the measured capacity, and arrivalTime that of the arrivals.
+	completionTime = time.Second
+	arrivalTime    = 500 * time.Millisecond
+	// shareTime is the time constant of the share of the requests of a rank that are served.
+	shareTime = 2 * time.Second
+	// minRefused is the number of refused requests of a rank, decayed, from which its share is compared with that of less urgent ranks.
+	minRefused = 2
+	// stretchWeight is the weight of one request in the stretch. maxStretch bounds the stretch with which requests are expected to run.
+	stretchWeight = 0.05
+	maxStretch    = 2
+)
+
+// meter measures an amount per second, with weights that decay exponentially.
+type meter struct {
+	sum float64 // decayed to at
+	at  time.Time
+}
+
+func (m *meter) add(amount float64, tau time.Duration, now time.Time) {
+	m.sum, m.at = m.decayed(tau, now)+amount, now
+}
+
+func (m *meter) decayed(tau time.Duration, now time.Time) float64 {
+	return m.sum * math.Exp(-max(0, now.Sub(m.at).Seconds())/tau.Seconds())
+}
+
+// rate returns the amount per second.
+func (m *meter) rate(tau time.Duration, now time.Time) float64 {
+	return m.decayed(tau, now) / tau.Seconds()
+}
+
+// Arrived records the arrival of a request, whether or not it will wait.
+func (q *Queue) Arrived(r *Request, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Before(r.lateFrom()) {
+		q.band(r.rank()).arrivals.add(r.Work.Seconds(), arrivalTime, now)
+	}
+}
+
+// Started records that a request was sent to an endpoint. first says that it was sent for the first time.
+func (q *Queue) Started(r *Request, first bool, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.running++
+	if first {
+		q.band(r.rank()).served.add(1, shareTime, now)
+	}
+}
+
+// Ended records that a request ended at an endpoint. completed says that it was answered, after took.
+func (q *Queue) Ended(work, took time.Duration, completed bool, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.running--
+	if !completed || work <= 0 {
+		return
+	}
+	q.completed.add(work.Seconds(), completionTime, now)
+	if q.stretch == 0 {
+		q.stretch = 1
+	}
+	q.stretch += stretchWeight * (float64(took)/float64(work) - q.stretch)
+}
+
+// capacity returns the work per second that this host's requests get done at the endpoints, or 0 if none was completed in the
+// last second. It is what they completed
+// in the last second or, if that is more, as after a sudden rise of the demand, what those that run will complete at the present speed. q.mu must
+// be held.
+func (q *Queue) capacity(now time.Time) float64 {
+	if q.stretch == 0 || now.Sub(q.completed.at) > completionTime {
+		return 0
+	}
+	return max(q.completed.rate(completionTime, now), float64(q.running)/q.stretch)
+}
+
+// expected returns how long a request with the given work takes at an endpoint while others wait. q.mu must be held.
+func (q *Queue) expected(work time.Duration) time.Duration {
+	return time.Duration(float64(work) * min(max(q.stretch, 1), maxStretch))
+}
+
+// arrivals returns the work per second that arrives, of requests that can be in time, with the ranks for which include returns true. q.mu must be
+// held.
+func (q *Queue) arrivals(now time.Time, include func(*band) bool) (perSecond float64) {
+	for _, b := range q.bands {
+		if include(b) {
+			perSecond += b.arrivals.rate(arrivalTime, now)
+		}
+	}
+	return perSecond
+}
+
+// share returns the share of the band's requests that are served.
+func (b *band) share(now time.Time) float64 {
+	served, refused := b.served.decayed(shareTime, now), b.refused.decayed(shareTime, now)
+	if served+refused == 0 {
+		return 1
+	}
+	return served / (served + refused)
+}
+
+// underserved reports whether a smaller share of a band's requests is served than of those of a less urgent one. Its late requests then come before
+// that one's requests. This happens if the requests of the urgent band have so short a target that they can only be late. q.mu must be held.
+func (q *Queue) underserved(b *band, now time.Time) bool {
+	if b.refused.decayed(shareTime, now) < minRefused {
+		return false
+	}
+	share := b.share(now)
+	return slices.ContainsFunc(q.bands, func(other *band) bool {
+		return b.rank.compare(other.rank) < 0 && b.rank.guest == other.rank.guest && other.served.decayed(shareTime, now) >= 1 && other.share(now) > share
+	})
+}
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -7,13 +7,17 @@
 )
 
 // Queue holds the requests of one service that wait on this host. Requests that can still be in time come first, ordered by rank, then by
-// urgency; then those that can only be late, in the same order. It is safe for concurrent use, and its zero value is empty.
+// urgency; then those that can only be late, in the same order. An exception are the late ones of a band that is underserved. It is safe for concurrent use, and its zero value is empty.
 type Queue struct {
 	mu    sync.Mutex
 	bands []*band // by rank
 	first *Waiter // as of the last change
 	count int
 	works map[string]*orderWork // by route, of those with waiting requests
+
+	running   int     // requests of this host at endpoints
+	completed meter   // work of the requests that endpoints answered
+	stretch   float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
 }
 
 // orderWork is the work by which the waiting requests of one route are ordered. It stays the same while any of them waits, so that they keep the
@@ -27,12 +31,17 @@
 type band struct {
 	rank         rank
 	inTime, late lane
+	arrivals     meter     // of requests that can be in time
+	promised     time.Time // until when capacity is promised to refused callers; see RetryAfter
+
+	served, refused meter // requests
 }
 
 // lane holds the waiting requests of one rank that can be in time, or of those that can only be late, in their order.
 type lane struct {
 	waiters []*Waiter
-	starved int // those that have found no free slot
+	starved int           // those that have found no free slot
+	work    time.Duration // of all
 }
 
 // Waiter is a waiting request. Wake receives a value when an endpoint may have a free slot, and when the request has become the first.
@@ -65,6 +74,7 @@
 func (l *lane) add(w *Waiter) {
 	i, _ := slices.BinarySearchFunc(l.waiters, w, compareWaiters)
 	l.waiters = slices.Insert(l.waiters, i, w)
+	l.work += w.request.Work
 	if w.starved {
 		l.starved++
 	}
@@ -88,6 +98,7 @@
 		return false
 	}
 	l.waiters = slices.Delete(l.waiters, i, i+1)
+	l.work -= w.request.Work
 	if w.starved {
 		l.starved--
 	}
@@ -174,8 +185,8 @@
 			w.isLate = true
 			b.late.add(w)
 		}
-		if len(b.inTime.waiters) > 0 && first == nil {
-			first = b.inTime.waiters[0]
+		if first == nil {
+			first = q.firstOf(b, now)
 		}
 	}
 	for _, b := range q.bands {
@@ -189,6 +200,17 @@
 	q.first = first
 }
 
+// firstOf returns the first request of a band that comes before the requests of less urgent bands, or nil. q.mu must be held.
+func (q *Queue) firstOf(b *band, now time.Time) *Waiter {
+	if len(b.inTime.waiters) > 0 {
+		return b.inTime.waiters[0]
+	}
+	if len(b.late.waiters) > 0 && q.underserved(b, now) {
+		return b.late.waiters[0]
+	}
+	return nil
+}
+
 // wake wakes the request and reports whether it had no wake-up pending.
 func (w *Waiter) wake() bool {
 	select {
@@ -238,17 +260,8 @@
 	if w == nil || q.count == 0 {
 		return q.count
 	}
-	n := 0
-	for _, b := range q.bands {
-		before := b.rank.compare(w.band.rank) < 0
-		if before || w.isLate {
-			n += len(b.inTime.waiters)
-		}
-		if before && w.isLate {
-			n += len(b.late.waiters)
-		}
-	}
-	return n + max(0, w.lane().index(w))
+	n, _ := q.ahead(w, w.isLate, false)
+	return n
 }
 
 // lanes calls f with the lanes in their order, until it returns false. q.mu must be held.
