overload: fairness among the customers of a priority

Cause: one customer that sends many times its usual traffic had as many of the slots as it had requests waiting.

Change: within a rank, requests are served by start-time fair queueing (Goyal, Vin and Cheng, 1996): the customer that got the least work done by its weight is next, and its requests keep their own order. The weight is the customer's usual traffic at this host, so that large customers keep their part; after 10 s at most 1.5 times the usual traffic counts, so that a flood gains no weight. Capacity that other customers do not need goes to any. Decide counts the requests of a customer against its own share. Without customers there is one flow, and nothing is measured.

The new tests of customers fail without flows.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -23,7 +23,7 @@
 	var waiter *overload.Waiter
 	defer func() {
 		if waiter != nil {
-			queue.Remove(waiter, time.Now())
+			queue.Remove(waiter, ok, time.Now())
 			if !ok {
 				queue.WakeNext() // passes on a wake-up that this request may have received and does not use
 			}
--- a/internal/coordination/overload/day_test.go
+++ b/internal/coordination/overload/day_test.go
@@ -285,6 +285,7 @@
 // dayResult is what one order made of all services of the days.
 type dayResult struct {
 	byKind       map[string]*outcome
+	byCustomer   map[string]*outcome
 	inTime, late int // answers in the worst six seconds
 }
 
@@ -293,17 +294,13 @@
 
 // playDays plays all services of the days with one order.
 func playDays(t *testing.T, name string, newPolicy func(seed uint64) policy) *dayResult {
-	r := &dayResult{byKind: map[string]*outcome{}}
+	r := &dayResult{byKind: map[string]*outcome{}, byCustomer: map[string]*outcome{}}
 	for _, seed := range daySeeds {
 		for i, site := range daySites {
 			d := &day{site: site, traffic: rand.New(rand.NewPCG(seed, uint64(i))), random: rand.New(rand.NewPCG(seed, uint64(10+i))), policy: newPolicy(seed)}
 			d.play()
-			for kind, o := range d.byKind {
-				if r.byKind[kind] == nil {
-					r.byKind[kind] = &outcome{}
-				}
-				r.byKind[kind].add(o)
-			}
+			addOutcomes(r.byKind, d.byKind)
+			addOutcomes(r.byCustomer, d.byName)
 			for second := int64(7); second < 13; second++ {
 				r.inTime, r.late = r.inTime+d.worst[second][0], r.late+d.worst[second][1]
 			}
@@ -312,10 +309,33 @@
 	for _, kind := range slices.Sorted(maps.Keys(r.byKind)) {
 		t.Logf("%-8s %-12s %v", name, kind, r.byKind[kind])
 	}
+	others := r.others()
+	t.Logf("%-8s %-12s %v", name, largeCustomer, r.byCustomer[largeCustomer])
+	t.Logf("%-8s %-12s %v", name, "others", &others)
 	t.Logf("%-8s from 7 s to 13 s: %d in time, %d late", name, r.inTime, r.late)
 	return r
 }
 
+// addOutcomes adds outcomes by name.
+func addOutcomes(to, from map[string]*outcome) {
+	for name, o := range from {
+		if to[name] == nil {
+			to[name] = &outcome{}
+		}
+		to[name].add(o)
+	}
+}
+
+// others returns the outcome of the customers that send their usual traffic.
+func (r *dayResult) others() (sum outcome) {
+	for name, o := range r.byCustomer {
+		if name != largeCustomer {
+			sum.add(o)
+		}
+	}
+	return sum
+}
+
 // add adds the counts of another outcome.
 func (o *outcome) add(p *outcome) {
 	o.requests, o.inTime, o.late, o.failed = o.requests+p.requests, o.inTime+p.inTime, o.late+p.late, o.failed+p.failed
@@ -344,6 +364,11 @@
 			last = now.served()
 		}
 	}
+	for name, was := range before.byCustomer {
+		is.True(after.byCustomer[name].value > was.value)
+	}
+	othersBefore, othersAfter := before.others(), after.others()
+	is.True(float64(othersAfter.inTime) > 1.3*float64(othersBefore.inTime))
 	is.True(before.inTime < before.late)
 	is.True(after.inTime > 2*after.late)
 }
--- a/internal/coordination/overload/decide.go
+++ b/internal/coordination/overload/decide.go
@@ -34,6 +34,7 @@
 	Late     bool          // the request can or will only be late
 	Capacity float64       // work per second that this host gets done; 0 if it is not known
 	Left     float64       // work per second that more urgent requests leave over
+	Share    float64       // part of Left that the customer gets; 0 if none of its other requests is served before
 	Ahead    time.Duration // work of the requests that are served before
 	Position int           // number of these
 	Wait     time.Duration // expected time until an endpoint takes the request; 0 if it is not known
@@ -50,9 +51,14 @@
 	e := Estimate{Capacity: q.capacity(now), Late: w.isLate}
 	until := func(t time.Time) time.Duration { return t.Sub(now) - q.expected(r.Work) }
 	if !w.isLate {
-		e.Position, e.Ahead = q.ahead(w, false, false)
+		var own time.Duration
+		e.Position, e.Ahead, own = q.ahead(w, false, false)
 		e.Left = max(minShare*e.Capacity, e.Capacity-q.arrivals(now, func(b *band) bool { return b.rank.compare(w.band.rank) < 0 }))
 		e.Wait, e.TimeLeft = waitFor(e.Ahead-r.Work, e.Left), until(r.LateAt)
+		if own > 0 {
+			e.Share = q.leftForShare(w, e.Left, now)
+			e.Wait = max(e.Wait, waitFor(own-r.Work, e.Share))
+		}
 		if r.LateAt.Sub(now) > r.Work && (e.Capacity == 0 || e.Position == 0 || e.Wait <= e.TimeLeft) {
 			return e
 		}
@@ -64,7 +70,7 @@
 func (q *Queue) decideLate(w *Waiter, e Estimate, left time.Duration, now time.Time) Estimate {
 	late, precedes := e, q.underserved(w.band, now)
 	late.Late = true
-	late.Position, late.Ahead = q.ahead(w, true, precedes)
+	late.Position, late.Ahead, _ = q.ahead(w, true, precedes)
 	late.Left, late.TimeLeft = e.Capacity-q.arrivals(now, func(b *band) bool { return !precedes || b.rank.compare(w.band.rank) <= 0 }), left
 	late.Wait = waitFor(late.Ahead, late.Left)
 	switch {
@@ -94,26 +100,35 @@
 // maxWait bounds estimated waits.
 const maxWait = time.Minute
 
-// ahead returns the number and the work of the requests that are served before a waiting one. late says that it is served after all that can be in
-// time or, if precedes is true, after those of its band and more urgent ones. q.mu must be held.
-func (q *Queue) ahead(w *Waiter, late, precedes bool) (n int, work time.Duration) {
+// leftForShare returns the work per second that is left over for the customer of a waiting request, of that which is left over for its band: what the
+// other customers do not need, or its part by weight if that is more. q.mu must be held.
+func (q *Queue) leftForShare(w *Waiter, left float64, now time.Time) float64 {
+	weights := 0.0
+	for _, f := range w.lane().flows {
+		weights += f.share.weight()
+	}
+	others := w.band.arrivals.rate(arrivalTime, now) - w.share.arrivals.rate(arrivalTime, now)
+	return max(left-others, left*w.share.weight()/weights)
+}
+
+// ahead returns the number and the work of the requests that are served before a waiting one, and the part of these that its customer has in its
+// lane. late says that it is served after all that can be in time or, if precedes is true, after those of its band and more urgent ones. q.mu must
+// be held.
+func (q *Queue) ahead(w *Waiter, late, precedes bool) (n int, work, own time.Duration) {
 	for _, b := range q.bands {
 		order := b.rank.compare(w.band.rank)
 		if order < 0 || late && (order == 0 || !precedes) {
-			n, work = n+len(b.inTime.waiters), work+b.inTime.work
+			n, work = n+b.inTime.count, work+b.inTime.work
 		}
 		if order < 0 && late {
-			n, work = n+len(b.late.waiters), work+b.late.work
+			n, work = n+b.late.count, work+b.late.work
 		}
 	}
 	if late != w.isLate { // it is one of those that are counted
-		return n - 1, work - w.request.Work
-	}
-	i := max(0, w.lane().index(w))
-	for _, other := range w.lane().waiters[:i] {
-		work += other.request.Work
+		return n - 1, work - w.request.Work, 0
 	}
-	return n + i, work
+	inLane, workInLane, own := w.lane().ahead(w)
+	return n + inLane, work + workInLane, own
 }
 
 // RetryAfter records the refusal of a request and returns the delay that its caller is told. The delays of the callers of one rank follow each other at the rate at which requests
--- a/internal/coordination/overload/decide_test.go
+++ b/internal/coordination/overload/decide_test.go
@@ -49,7 +49,7 @@
 			}
 			refused++
 			is.Equal(e.Reason == NoReason, arrivals < 100)
-			q.Remove(w, now)
+			q.Remove(w, false, now)
 		}
 		t.Logf("%d more urgent arrivals per second: %d wait, %d do not", arrivals, waiting, refused)
 		is.True(waiting > want*8/10 && waiting < want*12/10+2)
@@ -104,7 +104,7 @@
 	q, now := measured(0, 100)
 	w := q.Add(requestAt(now, 1, 0), true, now)
 	is.Equal(q.Decide(w, now).Reason, LateOnly)
-	q.Remove(w, now)
+	q.Remove(w, false, now)
 	r := requestAt(now, 1, 0)
 	for random, want := range map[float64]time.Duration{0: time.Second, 1: 2 * time.Second} { // the caller has 6 s
 		is.Equal(q.RetryAfter(&r, now, func() float64 { return random }), want)
--- a/internal/coordination/overload/meters.go
+++ b/internal/coordination/overload/meters.go
@@ -42,8 +42,18 @@
 func (q *Queue) Arrived(r *Request, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now.Before(r.lateFrom()) {
-		q.band(r.rank()).arrivals.add(r.Work.Seconds(), arrivalTime, now)
+	known := q.customers.get(r.Customer, now)
+	if known != nil {
+		q.sweep(now)
+		known.arrived(r.Work, now)
+	}
+	if !now.Before(r.lateFrom()) {
+		return
+	}
+	b := q.band(r.rank())
+	b.arrivals.add(r.Work.Seconds(), arrivalTime, now)
+	if known != nil {
+		b.share(q, r.Customer, now).arrivals.add(r.Work.Seconds(), arrivalTime, now)
 	}
 }
 
@@ -99,8 +109,8 @@
 	return perSecond
 }
 
-// share returns the share of the band's requests that are served.
-func (b *band) share(now time.Time) float64 {
+// servedShare returns the share of the band's requests that are served.
+func (b *band) servedShare(now time.Time) float64 {
 	served, refused := b.served.decayed(shareTime, now), b.refused.decayed(shareTime, now)
 	if served+refused == 0 {
 		return 1
@@ -114,8 +124,8 @@
 	if b.refused.decayed(shareTime, now) < minRefused {
 		return false
 	}
-	share := b.share(now)
+	share := b.servedShare(now)
 	return slices.ContainsFunc(q.bands, func(other *band) bool {
-		return b.rank.compare(other.rank) < 0 && b.rank.guest == other.rank.guest && other.served.decayed(shareTime, now) >= 1 && other.share(now) > share
+		return b.rank.compare(other.rank) < 0 && b.rank.guest == other.rank.guest && other.served.decayed(shareTime, now) >= 1 && other.servedShare(now) > share
 	})
 }
--- a/internal/coordination/overload/policies_test.go
+++ b/internal/coordination/overload/policies_test.go
@@ -86,7 +86,7 @@
 	if e.Reason == NoReason {
 		return false, 0, now.Add(p.queue.NextDecision(a.waiter, now))
 	}
-	p.queue.Remove(a.waiter, now)
+	p.queue.Remove(a.waiter, false, now)
 	delete(p.waiting, a.waiter)
 	return true, p.queue.RetryAfter(&a.request, now, p.random.Float64), time.Time{}
 }
@@ -95,7 +95,7 @@
 	for w, a := range p.waiting {
 		if p.queue.IsFirst(w, now) {
 			delete(p.waiting, w)
-			p.queue.Remove(w, now)
+			p.queue.Remove(w, true, now)
 			return a
 		}
 	}
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -1,13 +1,14 @@
 package overload
 
 import (
+	"container/heap"
 	"slices"
 	"sync"
 	"time"
 )
 
-// Queue holds the requests of one service that wait on this host. Requests that can still be in time come first, ordered by rank, then by
-// urgency; then those that can only be late, in the same order. An exception are the late ones of a band that is underserved. It is safe for concurrent use, and its zero value is empty.
+// Queue holds the requests of one service that wait on this host. Requests that can still be in time come first, ordered by rank, then by the work
+// that their customers got done, then by urgency; then those that can only be late, in the same order. An exception are the late ones of a band that is underserved. It is safe for concurrent use, and its zero value is empty.
 type Queue struct {
 	mu    sync.Mutex
 	bands []*band // by rank
@@ -15,6 +16,8 @@
 	count int
 	works map[string]*orderWork // by route, of those with waiting requests
 
+	customers customers
+
 	running   int     // requests of this host at endpoints
 	completed meter   // work of the requests that endpoints answered
 	stretch   float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
@@ -31,17 +34,25 @@
 type band struct {
 	rank         rank
 	inTime, late lane
-	arrivals     meter     // of requests that can be in time
-	promised     time.Time // until when capacity is promised to refused callers; see RetryAfter
+	shares       map[string]*share // by customer
+	virtual      float64           // virtual start of the last request that was served
+	arrivals     meter             // work of requests that can be in time
+	promised     time.Time         // until when capacity is promised to refused callers; see RetryAfter
 
 	served, refused meter // requests
 }
 
-// lane holds the waiting requests of one rank that can be in time, or of those that can only be late, in their order.
-type lane struct {
-	waiters []*Waiter
-	starved int           // those that have found no free slot
-	work    time.Duration // of all
+// share returns the share of a customer and adds it if there is none.
+func (b *band) share(q *Queue, name string, now time.Time) *share {
+	s := b.shares[name]
+	if s == nil {
+		if b.shares == nil {
+			b.shares = map[string]*share{}
+		}
+		s = newShare(q.customers.get(name, now))
+		b.shares[name] = s
+	}
+	return s
 }
 
 // Waiter is a waiting request. Wake receives a value when an endpoint may have a free slot, and when the request has become the first.
@@ -50,6 +61,7 @@
 	request Request
 	urgency time.Time
 	band    *band
+	share   *share
 	isLate  bool // it is in the lane of the requests that can only be late
 	starved bool // it has found no free slot, or waits for its turn; see MustWait
 }
@@ -62,47 +74,12 @@
 	return &w.band.inTime
 }
 
-// compareWaiters orders the waiters of one lane.
-func compareWaiters(a, b *Waiter) int {
-	if c := a.urgency.Compare(b.urgency); c != 0 {
-		return c
-	}
-	return a.request.LateAt.Compare(b.request.LateAt)
-}
-
-// add adds a waiter.
-func (l *lane) add(w *Waiter) {
-	i, _ := slices.BinarySearchFunc(l.waiters, w, compareWaiters)
-	l.waiters = slices.Insert(l.waiters, i, w)
-	l.work += w.request.Work
-	if w.starved {
-		l.starved++
-	}
-}
-
-// index returns the position of a waiter, or -1.
-func (l *lane) index(w *Waiter) int {
-	i, _ := slices.BinarySearchFunc(l.waiters, w, compareWaiters)
-	for ; i < len(l.waiters) && compareWaiters(l.waiters[i], w) == 0; i++ {
-		if l.waiters[i] == w {
-			return i
-		}
-	}
-	return -1
-}
-
-// remove removes a waiter and reports whether the lane held it.
-func (l *lane) remove(w *Waiter) bool {
-	i := l.index(w)
-	if i < 0 {
-		return false
-	}
-	l.waiters = slices.Delete(l.waiters, i, i+1)
-	l.work -= w.request.Work
-	if w.starved {
-		l.starved--
+// flow returns the flow that holds the waiter.
+func (w *Waiter) flow() *flow {
+	if w.isLate {
+		return &w.share.flows[1]
 	}
-	return true
+	return &w.share.flows[0]
 }
 
 // band returns the band of a rank and adds it if there is none. q.mu must be held.
@@ -118,7 +95,12 @@
 func (q *Queue) Add(r Request, starved bool, now time.Time) *Waiter {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	w := &Waiter{Wake: make(chan struct{}, 1), request: r, urgency: r.urgency(q.holdWork(&r)), band: q.band(r.rank()), starved: starved, isLate: !now.Before(r.lateFrom())}
+	b := q.band(r.rank())
+	w := &Waiter{Wake: make(chan struct{}, 1), request: r, urgency: r.urgency(q.holdWork(&r)), band: b, share: b.share(q, r.Customer, now), starved: starved,
+		isLate: !now.Before(r.lateFrom())}
+	if w.share.idle() {
+		w.share.tag = max(w.share.tag, b.virtual)
+	}
 	w.lane().add(w)
 	q.count++
 	q.settle(w, now)
@@ -148,15 +130,26 @@
 	delete(q.works, r.Route)
 }
 
-// Remove removes a request. If it was the first, the next one is woken to look for an endpoint in its place.
-func (q *Queue) Remove(w *Waiter, now time.Time) {
+// Remove removes a request. served says that it was sent to an endpoint, so that its work counts in its customer's share. If it was the first, the
+// next one is woken to look for an endpoint in its place.
+func (q *Queue) Remove(w *Waiter, served bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if w.lane().remove(w) {
-		q.count--
-		q.releaseWork(&w.request)
-		q.settle(nil, now)
+	if !w.lane().remove(w) {
+		return
 	}
+	q.count--
+	q.releaseWork(&w.request)
+	if served {
+		w.band.virtual = max(w.band.virtual, w.share.tag)
+		w.share.tag += w.request.Work.Seconds() / w.share.weight()
+		for i, l := range []*lane{&w.band.inTime, &w.band.late} {
+			if index := w.share.flows[i].index; index >= 0 {
+				heap.Fix(&l.flows, index)
+			}
+		}
+	}
+	q.settle(nil, now)
 }
 
 // SetStarved records whether the last search of a waiting request has found no free slot.
@@ -179,8 +172,7 @@
 func (q *Queue) settle(own *Waiter, now time.Time) {
 	var first *Waiter
 	for _, b := range q.bands {
-		for len(b.inTime.waiters) > 0 && !now.Before(b.inTime.waiters[0].request.lateFrom()) {
-			w := b.inTime.waiters[0]
+		for w := b.inTime.first(); w != nil && !now.Before(w.request.lateFrom()); w = b.inTime.first() {
 			b.inTime.remove(w)
 			w.isLate = true
 			b.late.add(w)
@@ -190,8 +182,8 @@
 		}
 	}
 	for _, b := range q.bands {
-		if first == nil && len(b.late.waiters) > 0 {
-			first = b.late.waiters[0]
+		if first == nil {
+			first = b.late.first()
 		}
 	}
 	if first != nil && first != q.first && first != own {
@@ -202,11 +194,11 @@
 
 // firstOf returns the first request of a band that comes before the requests of less urgent bands, or nil. q.mu must be held.
 func (q *Queue) firstOf(b *band, now time.Time) *Waiter {
-	if len(b.inTime.waiters) > 0 {
-		return b.inTime.waiters[0]
+	if w := b.inTime.first(); w != nil {
+		return w
 	}
-	if len(b.late.waiters) > 0 && q.underserved(b, now) {
-		return b.late.waiters[0]
+	if w := b.late.first(); w != nil && q.underserved(b, now) {
+		return w
 	}
 	return nil
 }
@@ -250,7 +242,7 @@
 
 // blocks reports whether the lane has a request that comes before one whose rank compares to that of the lane as given.
 func (l *lane) blocks(order int) bool {
-	return order < 0 && len(l.waiters) > 0 || order == 0 && l.starved > 0
+	return order < 0 && l.count > 0 || order == 0 && l.starved > 0
 }
 
 // Ahead returns the number of requests that wait before a waiting request, or of all that wait if w is nil.
@@ -260,7 +252,7 @@
 	if w == nil || q.count == 0 {
 		return q.count
 	}
-	n, _ := q.ahead(w, w.isLate, false)
+	n, _, _ := q.ahead(w, w.isLate, false)
 	return n
 }
 
@@ -282,9 +274,7 @@
 func (q *Queue) WakeNext() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.lanes(func(l *lane) bool {
-		return !slices.ContainsFunc(l.waiters, (*Waiter).wake)
-	})
+	q.lanes(func(l *lane) bool { return !l.wakeNext() })
 }
 
 // WakeAll wakes all requests.
@@ -292,8 +282,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.lanes(func(l *lane) bool {
-		for _, w := range l.waiters {
-			w.wake()
+		for _, f := range l.flows {
+			for _, w := range f.waiters {
+				w.wake()
+			}
 		}
 		return true
 	})
--- a/internal/coordination/overload/queue_test.go
+++ b/internal/coordination/overload/queue_test.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	otherCustomer := q.Add(customer, true, start)
 	for _, want := range []*Waiter{sooner, later, longer, lessUrgent, otherCustomer} {
 		is.True(q.IsFirst(want, start))
-		q.Remove(want, start)
+		q.Remove(want, false, start)
 	}
 	is.Equal(q.Len(), 0)
 	q.WakeNext() // the queue is empty
@@ -52,7 +53,7 @@
 	<-second.Wake
 	is.True(!q.IsFirst(first, start.Add(121*time.Millisecond)))
 	is.Equal(len(second.Wake), 1)
-	q.Remove(second, start)
+	q.Remove(second, false, start)
 	is.Equal(len(third.Wake), 1)
 }
 
@@ -78,7 +79,7 @@
 	urgentGuest := q.Add(guestOf(inTime(0, 3*time.Second)), true, start)
 	for _, want := range []*Waiter{urgentGuest, own, guest} {
 		is.True(q.IsFirst(want, start))
-		q.Remove(want, start)
+		q.Remove(want, false, start)
 	}
 }
 
@@ -95,7 +96,7 @@
 	is.True(q.IsFirst(other, start))
 	is.Equal(q.Ahead(w), 1)
 	is.Equal(q.Ahead(nil), 2)
-	q.Remove(w, start)
+	q.Remove(w, false, start)
 	is.True(q.MustWait(&late, start))
 	is.True(q.MustWait(&inTimeYet, start))
 	q.SetStarved(other, false) // it waits for a faster endpoint
@@ -118,7 +119,7 @@
 				waiting = append(waiting, q.Add(r, true, now))
 			} else {
 				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "remove")
-				q.Remove(waiting[i], now)
+				q.Remove(waiting[i], false, now)
 				waiting = append(waiting[:i], waiting[i+1:]...)
 			}
 			if q.Len() != len(waiting) {
@@ -146,18 +147,34 @@
 	})
 }
 
-// BenchmarkQueue measures one arrival and one end while 500 requests wait.
+// BenchmarkQueue measures one arrival, its decision and its end while 500 requests of 85 customers wait, and an arrival that does not wait.
 func BenchmarkQueue(b *testing.B) {
 	var q Queue
-	for n := range 500 {
+	request := func(n int) Request {
 		r := inTime(n%3, 10*time.Second)
-		r.FirstSent = start.Add(time.Duration(n) * time.Millisecond)
-		q.Add(r, true, start)
+		r.FirstSent, r.Customer = start.Add(time.Duration(n%500)*time.Millisecond), strconv.Itoa(n%85)
+		return r
 	}
-	b.ReportAllocs()
-	for n := 0; b.Loop(); n++ {
-		r := inTime(n%3, 10*time.Second)
-		r.FirstSent = start.Add(time.Duration(n%500) * time.Millisecond)
-		q.Remove(q.Add(r, true, start), start)
+	for n := range 500 {
+		r := request(n)
+		q.Arrived(&r, start)
+		q.Add(r, true, start)
+		q.Started(&r, true, start)
+		q.Ended(r.Work, r.Work, true, start)
 	}
+	b.Run("wait", func(b *testing.B) {
+		b.ReportAllocs()
+		for n := 0; b.Loop(); n++ {
+			w := q.Add(request(n), true, start)
+			q.Decide(w, start)
+			q.Remove(w, true, start)
+		}
+	})
+	b.Run("arrive", func(b *testing.B) {
+		b.ReportAllocs()
+		for n := 0; b.Loop(); n++ {
+			r := request(n)
+			q.Arrived(&r, start)
+		}
+	})
 }
