ratelimit: permits are void under a lower limit than they were granted under

Cause: permits that were reserved for up to the target latency under a Server-Limit of 40 were used for two seconds after the limit had fallen to 2, because a permit did not say which limit it belongs to.

Change: a lot of permits carries its limit (Grant field 6; without the field it is that of the grant's statement, which is what earlier coordinators apply). A host that learns of a lower limit drops the lots of higher ones. The coordinator's bucket forgets what was reserved under the higher limit, at most once in 0.5 s, so that the lower limit is used at once.

--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -22,9 +22,18 @@
 // a limit may change with every response.
 const urgentChange = 0.5
 
+// record records a statement. A limit that has fallen makes void the permits that were granted under a higher one.
+func (l *Limiter) record(id endpoints.ID, s ratelimits.Statement) (isNew bool, change *ratelimits.Change) {
+	isNew, change = l.cfg.Limits.Record(id, s)
+	if change != nil && change.New < change.Old {
+		l.voidAbove(id, change.New)
+	}
+	return isNew, change
+}
+
 // RecordResponse records what a response of an endpoint to this host says about its limit, and announces changes.
 func (l *Limiter) RecordResponse(id endpoints.ID, s ratelimits.Statement) {
-	_, change := l.cfg.Limits.Record(id, s)
+	_, change := l.record(id, s)
 	if change == nil {
 		return
 	}
@@ -44,7 +53,7 @@
 
 // recordMessage records a statement that another host has sent. What is new and comes from another zone is passed on to the hosts of this zone.
 func (l *Limiter) recordMessage(s Statement, from Sender, now time.Time) {
-	isNew, change := l.cfg.Limits.Record(s.ID, s.At(now))
+	isNew, change := l.record(s.ID, s.At(now))
 	if change != nil {
 		l.cfg.OnChange(s.ID, *change, s.At(now), from.Name)
 	}
@@ -111,6 +120,9 @@
 	defer l.mu.Unlock()
 	granted := l.grant(r.ID, statement.PerSecond, time.Duration(r.MaxWaitMS)*time.Millisecond, now)
 	g.Permits, g.AfterMS = granted.permits, int64(min(maxWaitMS, math.Ceil(granted.after.Seconds()*1000)))
+	if granted.perSecond != statement.PerSecond {
+		g.PerSecond = granted.perSecond
+	}
 	return g
 }
 
@@ -124,6 +136,6 @@
 		return // another response, or the host has asked again since
 	}
 	s.number = 0
-	s.add(grant{g.Permits, time.Duration(g.AfterMS) * time.Millisecond}, now)
+	l.add(s, g.ID, grant{g.Permits, time.Duration(g.AfterMS) * time.Millisecond, g.limit()}, now)
 	close(s.answered)
 }
--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -76,6 +76,17 @@
 	AfterMS int64        `cbor:"4,keyasint"` // until the permits may be used; without permits, until there may be one
 	// Statement is what the coordinator knows of the limit.
 	Statement Statement `cbor:"5,keyasint"`
+	// PerSecond is the limit under which the permits were granted, in requests per second. It is missing in grants of earlier versions, whose
+	// coordinators apply the limit of Statement, and if it is that limit.
+	PerSecond float64 `cbor:"6,keyasint,omitempty"`
+}
+
+// limit returns the limit under which the permits were granted, in requests per second.
+func (g *Grant) limit() float64 {
+	if g.PerSecond > 0 {
+		return min(g.PerSecond, g.Statement.PerSecond)
+	}
+	return g.Statement.PerSecond
 }
 
 // Check returns an error if the grant is none that a coordinator sends.
@@ -83,5 +94,8 @@
 	if g.ID != g.Statement.ID || g.Permits < 0 || g.Permits > maxPermits || g.AfterMS < 0 || g.AfterMS > maxWaitMS {
 		return trace.BadParameter("a grant of %d permits for %s after %d ms: not 0 to %d permits, or not within %d ms", g.Permits, g.ID, g.AfterMS, maxPermits, maxWaitMS)
 	}
+	if math.IsNaN(g.PerSecond) || g.PerSecond < 0 {
+		return trace.BadParameter("a grant for %s under a limit of %v: no rate", g.ID, g.PerSecond)
+	}
 	return g.Statement.Check()
 }
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -35,6 +35,9 @@
 	checkInterval = time.Second
 	// refreshInterval is the time after which a coordinator announces again what it knows of an endpoint, for hosts that have missed it.
 	refreshInterval = time.Second
+	// debtInterval is the least time between two falls of a limit at which its coordinator forgets what it has reserved under the higher one. Hosts
+	// that have not heard of the fall still use those permits for up to half of it.
+	debtInterval = 500 * time.Millisecond
 	// unusedLifetime is how long the state of an endpoint is kept after its last use.
 	unusedLifetime = 30 * time.Second
 )
@@ -73,6 +76,7 @@
 	limiter     *rate.Limiter
 	perSecond   float64 // limit of the endpoint
 	refreshedAt time.Time
+	clearedAt   time.Time // when the reservations under a higher limit were last forgotten
 }
 
 // New returns a limiter.
@@ -181,7 +185,7 @@
 		return false, nil, false
 	case self:
 		s.number = 0
-		s.add(l.grant(e.ID, statement.PerSecond, maxWait, now), now)
+		l.add(s, e.ID, l.grant(e.ID, statement.PerSecond, maxWait, now), now)
 		return s.valid(now) > 0, nil, false
 	}
 	l.lastNumber++
@@ -205,15 +209,31 @@
 func (l *Limiter) grant(id endpoints.ID, perSecond float64, maxWait time.Duration, now time.Time) grant {
 	limiter := l.bucket(id, perSecond, now).limiter
 	if n := min(int(limiter.TokensAt(now)), l.permitsPerGrant(perSecond)); n > 0 && limiter.AllowN(now, n) {
-		return grant{permits: n}
+		return grant{permits: n, perSecond: perSecond}
 	}
 	reservation := limiter.ReserveN(now, 1)
 	after := reservation.DelayFrom(now)
 	if after > maxWait {
 		reservation.CancelAt(now)
-		return grant{after: after}
+		return grant{after: after, perSecond: perSecond}
+	}
+	return grant{permits: 1, after: after, perSecond: perSecond}
+}
+
+// add adds the result of a request for permits to a stock. Permits that were granted under a higher limit than this host knows are void. l.mu must be
+// held, so that a limit which falls meanwhile is applied afterwards by voidAbove.
+func (l *Limiter) add(s *stock, id endpoints.ID, g grant, now time.Time) {
+	s.add(g, now)
+	s.dropAbove(l.cfg.Limits.PerSecond(id))
+}
+
+// voidAbove drops the permits for an endpoint that were granted under a higher limit than the given one, in requests per second.
+func (l *Limiter) voidAbove(id endpoints.ID, perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.stocks[id]; s != nil {
+		s.dropAbove(perSecond)
 	}
-	return grant{permits: 1, after: after}
 }
 
 // bucket returns the bucket of an endpoint. A new one is empty, since another host may have granted permits until now. l.mu must be held.
@@ -223,15 +243,39 @@
 	b := l.buckets[id]
 	switch {
 	case b == nil:
-		b = &bucket{limiter: rate.NewLimiter(rate.Limit(granted), burst), perSecond: perSecond}
-		b.limiter.AllowN(now, burst)
+		b = &bucket{limiter: newLimiter(granted, burst, 0, now), perSecond: perSecond}
 		l.buckets[id] = b
 	case b.perSecond != perSecond:
+		b.setLimit(perSecond, granted, burst, now)
+	}
+	return b
+}
+
+// setLimit changes the limit of an endpoint, the rate of its permits per second, and the number of permits that add up. What was reserved under a
+// higher limit is void, so that the new rate need not make up for it: after a fall from 40 to 2 a second, that would take 20 times as long
+// as it was reserved for. Within debtInterval of such a fall, the time that is reserved stays reserved.
+func (b *bucket) setLimit(perSecond, granted float64, burst int, now time.Time) {
+	debt := -b.limiter.TokensAt(now)
+	switch {
+	case perSecond > b.perSecond || debt <= 0:
 		b.limiter.SetLimitAt(now, rate.Limit(granted))
 		b.limiter.SetBurstAt(now, burst)
-		b.perSecond = perSecond
+	case now.Sub(b.clearedAt) >= debtInterval:
+		b.limiter, b.clearedAt = newLimiter(granted, burst, 0, now), now
+	default:
+		reserved := debt / float64(b.limiter.Limit()) // seconds
+		b.limiter = newLimiter(granted, burst, int(reserved*granted), now)
 	}
-	return b
+	b.perSecond = perSecond
+}
+
+// newLimiter returns a token bucket without tokens, of which a number of later ones are reserved.
+func newLimiter(granted float64, burst, reserved int, now time.Time) *rate.Limiter {
+	limiter := rate.NewLimiter(rate.Limit(granted), max(burst, reserved))
+	limiter.AllowN(now, limiter.Burst())
+	limiter.ReserveN(now, reserved)
+	limiter.SetBurstAt(now, burst)
+	return limiter
 }
 
 // Coordinate announces again the limits of the endpoints that this host coordinates, and calls check for those whose newest statement is old, if
--- a/internal/coordination/ratelimit/sim_test.go
+++ b/internal/coordination/ratelimit/sim_test.go
@@ -51,8 +51,9 @@
 	calmSince   time.Time // when it was last killed, started, cut off or connected again
 	nextBeat    time.Time
 	lastBeat    time.Time
-	learnedAt   time.Time // when it first believed that the endpoint has a limit
-	perSecond   float64   // requests that it would send to the endpoint
+	learnedAt   time.Time     // when it first believed that the endpoint has a limit
+	perSecond   float64       // requests that it would send to the endpoint
+	maxWait     time.Duration // for which it reserves permits
 }
 
 type event struct {
@@ -242,7 +243,7 @@
 // try sends a request if there is a permit, and tries once more when the response to a request for permits should have arrived.
 func (h *simHost) try(again bool) {
 	incarnation := h.incarnation
-	held, answered, _ := h.limiter.request(h.sim.endpoint, 0, h.sim.now)
+	held, answered, _ := h.limiter.request(h.sim.endpoint, h.maxWait, h.sim.now)
 	switch {
 	case held:
 		h.sendRequest()
--- a/internal/coordination/ratelimit/stock.go
+++ b/internal/coordination/ratelimit/stock.go
@@ -19,12 +19,14 @@
 type lot struct {
 	permits     int
 	from, until time.Time // when they may be used
+	perSecond   float64   // limit of the endpoint under which they were granted, in requests per second
 }
 
 // grant is the result of a request for permits.
 type grant struct {
-	permits int           // 0 if there are none
-	after   time.Duration // until the permits may be used; without permits, until there may be one
+	permits   int           // 0 if there are none
+	after     time.Duration // until the permits may be used; without permits, until there may be one
+	perSecond float64       // limit of the endpoint that the coordinator has applied, in requests per second
 }
 
 // valid returns the number of permits that may be used now.
@@ -75,5 +77,11 @@
 		s.refusedUntil = from
 		return
 	}
-	s.lots, s.refusedUntil = append(s.lots, lot{g.permits, from, from.Add(permitLifetime)}), time.Time{}
+	s.lots, s.refusedUntil = append(s.lots, lot{g.permits, from, from.Add(permitLifetime), g.perSecond}), time.Time{}
+}
+
+// dropAbove drops the permits that were granted under a higher limit than the given one, in requests per second. They may not be used under the
+// lower one, and stay void if the limit rises again.
+func (s *stock) dropAbove(perSecond float64) {
+	s.lots = slices.DeleteFunc(s.lots, func(t lot) bool { return t.perSecond > perSecond })
 }
