upstreamconn: a response belongs to one exchange

Cause: requests and health checks share connections, and a response without a request id was taken for the response to whatever waited. A late second copy of a rejected health check made the gateway send a running request to a second endpoint; a copy of a health response reached a caller as a success without a signature.

Change: each exchange has an id, health checks included. A response without an id counts only if no earlier exchange of its connection got one, a success needs the id and the signature, and a request that is not idempotent uses no other connection. Connections are closed after rejections without an id. Misattributed responses still report that an endpoint leaves.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -38,6 +38,11 @@
 	// UseOldestConnection uses the connection that has been idle for longest instead of the one that became idle last, so that the
 	// connection is not closed by an idle timeout.
 	UseOldestConnection bool
+	// Idempotent says that the request may be sent again after it may have run. If it is false, the request is not sent on a connection on which a
+	// response could not be attributed to its request.
+	Idempotent bool
+	// HealthCheck says that this is a health check or load probe of the host itself. Its response is never one to a caller's request.
+	HealthCheck bool
 	// RetainBody is called before Body is passed to a connection. The function that it returns is called when the connection no
 	// longer reads Body, which may be after the call has ended. RetainBody is nil if Body's memory is never reused.
 	RetainBody func() (release func())
@@ -67,7 +72,10 @@
 	HasRateLimit bool
 	// MalformedRateLimit is the limit that the response names if it cannot be read, for logs.
 	MalformedRateLimit string
-	// SentAt is when the request was passed to the connection, and ReadAt when the response's header had been read.
+	// HealthCheck says that the response is one to a health check or load probe.
+	HealthCheck bool
+	// SentAt and ReadAt enclose the time at which the upstream made the response: when the request was passed to the connection, and when the
+	// response's header had been read. SentAt is earlier if the response may belong to an earlier health check of the connection.
 	SentAt, ReadAt time.Time
 }
 
--- a/internal/transport/upstreamconn/dialect.go
+++ b/internal/transport/upstreamconn/dialect.go
@@ -12,8 +12,13 @@
 
 // Dialect describes the request and response headers that the upstreams of a deployment understand. Header names are in canonical form.
 type Dialect struct {
-	RequestID  string // header that carries the request id; an upstream may repeat it in the response
+	RequestID  string // header that carries the request id; an upstream may repeat it in the response, see EchoesID
 	DeadlineMS string // header that carries the milliseconds left until the deadline
+	// EchoesID says that upstreams repeat the request id in their responses, except in some rejections and responses to health checks. Send then
+	// accepts a response without it only where it can belong to no other exchange of the connection. A request without an id gets one.
+	EchoesID bool
+	// HealthCheckIDs says that health checks carry a request id too.
+	HealthCheckIDs bool
 	// Instance adds the header that prevents another endpoint at the same address from executing the request. It is nil if the upstreams
 	// support no such header.
 	Instance func(e endpoints.Endpoint, h http.Header)
--- /dev/null
+++ b/internal/transport/upstreamconn/exchange_test.go
@@ -0,0 +1,112 @@
+package upstreamconn
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+)
+
+// TestAttribute guards against a response that is accepted for an exchange to which it may not belong, and against a connection that is closed although
+// all its responses carried ids.
+func TestAttribute(t *testing.T) {
+	const sent = "r"
+	first, now := time.Unix(1, 0), time.Unix(2, 0)
+	for _, c := range []struct {
+		name          string
+		status        int
+		ids           []string
+		health, later bool // later: an earlier response of the connection lacked an id
+		err           error
+		keep          bool
+		from          time.Time
+	}{
+		{"named", 200, []string{sent}, false, false, nil, true, now},
+		{"named on a later exchange", 503, []string{sent}, false, true, nil, true, now},
+		{"other id", 200, []string{"x"}, false, false, errOtherRequest, false, now},
+		{"two ids", 200, []string{sent, "x"}, false, false, errOtherRequest, false, now},
+		{"other id, health", 200, []string{"x"}, true, false, errOtherRequest, false, now},
+		{"unnamed success", 200, nil, false, false, errUnnamedSuccess, false, now},
+		{"empty id", 200, []string{""}, false, false, errUnnamedSuccess, false, now},
+		{"unnamed rejection", 503, nil, false, false, nil, false, now},
+		{"unnamed rejection on a later exchange", 503, nil, false, true, errAmbiguous, false, now},
+		{"unnamed health response", 200, nil, true, false, nil, true, now},
+		{"unnamed health response on a later exchange", 200, nil, true, true, nil, true, first},
+		{"unnamed health rejection", 503, nil, true, false, nil, false, now},
+		{"unnamed health rejection on a later exchange", 503, nil, true, true, errAmbiguous, false, now},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cfg := DefaultConfig()
+			cfg.Dialect.EchoesID = true
+			cn := &conn{}
+			if c.later {
+				cn.unnamedSince = first
+			}
+			header := http.Header{}
+			if c.ids != nil {
+				header[callerapi.UpstreamRequestID] = c.ids
+			}
+			from, err := NewPool(cfg).attribute(cn, &executor.Call{RequestID: sent, HealthCheck: c.health}, &http.Response{StatusCode: c.status, Header: header}, now)
+			is.Equal(err, c.err)
+			if c.err == nil {
+				is.Equal(from, origin{c.from, c.keep})
+				is.Equal(!cn.unnamedSince.IsZero(), c.later || len(c.ids) == 0)
+			}
+		})
+	}
+}
+
+// TestChooseIdle guards against a request that is not idempotent on a connection on which a response lacked its id, and against health checks
+// without ids that spread over all connections.
+func TestChooseIdle(t *testing.T) {
+	is := is.New(t)
+	named, unnamed := &conn{}, &conn{unnamedSince: time.Unix(1, 0)}
+	is.Equal(chooseIdle([]*conn{unnamed}, &executor.Call{}), -1)
+	is.Equal(chooseIdle([]*conn{named, named, unnamed}, &executor.Call{}), 1)
+	is.Equal(chooseIdle([]*conn{named, unnamed}, &executor.Call{Idempotent: true}), 0)
+	is.Equal(chooseIdle([]*conn{unnamed}, &executor.Call{Idempotent: true}), 0)
+	is.Equal(chooseIdle([]*conn{named, unnamed, named}, &executor.Call{HealthCheck: true}), 1)
+	is.Equal(chooseIdle([]*conn{named, named}, &executor.Call{HealthCheck: true, UseOldestConnection: true}), 0)
+	is.Equal(chooseIdle(nil, &executor.Call{Idempotent: true}), -1)
+}
+
+// TestUnnamedConnectionMakesRoom guards against a request that is refused for the limit on connections because of an idle one that it must not use. It
+// also checks that a request without an id gets one, which the caller does not see.
+func TestUnnamedConnectionMakesRoom(t *testing.T) {
+	is := is.New(t)
+	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+		id := ""
+		if r.URL.Path == "/x" {
+			id = "Upstream-Request-Id: " + r.Header.Get(callerapi.UpstreamRequestID) + "\r\n"
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", id)
+		return true
+	})
+	cfg := DefaultConfig()
+	cfg.Dialect.EchoesID = true
+	cfg.MaxPerEndpoint = func(e endpoints.Endpoint) int { return 1 }
+	p := NewPool(cfg)
+	_, err := p.ProbeLoad(t.Context(), u.endpoint, "/health")
+	is.NoErr(err)
+	for idleCount(p, u.endpoint.ID) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	resp, err := p.Send(t.Context(), u.endpoint, call("", "POST", nil))
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(callerapi.UpstreamRequestID), "")
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	conns, _ := u.counts()
+	is.Equal(conns, 2)
+	is.True(u.requests[1] != "")
+}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -106,34 +106,52 @@
 type conn struct {
 	http      *http.ClientConn
 	guarded   *guardedConn
+	openedAt  time.Time // when it was begun to be opened
 	idleSince time.Time
+	// unnamedSince is when the first health check was sent whose response carried no request id. It is zero while each response carried one.
+	unnamedSince time.Time
 }
 
 func (c *conn) close() { c.http.Close() }
 
-// get returns an idle connection to the endpoint, or nil. It prefers the one that was used last, because that one is most likely still
-// open. If oldest is true, it prefers the one that has been idle for longest.
-func (p *Pool) get(id endpoints.ID, now time.Time, oldest bool) *conn {
+// get returns an idle connection to the endpoint for the request, or nil. It prefers the one that was used last, because that one is most likely
+// still open, or the one that has been idle for longest if the request asks for it.
+func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) *conn {
 	var unusable []*conn
 	defer func() { closeAll(unusable) }()
 	sh := p.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	list := sh.idle[id]
-	for len(list) > 0 {
-		at := len(list) - 1
-		if oldest {
-			at = 0
+	for {
+		at := chooseIdle(list, c)
+		if at < 0 {
+			return nil
 		}
-		c := list[at]
+		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
-		if now.Sub(c.idleSince) < p.cfg.IdleTimeout && c.http.Err() == nil && c.guarded.beginRequest() {
-			return c
+		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && !cn.unnamedExpired(now) && cn.http.Err() == nil && cn.guarded.beginRequest() {
+			return cn
 		}
-		unusable = append(unusable, c)
+		unusable = append(unusable, cn)
 	}
-	return nil
+}
+
+// closeOneIdle closes the connection to the endpoint that has been idle for longest. It returns false if none is idle.
+func (p *Pool) closeOneIdle(id endpoints.ID) bool {
+	sh := p.shard(id)
+	sh.mu.Lock()
+	list := sh.idle[id]
+	if len(list) == 0 {
+		sh.mu.Unlock()
+		return false
+	}
+	c := list[0]
+	sh.idle[id] = slices.Delete(list, 0, 1)
+	sh.mu.Unlock()
+	c.close()
+	return true
 }
 
 // closeAll closes connections. It must not be called under a shard's lock, because closing a connection calls release, which takes that
@@ -177,16 +195,18 @@
 
 // dial opens a connection to the endpoint.
 func (p *Pool) dial(ctx context.Context, e endpoints.Endpoint) (*conn, error) {
-	if !p.reserve(e) {
+	// An idle connection that the request must not use makes room for one that it may use.
+	if !p.reserve(e) && (!p.closeOneIdle(e.ID) || !p.reserve(e)) {
 		return nil, executor.ErrConnectionLimit
 	}
+	openedAt := time.Now()
 	guarded := &guardedConn{writeTimeout: p.cfg.WriteTimeout, onClose: func() { p.release(e.ID) }}
 	hc, err := p.transport.NewClientConn(context.WithValue(ctx, guardedConnKey{}, guarded), "http", e.Address)
 	if err != nil {
 		guarded.notifyClosed()
 		return nil, err
 	}
-	return &conn{http: hc, guarded: guarded}, nil
+	return &conn{http: hc, guarded: guarded, openedAt: openedAt}, nil
 }
 
 // reserve adds a connection to the endpoint's count. It returns false if the count has reached the maximum.
--- a/internal/transport/upstreamconn/probe.go
+++ b/internal/transport/upstreamconn/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"io"
 	"net/http"
@@ -34,7 +33,8 @@
 
 // ProbeLoad implements forward.LoadProber. It requests an endpoint's load over a pooled connection, which a request can use afterwards.
 func (p *Pool) ProbeLoad(ctx context.Context, e endpoints.Endpoint, path string) (placement.Load, error) {
-	resp, err := p.Send(ctx, e, &executor.Call{Method: http.MethodGet, Path: path, Header: http.Header{}, UseOldestConnection: true})
+	resp, err := p.Send(ctx, e, &executor.Call{RequestID: p.probeID(), Method: http.MethodGet, Path: path, Header: http.Header{},
+		UseOldestConnection: true, Idempotent: true, HealthCheck: true})
 	if err != nil {
 		return placement.Load{}, err
 	}
@@ -62,11 +62,8 @@
 		ctx, cancel = context.WithDeadline(ctx, deadline)
 		defer cancel()
 	}
-	id := rand.Text()
-	if p.cfg.Host != "" {
-		id = p.cfg.Host + "-" + id
-	}
-	resp, err := p.Send(ctx, e, &executor.Call{RequestID: id, Method: http.MethodGet, Path: probePath, Header: http.Header{}, Deadline: deadline})
+	resp, err := p.Send(ctx, e, &executor.Call{RequestID: p.newID(), Method: http.MethodGet, Path: probePath, Header: http.Header{}, Deadline: deadline,
+		Idempotent: true, HealthCheck: true})
 	if err != nil {
 		return prequal.Load{}, trace.ConnectionProblem(err, "probe %s", e.ID)
 	}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -22,13 +22,13 @@
 
 var (
 	errSwitchedProtocols = errors.New("the upstream switched protocols")
-	errOtherRequest      = errors.New("the answer names another request")
 	errDamaged           = errors.New("the answer lacks what every whole answer of an endpoint has")
 	errTooLarge          = errors.New("the answer's body is larger than this host accepts")
 )
 
 // Send implements executor.Sender. The connection returns to the pool after the response body was read to its end.
 func (p *Pool) Send(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*executor.Response, error) {
+	c, ownID := p.withID(c)
 	req, err := p.newRequest(ctx, e, c)
 	if err != nil {
 		return nil, sendError(false, err)
@@ -38,16 +38,24 @@
 	if err != nil {
 		return nil, err
 	}
-	// An upstream may repeat the request id in its response. If it is the id of another request, these are late bytes of an earlier response.
-	if id := resp.Header.Get(p.cfg.Dialect.RequestID); id != "" && id != c.RequestID {
-		err = errOtherRequest
+	origin, err := p.attribute(cn, c, resp, sentAt)
+	if ownID {
+		delete(resp.Header, p.cfg.Dialect.RequestID)
+	}
+	if err != nil {
+		origin.sentAt = cn.openedAt
 	} else if resp.StatusCode == http.StatusSwitchingProtocols {
 		err = errSwitchedProtocols
 	} else if resp.ContentLength > p.cfg.MaxBodyBytes && c.Method != http.MethodHead {
 		err = errTooLarge
 	}
-	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: sentAt, ReadAt: time.Now()}
+	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: origin.sentAt, ReadAt: time.Now(),
+		HealthCheck: c.HealthCheck}
 	p.cfg.Dialect.Interpret(e, out)
+	if err != nil {
+		// What the endpoint says of itself counts, but not what it says of a request: that may be another one.
+		out.NotRun, out.RejectedFor, out.MalformedDelay = false, 0, ""
+	}
 	if p.cfg.OnResponse != nil {
 		p.cfg.OnResponse(e, out)
 	}
@@ -58,7 +66,7 @@
 		cn.close()
 		return nil, sendError(true, err)
 	}
-	b := &responseBody{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, remaining: p.cfg.MaxBodyBytes}
+	b := &responseBody{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, remaining: p.cfg.MaxBodyBytes, keepConn: origin.keepConn}
 	if resp.Body == http.NoBody {
 		b.finish() // HEAD, 204, 304 or Content-Length 0: there is no body to read
 	}
@@ -82,7 +90,7 @@
 	if p.withdrawn(e.ID) {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
-	if cn := p.get(e.ID, time.Now(), c.UseOldestConnection); cn != nil {
+	if cn := p.get(e.ID, time.Now(), c); cn != nil {
 		resp, err := cn.http.RoundTrip(req)
 		if err == nil {
 			return cn, resp, nil
@@ -179,6 +187,7 @@
 	conn      *conn
 	id        endpoints.ID
 	remaining int64
+	keepConn  bool // the connection may carry further requests
 	fullyRead atomic.Bool
 	closed    atomic.Bool
 }
@@ -194,9 +203,9 @@
 	return n, errtext.Bound(err)
 }
 
-// finish lets the connection return to the pool.
+// finish lets the connection return to the pool, if it may carry further requests. Otherwise Close closes it.
 func (b *responseBody) finish() {
-	if !b.fullyRead.Swap(true) {
+	if b.keepConn && !b.fullyRead.Swap(true) {
 		b.conn.guarded.finishResponse(func() { b.pool.put(b.id, b.conn, time.Now()) })
 	}
 }
