gateway: a planned stop forwards nothing that it may cut

Cause: after the time for which a stopping host reads all requests, it refuses what it may cut, but it went by the time of the header. A request whose body ended later, that waited behind another one of its connection or for a free slot, was forwarded and then cut.

Change: the decision is made when the request would be sent, before the queue and right before the first send. What was sent may still be repeated. The refusal says that the request has not run.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -42,7 +42,10 @@
 	Withdrawn func(id endpoints.ID) bool
 	// Stopped reports whether this host sends no further requests, because its planned stop ends. Nil means that it does not stop.
 	Stopped func() bool
-	Random  func(n int) int // nil means placement.Random
+	// MayBeCut reports whether this host stops too soon for a request that is sent now and has the given deadline. Such a request is not sent for the
+	// first time; one that was sent may be repeated. Nil means that none is cut.
+	MayBeCut func(due time.Time) bool
+	Random   func(n int) int // nil means placement.Random
 	// CrashGuard knows the requests that end the endpoints which run them. Nil means that none is known.
 	CrashGuard CrashGuard
 	// Detour knows whether this host has lost its way to a service, and sends requests through other hosts. Nil means that there are no other hosts.
@@ -76,6 +79,9 @@
 	if cfg.Stopped == nil {
 		cfg.Stopped = func() bool { return false }
 	}
+	if cfg.MayBeCut == nil {
+		cfg.MayBeCut = func(time.Time) bool { return false }
+	}
 	if cfg.OnPanic == nil {
 		cfg.OnPanic = func(_ string, value any, _ []byte) { panic(value) }
 	}
@@ -258,7 +264,7 @@
 	if !ok {
 		return r.mayDetour() && r.sendThroughHost(ctx, hedge)
 	}
-	if ctx.Err() != nil || r.forwarder.cfg.Stopped() || !r.checkQuarantine() {
+	if ctx.Err() != nil || r.stopped() || !r.checkQuarantine() {
 		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
 		r.forwarder.queue(r.call.Service.Name).WakeNext()
 		if r.lastFailure == nil && !hedge && r.result.Outcome != RefusedQuarantined {
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -134,6 +134,11 @@
 	}
 }
 
+// stopped reports whether the request is not sent because this host stops.
+func (r *activeRequest) stopped() bool {
+	return r.forwarder.cfg.Stopped() || r.sends == 0 && r.forwarder.cfg.MayBeCut(r.call.Due)
+}
+
 // send starts to send the request to an endpoint. The result arrives on r.sendResults.
 func (r *activeRequest) send(ctx context.Context, v placement.EndpointView, expected time.Duration, hedge bool) {
 	n := len(r.result.Attempts)
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -86,7 +86,7 @@
 	}
 	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
 	deadline := r.HeaderReadAt.Add(timeout)
-	if g.mayBeCut(r.HeaderReadAt, deadline) {
+	if g.mayBeCut(deadline) {
 		g.log.Info("refused", "id", id, "reason", refusals.HostDraining, "path", r.Path, "version", table.Version)
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
@@ -96,7 +96,8 @@
 	res := g.forwarder.Run(ctx, call)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
-		return g.refuse(r, id, refusalOf(res, route, table, g.drainEnded() || errors.Is(context.Cause(ctx), ingress.ErrStopped)))
+		stopped := g.drainEnded() || errors.Is(context.Cause(ctx), ingress.ErrStopped) || res.Outcome == forward.RefusedUnsent && g.mayBeCut(deadline)
+		return g.refuse(r, id, refusalOf(res, route, table, stopped))
 	}
 	return responseOf(res)
 }
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -153,7 +153,7 @@
 	if timeout <= 0 {
 		return h.refuse(r, id, request, forward.RefusedUnsent, "no time is left for the request")
 	}
-	if g.mayBeCut(r.HeaderReadAt, deadline) {
+	if g.mayBeCut(deadline) {
 		return h.refuse(r, id, request, forward.RefusedNoEndpoint, "this host stops before the deadline of the request")
 	}
 	service := request.Service
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -90,9 +90,10 @@
 	return plan != nil && !time.Now().Before(plan.end)
 }
 
-// mayBeCut reports whether a request that was read at the given time must be refused because this host could cut it: nobody can tell whether an
-// endpoint that works on it answers in time.
-func (g *Gateway) mayBeCut(readAt, deadline time.Time) bool {
+// mayBeCut reports whether a request that nothing was sent of must be refused now because this host could cut it: nobody can tell whether an
+// endpoint that works on it answers in time. What counts is the time at which it would be sent, since its body may have arrived slowly, and it may have
+// waited for an earlier request of its connection or for an endpoint.
+func (g *Gateway) mayBeCut(deadline time.Time) bool {
 	plan := g.drainPlan.Load()
-	return plan != nil && readAt.After(plan.minRead) && deadline.After(plan.end)
+	return plan != nil && time.Now().After(plan.minRead) && deadline.After(plan.end)
 }
