--- a/internal/coordination/follow/apply.go
+++ b/internal/coordination/follow/apply.go
@@ -50,7 +50,8 @@
 	partial := f.oldestRead(start).Before(start)
 	var changes []FeedUpdate
 	late := false
-	for i, r := range reads {
+	for _, i := range f.applyOrder() {
+		r := reads[i]
 		if r.skipped && err == nil && !partial && !f.cfg.Feeds[i].AllowGaps && f.nextOffsets[i] >= 0 {
 			// Peers that have missed an update of this refresh notice the gap.
 			changes = append(changes, FeedUpdate{Topic: f.cfg.Feeds[i].Topic, From: f.nextOffsets[i], Next: f.nextOffsets[i]})
@@ -159,6 +160,7 @@
 		f.removeUnlisted(i, r.next, listed, &u, recentOutage, now)
 	}
 	f.nextOffsets[i] = max(f.nextOffsets[i], r.next)
+	f.confirm(recentOutage, now)
 	return u, true
 }
 
@@ -169,7 +171,14 @@
 	first := map[string]int64{}  // offset of the first record of each key
 	last := map[string]int{}     // index of the last record of each key; earlier ones are superseded
 	removed := map[string]bool{} // keys that some peers may have removed, also if they were written again since
+	validity := f.validate(i, r)
 	for n, rec := range r.records {
+		if rec.Value != nil {
+			listed[rec.Key] = true
+		}
+		if validity[n] != Valid {
+			continue
+		}
 		last[rec.Key] = n
 		if _, ok := first[rec.Key]; !ok {
 			first[rec.Key] = max(rec.Offset, u.From)
@@ -179,10 +188,7 @@
 		}
 	}
 	for n, rec := range r.records {
-		if rec.Value != nil {
-			listed[rec.Key] = true
-		}
-		if last[rec.Key] != n || (rec.Offset < f.nextOffsets[i] && !r.complete) {
+		if newest, ok := last[rec.Key]; !ok || newest != n || (rec.Offset < f.nextOffsets[i] && !r.complete) {
 			continue
 		}
 		if !f.apply(i, rec, recentOutage, now) && !removed[rec.Key] {
@@ -195,6 +201,14 @@
 		}
 		u.Records = append(u.Records, rec)
 	}
+	for n, rec := range r.records {
+		if validity[n] != Valid && (rec.Offset >= f.nextOffsets[i] || r.complete) && f.hold(i, rec, validity[n]) {
+			u.Records = append(u.Records, rec)
+			if _, ok := first[rec.Key]; !ok {
+				first[rec.Key] = max(rec.Offset, u.From)
+			}
+		}
+	}
 	if !r.complete { // a peer that gets only some of the updates must not lack a record before the end of its copy
 		slices.SortStableFunc(u.Records, func(a, b Record) int { return cmp.Compare(first[a.Key], first[b.Key]) })
 		for _, rec := range u.Records {
@@ -207,7 +221,7 @@
 // removeUnlisted removes the keys that a read of a whole topic, which ended at next, does not list, and adds their removals to the update.
 // f.mu must be held.
 func (f *Follower) removeUnlisted(i int, next int64, listed map[string]bool, u *FeedUpdate, recentOutage bool, now time.Time) {
-	for _, known := range slices.Concat(slices.Collect(maps.Values(f.newest[i])), slices.Collect(maps.Values(f.skipped[i]))) {
+	for _, known := range f.keyed(i) {
 		switch key := known.Key; {
 		case listed[key]:
 		case known.Offset >= next: // a page may be older than the record
@@ -235,6 +249,14 @@
 	}
 }
 
+// keyed returns the newest record that this host knows of each key of a feed in the current epoch. f.mu must be held.
+func (f *Follower) keyed(i int) []Record {
+	all := maps.Clone(f.newest[i])
+	maps.Copy(all, f.skipped[i])
+	maps.Copy(all, f.held[i])
+	return slices.Collect(maps.Values(all))
+}
+
 // apply stores a record of the current epoch in the copy and passes it to the feed's handler, unless a record of an earlier epoch is newer
 // by its content. It reports whether peers need the record: a removal, a record that does more than renew the last one of its key, the first
 // record of a key that the store lacked, or one whose predecessor some peers lack or have with other content. f.mu must be held.
@@ -258,6 +280,9 @@
 		f.adoptAhead(i, rec, now)
 		return early
 	}
+	if held, ok := f.held[i][rec.Key]; ok && held.Offset < rec.Offset {
+		delete(f.held[i], rec.Key)
+	}
 	earlier, inherited := f.inherited[i][rec.Key]
 	delete(f.inherited[i], rec.Key)
 	delete(f.departed[i], rec.Key)
@@ -273,7 +298,9 @@
 			return true
 		}
 	}
-	return handler.Apply(rec, recentOutage, now) || inherited || known.Ahead || early
+	changed := handler.Apply(rec, recentOutage, now)
+	f.validityChanged = f.validityChanged || changed && f.cfg.Feeds[i].Validate == nil
+	return changed || inherited || known.Ahead || early
 }
 
 // adoptAhead makes a peer's record of an earlier epoch the one in force if the copy has an older one of the store. f.mu must be held.
@@ -284,6 +311,6 @@
 	}
 	if order, renewal := f.cfg.Feeds[i].Handler.Compare(rec, known); order > 0 && !renewal {
 		f.newest[i][rec.Key] = Record{Key: rec.Key, Value: rec.Value, Offset: known.Offset, Ahead: true}
-		f.cfg.Feeds[i].Handler.Apply(f.newest[i][rec.Key], false, now)
+		f.validityChanged = f.cfg.Feeds[i].Handler.Apply(f.newest[i][rec.Key], false, now) || f.validityChanged
 	}
 }
--- a/internal/coordination/follow/catchup.go
+++ b/internal/coordination/follow/catchup.go
@@ -85,6 +85,11 @@
 				fs.Records = append(fs.Records, rec)
 			}
 		}
+		for _, rec := range f.held[i] {
+			if rec.Offset >= since {
+				fs.Records = append(fs.Records, rec)
+			}
+		}
 		if fs.Changes {
 			if unseen := f.removed[i].unseen; unseen.Next > since {
 				fs.Unseen = &unseen
@@ -202,19 +207,20 @@
 	f.recordEpochAge(s.EpochAgeMS, s.inherits(), received)
 	newer := asOf.After(f.asOf) || !f.complete()
 	recentOutage := f.recentOutage(received)
-	for _, fs := range s.Feeds {
-		for i := range f.cfg.Feeds {
-			if f.cfg.Feeds[i].Topic == fs.Topic && (fs.Next > f.nextOffsets[i] || fs.Next == f.nextOffsets[i] && f.readWhole[i]) {
-				f.installInherited(i, fs, recentOutage, received)
-				if fs.Unseen != nil && fs.Changes {
-					f.removed[i].addUnseen(*fs.Unseen)
-				}
-				f.applyRead(i, feedRead{complete: !fs.Changes, copyEnd: fs.CopyEnd, next: fs.Next, records: fs.Records}, recentOutage, received)
-				newer = newer || !f.cfg.Feeds[i].AllowGaps
-				if f.cancelRead[i] != nil {
-					f.cancelRead[i]() // a read over a slow link may still take long
-				}
-			}
+	states, feeds := inApplyOrder(f, s.Feeds, (*FeedState).topic)
+	for n, i := range feeds {
+		fs := *states[n]
+		if fs.Next < f.nextOffsets[i] || fs.Next == f.nextOffsets[i] && !f.readWhole[i] {
+			continue
+		}
+		f.installInherited(i, fs, recentOutage, received)
+		if fs.Unseen != nil && fs.Changes {
+			f.removed[i].addUnseen(*fs.Unseen)
+		}
+		f.applyRead(i, feedRead{complete: !fs.Changes, copyEnd: fs.CopyEnd, next: fs.Next, records: fs.Records}, recentOutage, received)
+		newer = newer || !f.cfg.Feeds[i].AllowGaps
+		if f.cancelRead[i] != nil {
+			f.cancelRead[i]() // a read over a slow link may still take long
 		}
 	}
 	if !newer {
--- a/internal/coordination/follow/epoch.go
+++ b/internal/coordination/follow/epoch.go
@@ -106,7 +106,7 @@
 		}
 		f.newest[i], f.removed[i], f.nextOffsets[i] = map[string]Record{}, removals{}, -1
 		f.announced[i], f.readAt[i] = 0, time.Time{}
-		f.readWhole[i], f.skipped[i] = false, map[string]Record{}
+		f.readWhole[i], f.skipped[i], f.held[i] = false, map[string]Record{}, map[string]Record{}
 		change.Kept += len(f.inherited[i])
 	}
 	f.epochChanged = change.HadCopy || change.Kept > 0 // before its first copy is complete, a host may have some feeds
@@ -193,6 +193,7 @@
 	delete(f.inherited[i], key)
 	delete(f.newest[i], key)
 	delete(f.skipped[i], key)
+	delete(f.held[i], key)
 }
 
 // superseded reports whether a record of the store belongs to a key that was removed in an earlier epoch and was not written in this one: the
@@ -244,6 +245,9 @@
 		return
 	}
 	for _, rec := range fs.Inherited {
+		if f.invalid(i, rec.Record) {
+			continue
+		}
 		key := rec.Record.Key
 		_, listed := f.newest[i][key]
 		held, ok := f.inherited[i][key]
@@ -260,6 +264,7 @@
 		}
 		f.revision++
 		f.inherited[i][key] = rec
-		feed.Handler.Apply(Record{Key: key, Value: rec.Record.Value, Offset: noOffset}, recentOutage, now)
+		f.validityChanged = feed.Handler.Apply(Record{Key: key, Value: rec.Record.Value, Offset: noOffset}, recentOutage, now) || f.validityChanged
 	}
+	f.confirm(recentOutage, now)
 }
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -69,6 +69,8 @@
 	// Prepare, if set, is called with records that Apply is about to get. Apply holds up reads of the copy and updates of peers; Prepare does not,
 	// and decodes large records beforehand.
 	Prepare func(r Record)
+	// Validate, if set, says whether a record that is no tombstone counts. Programs other than the owners of the keys may write to a topic.
+	Validate func(r Record) Validity
 	// RefreshesPerRead is the number of refreshes from one read of the topic to the next. Changes of some topics also reach the host
 	// directly from its peers, so that these need no frequent reads.
 	RefreshesPerRead int
@@ -162,6 +164,8 @@
 	readWhole           []bool                 // of each feed: the last read of the whole topic was older than the copy and has to be repeated
 	copyEnd             []int64                // of each feed, an offset at or after the end of the copy from which the store returned
 	skipped             []map[string]Record    // of each feed, the records that are not used although the store lists them, see superseded
+	held                []map[string]Record    // of each feed, records that are not applied because they are not valid, see hold
+	validityChanged     bool                   // a feed without Validate has changed, so that unconfirmed records may have become valid
 	rechecked           bool                   // the feeds with skipped keys were read or fetched as a whole once more
 	epochChanged        bool                   // the epoch has changed while this host or the peer from which it has its copy had a copy
 	epochSince          time.Time              // when the store first answered in this epoch, if epochChanged; zero if it has not
@@ -193,12 +197,12 @@
 	}
 	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), nextOffsets: make([]int64, len(cfg.Feeds)),
 		newest: make([]map[string]Record, len(cfg.Feeds)), removed: make([]removals, len(cfg.Feeds)), readWhole: make([]bool, len(cfg.Feeds)),
-		copyEnd: make([]int64, len(cfg.Feeds)), skipped: make([]map[string]Record, len(cfg.Feeds)),
+		copyEnd: make([]int64, len(cfg.Feeds)), skipped: make([]map[string]Record, len(cfg.Feeds)), held: make([]map[string]Record, len(cfg.Feeds)),
 		inherited: make([]map[string]Inherited, len(cfg.Feeds)), departed: make([]map[string]Departure, len(cfg.Feeds)),
 		announced: make([]int64, len(cfg.Feeds)), readAt: make([]time.Time, len(cfg.Feeds)), cancelRead: make([]context.CancelFunc, len(cfg.Feeds))}
 	for i := range f.nextOffsets {
 		f.nextOffsets[i], f.newest[i], f.inherited[i], f.departed[i] = -1, map[string]Record{}, map[string]Inherited{}, map[string]Departure{}
-		f.skipped[i] = map[string]Record{}
+		f.skipped[i], f.held[i] = map[string]Record{}, map[string]Record{}
 	}
 	return f
 }
--- a/internal/coordination/follow/state.go
+++ b/internal/coordination/follow/state.go
@@ -76,12 +76,9 @@
 	}
 	f.epoch = s.Epoch
 	f.recordEpochAge(s.EpochAgeMS, s.inherits(), received)
-	for _, fs := range s.Feeds {
-		for i := range f.cfg.Feeds {
-			if f.cfg.Feeds[i].Topic == fs.Topic {
-				f.installFeed(i, fs, received)
-			}
-		}
+	states, feeds := inApplyOrder(f, s.Feeds, (*FeedState).topic)
+	for n, i := range feeds {
+		f.installFeed(i, *states[n], received)
 	}
 	f.asOf = received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
 	if known > s.Epoch {
@@ -99,7 +96,7 @@
 		return
 	}
 	for _, rec := range fs.Records {
-		if _, listed := f.newest[i][rec.Key]; listed && rec.Ahead {
+		if _, listed := f.newest[i][rec.Key]; listed && rec.Ahead && !f.invalid(i, rec) {
 			f.apply(i, rec, false, received)
 		}
 	}
--- a/internal/coordination/follow/update.go
+++ b/internal/coordination/follow/update.go
@@ -113,8 +113,9 @@
 	}
 	f.recordEpochAge(u.EpochAgeMS, false, sent)
 	f.recordEpochAnswer(asOf)
-	for _, fu := range u.Feeds {
-		if !f.applyFeedUpdate(fu, u.RecentOutage, now) {
+	updates, feeds := inApplyOrder(f, u.Feeds, (*FeedUpdate).topic)
+	for n, i := range feeds {
+		if !f.applyFeedUpdate(i, *updates[n], u.RecentOutage, now) {
 			f.behind = true
 		}
 	}
@@ -148,30 +149,26 @@
 
 // applyFeedUpdate applies one feed of a peer's update. Unless the feed allows gaps, it returns false and applies nothing if records between
 // this host's copy and the update are missing, or records of the update are omitted or may be unknown to the sender. f.mu must be held.
-func (f *Follower) applyFeedUpdate(u FeedUpdate, recentOutage bool, now time.Time) bool {
-	for i := range f.cfg.Feeds {
-		if f.cfg.Feeds[i].Topic != u.Topic {
-			continue
-		}
-		if u.Next <= f.nextOffsets[i] {
-			return true
-		}
-		gap := u.RecordsOmitted || u.From > f.nextOffsets[i] || u.Whole && u.From < f.nextOffsets[i]
-		if f.nextOffsets[i] < 0 || gap && !f.cfg.Feeds[i].AllowGaps {
-			if !f.cfg.Feeds[i].AllowGaps {
-				f.announced[i], f.lastGap = max(f.announced[i], u.Next), now
-			}
-			return false
-		}
-		if u.Whole {
-			f.removed[i].addUnseen(span{f.nextOffsets[i], u.Next})
+func (f *Follower) applyFeedUpdate(i int, u FeedUpdate, recentOutage bool, now time.Time) bool {
+	if u.Next <= f.nextOffsets[i] {
+		return true
+	}
+	gap := u.RecordsOmitted || u.From > f.nextOffsets[i] || u.Whole && u.From < f.nextOffsets[i]
+	if f.nextOffsets[i] < 0 || gap && !f.cfg.Feeds[i].AllowGaps {
+		if !f.cfg.Feeds[i].AllowGaps {
+			f.announced[i], f.lastGap = max(f.announced[i], u.Next), now
 		}
-		for _, rec := range u.Records {
-			if rec.Offset >= f.nextOffsets[i] {
-				f.apply(i, rec, recentOutage, now)
-			}
+		return false
+	}
+	if u.Whole {
+		f.removed[i].addUnseen(span{f.nextOffsets[i], u.Next})
+	}
+	for _, rec := range u.Records {
+		if rec.Offset >= f.nextOffsets[i] {
+			f.applyFromPeer(i, rec, recentOutage, now)
 		}
-		f.nextOffsets[i] = u.Next
 	}
+	f.nextOffsets[i] = u.Next
+	f.confirm(recentOutage, now)
 	return true
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
@@ -22,7 +24,7 @@
 // AllowGaps set, so that missed records are no reason to read the store: hosts also learn of each other by messages.
 func (g *Gateway) feeds() []follow.Feed {
 	return []follow.Feed{
-		{Topic: g.adapter.EndpointTopic, Handler: endpointHandler{g}, RefreshesPerRead: 1},
+		{Topic: g.adapter.EndpointTopic, Handler: endpointHandler{g}, Validate: endpointHandler{g}.validate, RefreshesPerRead: 1},
 		{Topic: g.adapter.ContractTopic, Handler: contractHandler{g}, Prepare: contractHandler{g}.prepare, RefreshesPerRead: 1, Watch: true,
 			KeepMissing: true},
 		{Topic: g.adapter.HostTopic, Handler: hostListHandler{g}, RefreshesPerRead: hostRefreshesPerRead, AllowGaps: true},
@@ -116,7 +118,24 @@
 // endpointHandler implements follow.Handler for the endpoint topic. It applies the entries to the registry of endpoints.
 type endpointHandler struct{ g *Gateway }
 
-// Apply adds, updates or removes the endpoint of a record. An entry that cannot be decoded removes the endpoint at once.
+// validate says whether an entry counts: programs other than endpoints may write entries too. One whose service no configuration in force names
+// counts from the configuration on that names it.
+func (h endpointHandler) validate(r follow.Record) follow.Validity {
+	e, err := h.g.adapter.DecodeEndpoint(r.Key, r.Value)
+	if err != nil {
+		h.g.invalidEntries.report(h.g, r, err)
+		return follow.Invalid
+	}
+	if t := h.g.routes.Load(); t == nil {
+		return follow.Unconfirmed
+	} else if t.Service(e.Service) == nil {
+		h.g.invalidEntries.report(h.g, r, trace.NotFound("endpoint %s: no service %q in configuration %d", r.Key, e.Service, t.Version))
+		return follow.Unconfirmed
+	}
+	return follow.Valid
+}
+
+// Apply adds, updates or removes the endpoint of a valid record.
 // recentOutage says that the store was unavailable so recently that the endpoint may have been unable to renew its entry.
 // An entry by which an endpoint leaves changes nothing on a host that learned this from a response, but on its peers.
 func (h endpointHandler) Apply(r follow.Record, recentOutage bool, now time.Time) bool {
@@ -126,9 +145,8 @@
 	}
 	e, err := g.adapter.DecodeEndpoint(r.Key, r.Value)
 	if err != nil {
-		g.log.Warn("entry_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
-		g.logEndpointChange(g.endpoints.Remove(r.Key, false, now), sourceStore)
-		return true
+		g.invalidEntries.report(g, r, err)
+		return false
 	}
 	renews := g.endpoints.Renews(e)
 	return g.logEndpointChange(g.endpoints.Put(e, now), sourceStore) || !renews
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 	storeHealth      storeHealth
 	encodedStates    encodedStateCache
 	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
+	invalidEntries   *invalidEntries
 	storedHosts      storedHostList
 	storedQuarantine storedQuarantine
 	heartbeatNow     chan struct{} // has the next heartbeat sent at once
@@ -143,7 +144,7 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
-		rateLimits: ratelimits.NewTable(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps, DetourAddress: s.advertisedDetour()}))
--- /dev/null
+++ b/internal/gateway/invalid_entries.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"hash/maphash"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
+)
+
+const (
+	// invalidEntryLinesPerS and invalidEntryLineBurst bound the log lines of invalid entries. The counter of the metrics has them all.
+	invalidEntryLinesPerS = 2
+	invalidEntryLineBurst = 50
+	// maxReportedEntries bounds the keys whose last reported entry is remembered. Beyond it, an entry that is read again may be reported again.
+	maxReportedEntries = 1024
+	// maxLoggedKey is the maximum number of bytes that are logged of an entry's key.
+	maxLoggedKey = 80
+)
+
+// invalidEntries reports entries in the topic of endpoints that do not count, once for each entry, however often it is read.
+type invalidEntries struct {
+	mu       sync.Mutex
+	seed     maphash.Seed
+	reported map[string]uint64 // by key, hash of the entry that was reported last
+	lines    *rate.Limiter
+}
+
+func newInvalidEntries() *invalidEntries {
+	return &invalidEntries{seed: maphash.MakeSeed(), reported: map[string]uint64{}, lines: rate.NewLimiter(invalidEntryLinesPerS, invalidEntryLineBurst)}
+}
+
+// report counts and logs an entry that does not count, unless it is the one of its key that was reported last.
+func (i *invalidEntries) report(g *Gateway, r follow.Record, reason error) {
+	hash := maphash.Bytes(i.seed, r.Value)
+	i.mu.Lock()
+	last, known := i.reported[r.Key]
+	if !known && len(i.reported) >= maxReportedEntries {
+		clear(i.reported)
+	}
+	i.reported[r.Key] = hash
+	i.mu.Unlock()
+	if known && last == hash {
+		return
+	}
+	g.metrics.Add("entries_invalid_total", 1)
+	if i.lines.Allow() {
+		g.log.Warn("entry_invalid", "key", r.Key[:min(maxLoggedKey, len(r.Key))], "offset", r.Offset, "bytes", len(r.Value), "error", reason)
+	}
+}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -1,5 +1,5 @@
 // Package registry holds the endpoints that upstreams register in a store. Each endpoint has one entry there and renews it. The
-// newest entry of an endpoint applies; if it cannot be read, the endpoint is removed. Readers get immutable snapshots.
+// newest valid entry of an endpoint applies. Readers get immutable snapshots.
 package registry
 
 import (
@@ -93,12 +93,41 @@
 	// removedAt is the time at which the endpoint was removed; zero if it was not. The record is kept for tombstoneLifetime after it,
 	// so that an older entry that arrives late does not add the endpoint again.
 	removedAt time.Time
+	// lateAt and lateSequence are the time of the first entry that was ignored because it has a lower sequence number than this one, and its number.
+	// lateAt is zero if there is none.
+	lateAt       time.Time
+	lateSequence int64
 }
 
 // tombstoneLifetime is how long the record of a removed endpoint is kept. An entry can be written to the store seconds after the
 // endpoint sent it.
 const tombstoneLifetime = time.Minute
 
+const (
+	// maxLateEntries is how many entries of a process may reach the store before an earlier one does. An entry further behind was not late: the
+	// entry with the higher number was not written by the endpoint.
+	maxLateEntries = 8
+	// lateEntrySpan is the time within which late entries of a process arrive. Entries that go on to arrive for longer are not late.
+	lateEntrySpan = 2 * time.Second
+)
+
+// isLate reports whether an older entry than the newest one is an earlier entry of the endpoint that was written late. Otherwise another program
+// wrote the newest entry, and the endpoint's own go on below its sequence number.
+func (r *record) isLate(e Entry, now time.Time) bool {
+	if e.Started != r.entry.Started {
+		return true
+	}
+	behind := r.removedAt.IsZero() && r.entry.Sequence-e.Sequence > maxLateEntries
+	continued := !r.lateAt.IsZero() && e.Sequence > r.lateSequence && now.Sub(r.lateAt) > lateEntrySpan
+	if behind || continued {
+		return false
+	}
+	if r.lateAt.IsZero() {
+		r.lateAt, r.lateSequence = now, e.Sequence
+	}
+	return true
+}
+
 // NewTable returns an empty table. If an entry lapses during or shortly after an outage of the store, its endpoint stays usable for
 // the grace period lapseGrace, because it may be alive and only unable to renew the entry.
 func NewTable(lapseGrace time.Duration) *Table {
@@ -151,7 +180,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[e.Name]
-	return r != nil && e.Renews(r.entry)
+	return r != nil && e.Renews(r.entry) && e.Compare(r.entry) >= 0
 }
 
 // Put applies an entry. It returns nil if nothing changes: the entry only renews the last one, or it is older.
@@ -159,10 +188,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.records[e.Name]
-	if old != nil {
-		if e.Compare(old.entry) < 0 {
-			return nil
-		}
+	if old != nil && e.Compare(old.entry) < 0 && old.isLate(e, now) {
+		return nil
 	}
 	r := &record{entry: e, usable: !e.Leaving}
 	r.endpoint = &Endpoint{Name: e.Name, WarmUpEnd: now.Add(e.WarmUp), Endpoint: endpoints.Endpoint{
@@ -196,7 +223,7 @@
 	return e.Name + "@" + time.UnixMilli(e.Started).UTC().Format("0102T150405.000")
 }
 
-// Remove applies the removal of an entry. An entry that cannot be read counts as removed. recentOutage states that the store is
+// Remove applies the removal of an entry. recentOutage states that the store is
 // or was recently unavailable, so that an endpoint may be alive although it could not renew its entry.
 func (t *Table) Remove(name string, recentOutage bool, now time.Time) *Change {
 	t.mu.Lock()
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -35,6 +35,26 @@
 	is.Equal(usable(table), 0)
 }
 
+// TestHighSequenceOfAnotherWriter guards against an entry of another writer whose sequence number keeps the endpoint's own entries out until they
+// have passed it.
+func TestHighSequenceOfAnotherWriter(t *testing.T) {
+	for _, ahead := range []int64{4, maxLateEntries, 1 << 40} {
+		is := is.New(t)
+		table := NewTable(grace)
+		table.Put(entry(10), start)
+		foreign := entry(10 + ahead)
+		foreign.Leaving = true
+		table.Put(foreign, start)
+		is.Equal(usable(table), 0)
+		now := start
+		for n := int64(11); usable(table) == 0; n++ {
+			is.True(n < 14)
+			now = now.Add(1500 * time.Millisecond)
+			table.Put(entry(n), now)
+		}
+	}
+}
+
 // TestRestartUnderSameName guards against entries that are ignored after an endpoint restarts under the same name, because its
 // sequence numbers begin again. The restarted endpoint must be a new incarnation, so that no state of the earlier one applies to it.
 func TestRestartUnderSameName(t *testing.T) {
