quarantine: only a response over an older connection proves a process alive

Cause: responses of the next process of an endpoint, received before its entry was known, were taken as proof that the old process had never ended, so a request that ends endpoints which come back under their ids was never stopped.

Change: executor.Response.ConnectedAt says when the response's connection had been opened; Guard.Answered counts a response only if that was before the end.

Tests: with the old rule, TestNextProcessProvesNothing and the new case of TestEndBehindRelay fail.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -69,6 +69,9 @@
 	MalformedRateLimit string
 	// SentAt is when the request was passed to the connection, and ReadAt when the response's header had been read.
 	SentAt, ReadAt time.Time
+	// ConnectedAt is when the response's connection had been opened. Another process may have answered over a later one, even if the endpoint has not
+	// registered again.
+	ConnectedAt time.Time
 }
 
 const (
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -50,7 +50,6 @@
 	rejectingUntil time.Time     // until when the endpoint wants no requests
 	inFlightLimit  int           // bound of inFlight after a rejection; 0 if there is none
 	usedAt         time.Time     // of the last access, for EvictUnused
-	answeredAt     time.Time     // of the last response
 	pace           pace
 }
 
@@ -214,20 +213,6 @@
 	t.update(id, now, func(s *endpointEntry) { s.addOutcome(true, now) })
 }
 
-// RecordAnswer records that the endpoint has sent a response of any kind.
-func (t *EndpointStats) RecordAnswer(id endpoints.ID, now time.Time) {
-	t.update(id, now, func(s *endpointEntry) { s.answeredAt = now })
-}
-
-// AnsweredSince reports whether the endpoint has sent a response after a time.
-func (t *EndpointStats) AnsweredSince(id endpoints.ID, at time.Time) bool {
-	sh := t.shard(id)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	s := sh.entries[id]
-	return s != nil && s.answeredAt.After(at)
-}
-
 // addOutcome adds an outcome to the failure rate.
 func (s *endpointEntry) addOutcome(failed bool, now time.Time) {
 	sample := 0.0
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -45,8 +45,6 @@
 	// OthersAnswer reports whether another endpoint answers this host at the moment. If none does, this host may have lost its own way to all of them, which
 	// says nothing about their processes. Nil means that others always answer.
 	OthersAnswer func(ctx context.Context, e endpoints.Endpoint) bool
-	// AnsweredSince reports whether this host has got a response of an endpoint after a time.
-	AnsweredSince func(id endpoints.ID, at time.Time) bool
 	// MayTry reports whether this host is the one that sends a quarantined request once more, see Try.
 	MayTry func(pattern Fingerprint) bool
 	// OnCrash is called when this host has noticed, or has first heard, that an endpoint ended under requests. source is SourceSelf or the name of a host.
@@ -99,9 +97,11 @@
 	crashUpdates    announce.Broadcast[endpoints.ID]
 	verdictUpdates  announce.Broadcast[Fingerprint]
 	answeredUpdates announce.Broadcast[Fingerprint]
-	active          atomic.Bool // there is evidence or a verdict
+	active          atomic.Bool  // there is evidence or a verdict
+	doubted         atomic.Int64 // number of doubts
 
 	mu       sync.Mutex
+	doubts   map[endpoints.ID]map[*doubt]bool
 	crashes  map[endpoints.ID]*Crash
 	verdicts map[Fingerprint]*entry    // by pattern
 	answered map[Fingerprint]time.Time // by pattern, when an endpoint has last answered a suspected request that matches it
@@ -109,7 +109,7 @@
 
 // New returns a guard without evidence.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
+	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
 }
 
 // Active reports whether there is evidence or a verdict. If not, no request has to be identified.
@@ -175,9 +175,11 @@
 		return
 	}
 	go func() {
+		d := g.beginDoubt(e.ID, at)
+		defer g.endDoubt(e.ID, d)
 		for range unansweredChecks {
 			time.Sleep(unansweredInterval)
-			if g.cfg.AnsweredSince(e.ID, at) || !g.check(ctx, "closes "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.ClosesUnanswered(ctx, e) }) {
+			if d.answered.Load() || !g.check(ctx, "closes "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.ClosesUnanswered(ctx, e) }) {
 				return
 			}
 		}
@@ -195,14 +197,48 @@
 	return result.(bool)
 }
 
-// Answered records that an endpoint has answered a request that was sent to it at a time: its process has not ended before that.
-func (g *Guard) Answered(id endpoints.ID, sentAt time.Time) {
-	if !g.Active() {
+// doubt is a check of whether an endpoint has ended that goes on.
+type doubt struct {
+	at       time.Time   // when a connection to it broke
+	answered atomic.Bool // it has answered since then
+}
+
+func (g *Guard) beginDoubt(id endpoints.ID, at time.Time) *doubt {
+	d := &doubt{at: at}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.doubts[id] == nil {
+		g.doubts[id] = map[*doubt]bool{}
+	}
+	g.doubts[id][d] = true
+	g.doubted.Add(1)
+	return d
+}
+
+func (g *Guard) endDoubt(id endpoints.ID, d *doubt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if delete(g.doubts[id], d); len(g.doubts[id]) == 0 {
+		delete(g.doubts, id)
+	}
+	g.doubted.Add(-1)
+}
+
+// Answered records that an endpoint has just answered a request that was sent to it at a time, over a connection that was open since an earlier one.
+// Its process has not ended in between. A connection that was opened after the end may lead to the next process of the endpoint, which has the same
+// id until its entry is known, and proves nothing.
+func (g *Guard) Answered(id endpoints.ID, connectedAt, sentAt time.Time) {
+	if !g.Active() && g.doubted.Load() == 0 || connectedAt.IsZero() {
 		return
 	}
 	g.mu.Lock()
+	for d := range g.doubts[id] {
+		if connectedAt.Before(d.at) {
+			d.answered.Store(true)
+		}
+	}
 	c := g.crashes[id]
-	wrong := c != nil && !c.Alive && sentAt.After(c.At)
+	wrong := c != nil && !c.Alive && connectedAt.Before(c.At) && sentAt.After(c.At)
 	g.mu.Unlock()
 	if wrong {
 		g.addCrash(Crash{Endpoint: id, At: time.Now(), Alive: true}, SourceSelf)
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -184,14 +184,31 @@
 			g.broke(name, "a")
 		}
 		is.Equal(g.quarantined("a"), []string{"a"})
-		g.Answered(endpoint("f1"), time.Now().Add(-time.Millisecond)) // an answer to an earlier request
+		before := time.Now().Add(-time.Millisecond)
+		g.Answered(endpoint("f1"), before, before) // an answer to an earlier request
 		is.Equal(g.quarantined("a"), []string{"a"})
 		time.Sleep(100 * time.Millisecond)
-		g.Answered(endpoint("f1"), time.Now()) // it is up
+		g.Answered(endpoint("f1"), before, time.Now()) // it is up
 		is.Equal(len(g.quarantined("a")), 0)
 	})
 }
 
+// TestNextProcessProvesNothing guards against a request that is never stopped because the endpoints which it ends come back under their ids: the
+// responses of the new processes arrive before their entries are known.
+func TestNextProcessProvesNothing(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGuard()
+		for _, name := range []string{"e1", "e2", "e3"} {
+			g.broke(name, "a")
+			time.Sleep(2 * time.Second)
+			g.Answered(endpoint(name), time.Now().Add(-time.Millisecond), time.Now())
+			time.Sleep(time.Second)
+		}
+		is.Equal(g.quarantined("a"), []string{"a"})
+	})
+}
+
 // TestAnsweredRequestIsInnocent guards against the quarantine of a request that endpoints answer, and against evidence from before the answer that arrives
 // late. Evidence from later counts.
 func TestAnsweredRequestIsInnocent(t *testing.T) {
@@ -294,27 +311,30 @@
 func TestEndBehindRelay(t *testing.T) {
 	for _, c := range []struct {
 		name     string
-		closes   []bool // results of the checks
-		answered bool   // it answers other requests
+		closes   []bool        // results of the checks
+		answered time.Duration // when the connection was opened, from the end on, over which it answers other requests; 0 if it does not
 		evidence bool
 	}{
-		{"ended", []bool{true, true}, false, true},
-		{"full for a moment", []bool{true, false}, false, false},
-		{"full for callers, answers others", []bool{true, true}, true, false},
-		{"only a connection was reset", []bool{false}, false, false},
+		{"ended", []bool{true, true}, 0, true},
+		{"full for a moment", []bool{true, false}, 0, false},
+		{"full for callers, answers others", []bool{true, true}, -time.Second, false},
+		{"ended, and the next process answers", []bool{true, true}, time.Millisecond, true},
+		{"only a connection was reset", []bool{false}, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			faketime.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				checks := 0
-				g := New(Config{RefusesConnections: func(context.Context, endpoints.Endpoint) bool { return false },
+				checks, begin := 0, time.Now()
+				var g *Guard
+				g = New(Config{RefusesConnections: func(context.Context, endpoints.Endpoint) bool { return false },
 					ClosesUnanswered: func(context.Context, endpoints.Endpoint) bool {
 						checks++
+						if c.answered != 0 {
+							g.Answered(endpoint("e1"), begin.Add(c.answered), time.Now())
+						}
 						return c.closes[checks-1]
 					},
-					AnsweredSince: func(endpoints.ID, time.Time) bool { return c.answered && checks > 0 },
-					OnCrash:       func(Crash, string) {}, OnVerdict: func(Verdict, int, string) {}, OnUrgent: func() {}})
-				begin := time.Now()
+					OnCrash: func(Crash, string) {}, OnVerdict: func(Verdict, int, string) {}, OnUrgent: func() {}})
 				g.broke("e1", "a")
 				is.Equal(time.Since(begin), time.Duration(0)) // a repeat does not wait for it
 				time.Sleep(time.Second)
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -266,9 +266,8 @@
 	if r.RejectedFor > 0 || r.MalformedDelay != "" {
 		g.recordRejection(e, r)
 	}
-	g.endpointStats.RecordAnswer(e.ID, r.ReadAt)
 	g.ways.Answered(e.Service, e.ID, r.ReadAt)
-	g.crashGuard.Answered(e.ID, r.SentAt)
+	g.crashGuard.Answered(e.ID, r.ConnectedAt, r.SentAt)
 	g.recordRateLimit(e, r)
 	if !r.Leaving {
 		return
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -106,6 +106,7 @@
 type conn struct {
 	http      *http.ClientConn
 	guarded   *guardedConn
+	openedAt  time.Time
 	idleSince time.Time
 }
 
@@ -186,7 +187,7 @@
 		guarded.notifyClosed()
 		return nil, err
 	}
-	return &conn{http: hc, guarded: guarded}, nil
+	return &conn{http: hc, guarded: guarded, openedAt: time.Now()}, nil
 }
 
 // reserve adds a connection to the endpoint's count. It returns false if the count has reached the maximum.
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -46,7 +46,7 @@
 	} else if resp.ContentLength > p.cfg.MaxBodyBytes && c.Method != http.MethodHead {
 		err = errTooLarge
 	}
-	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: sentAt, ReadAt: time.Now()}
+	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: sentAt, ReadAt: time.Now(), ConnectedAt: cn.openedAt}
 	p.cfg.Dialect.Interpret(e, out)
 	if p.cfg.OnResponse != nil {
 		p.cfg.OnResponse(e, out)
