--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -77,6 +77,9 @@
 	// SentAt and ReadAt enclose the time at which the upstream made the response: when the request was passed to the connection, and when the
 	// response's header had been read. SentAt is earlier if the response may belong to an earlier health check of the connection.
 	SentAt, ReadAt time.Time
+	// ConnectedAt is when the response's connection had been opened. Another process may have answered over a later one, even if the endpoint has not
+	// registered again.
+	ConnectedAt time.Time
 }
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 	storeHealth      storeHealth
 	encodedStates    encodedStateCache
 	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
+	invalidEntries   *invalidEntries
 	storedHosts      storedHostList
 	storedQuarantine storedQuarantine
 	heartbeatNow     chan struct{} // has the next heartbeat sent at once
@@ -143,7 +144,7 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
-		rateLimits: ratelimits.NewTable(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps, DetourAddress: s.advertisedDetour()}))
@@ -164,7 +165,7 @@
 	repeatLimiter := placement.NewRepeatLimiter(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.crashGuard = quarantine.New(quarantine.Config{RefusesConnections: g.pool.RefusesConnections, ClosesUnanswered: g.closesUnanswered, OthersAnswer: g.othersAnswer,
-		AnsweredSince: g.endpointStats.AnsweredSince, MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
+		MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
 		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -104,10 +104,11 @@
 
 // conn is a connection that carries at most one request at a time.
 type conn struct {
-	http      *http.ClientConn
-	guarded   *guardedConn
-	openedAt  time.Time // when it was begun to be opened
-	idleSince time.Time
+	http        *http.ClientConn
+	guarded     *guardedConn
+	openedAt    time.Time // when it was begun to be opened
+	connectedAt time.Time // when it had been opened
+	idleSince   time.Time
 	// unnamedSince is when the first health check was sent whose response carried no request id. It is zero while each response carried one.
 	unnamedSince time.Time
 }
@@ -206,7 +207,7 @@
 		guarded.notifyClosed()
 		return nil, err
 	}
-	return &conn{http: hc, guarded: guarded, openedAt: openedAt}, nil
+	return &conn{http: hc, guarded: guarded, openedAt: openedAt, connectedAt: time.Now()}, nil
 }
 
 // reserve adds a connection to the endpoint's count. It returns false if the count has reached the maximum.
