--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -7,30 +7,34 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
-// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait or more urgent requests
-// wait. A hedge, and a repeat after an endpoint has rejected the request, do not wait: they get the best endpoint if that has a free slot and
+// findEndpoint finds an endpoint for the request, and waits in the queue of the service while Admit returns Wait or requests wait that come
+// before it. A hedge, and a repeat after an endpoint has rejected the request, do not wait: they get the best endpoint if that has a free slot and
 // is expected to answer before the deadline. ok is false if no endpoint was found. If it is true, the send is recorded at the endpoint: the
 // next request in the queue must not see the same slot free.
 func (r *activeRequest) findEndpoint(ctx context.Context, hedge bool) (view placement.EndpointView, expected time.Duration, ok bool) {
 	queue := r.forwarder.queue(r.call.Service.Name)
 	waits := !hedge && !r.wasRejected()
-	var waiter *placement.Waiter
+	var waiter *overload.Waiter
 	defer func() {
 		if waiter != nil {
-			queue.Remove(waiter)
+			queue.Remove(waiter, time.Now())
 			if !ok {
 				queue.WakeNext() // passes on a wake-up that this request may have received and does not use
 			}
 		}
 	}()
-	if waits && queue.HasMoreUrgent(r.call.Route.Priority) {
-		waiter = queue.Add(r.call.Route.Priority, r.call.Handover != nil, r.lateAt)
-		r.waitForTurn(ctx, queue, waiter)
+	now := time.Now()
+	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) {
+		waiter = queue.Add(request, true, now)
+		if !queue.IsFirst(waiter, now) && !r.waitForTurn(ctx, queue, waiter, true) {
+			return placement.EndpointView{}, 0, false
+		}
 	}
 	for {
 		if r.lostWay() {
@@ -63,16 +67,24 @@
 			}
 			continue
 		}
-		if decision == placement.Refuse || ctx.Err() != nil {
+		if decision == placement.Refuse && !r.mayWaitLate(best) || ctx.Err() != nil {
 			if len(r.result.Attempts) == 0 {
 				r.setRefusal(best, expected, ctx.Err() != nil)
 			}
 			return placement.EndpointView{}, 0, false
 		}
+		starved := (best == nil || !best.HasFreeSlot()) && !r.limits.all // permits are divided by Queue.Ahead
 		if waiter == nil {
-			waiter = queue.Add(r.call.Route.Priority, r.call.Handover != nil, r.lateAt)
+			waiter = queue.Add(r.overloadRequest(), starved, now)
+		} else {
+			queue.SetStarved(waiter, starved)
+		}
+		if !r.waitForTurn(ctx, queue, waiter, starved) {
+			if r.overload.Reason == overload.Unknown {
+				r.setRefusal(best, expected, false)
+			}
+			return placement.EndpointView{}, 0, false
 		}
-		r.waitForTurn(ctx, queue, waiter)
 	}
 }
 
@@ -81,30 +93,6 @@
 	return r.lastFailure != nil && r.lastFailure.resp != nil && r.lastFailure.resp.NotRun
 }
 
-// waitForTurn returns when the request should look for an endpoint again: after a wake-up, or at a multiple of recheckInterval at which it
-// is the first of the queue or no more than its usual duration is left until lateAt. It also returns when ctx ends.
-func (r *activeRequest) waitForTurn(ctx context.Context, queue *placement.Queue, w *placement.Waiter) {
-	r.result.QueueWaits++
-	ticker := time.NewTicker(recheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-w.Wake:
-			return
-		case now := <-ticker.C:
-			if queue.IsFirst(w) || r.lateAt.Sub(now) <= r.serviceTime {
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// recheckInterval is the interval at which the first waiting request looks for an endpoint without a wake-up. A slot that a request of
-// another host frees causes no wake-up on this host.
-const recheckInterval = 15 * time.Millisecond
-
 // setRefusal sets the outcome of a request for which no endpoint was found. ended says whether its context has ended.
 func (r *activeRequest) setRefusal(best *placement.EndpointView, expected time.Duration, ended bool) {
 	switch {
@@ -183,6 +171,9 @@
 			break
 		}
 		take := r.forwarder.cfg.ProbeBudget.Take
+		if waiting && r.overload.Late {
+			take = r.forwarder.cfg.ProbeBudget.TakeSpare // the other probes are for requests that can be in time
+		}
 		fastEnough := best >= 0 && cfg.FastEnough(&views[best], expected, r.serviceTime)
 		if fastEnough {
 			round = slices.DeleteFunc(round, func(i int) bool { return !views[i].Local })
