customers: keys identify the customers of requests

A configuration may list customers with keys. Requests on routes that are not public then need a known key; without one they are refused with 401 and reach no endpoint. The key is looked up when the request has been read and, if the configuration has changed, again before each send: after a wait, for a retry or a hedge, and at the second host of a hop. A request whose key was removed before it was sent ends with 401. The key is passed on to other hosts in a header of its own, so that an earlier build drops it instead of passing it on to an endpoint, and it appears in no log line; Tenant-Id is set by this host only. A tenant that cannot be read remains a customer without keys, so that the configuration is not served as one without customers. Configurations without customers are served as before.

TestRemovedKey fails without the check before each send (the request that waited was answered 503 or run).

Tests: -race ./internal/gateway ./internal/coordination/forward ./internal/coordination/executor ./internal/transport/upstreamconn ./internal/protocol/... ./internal/state/... passed.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -35,6 +35,11 @@
 	Attempt   keys.Attempt // the caller's attempt; a number above 0 means a repeat
 	Key       string       // idempotency key, or empty
 	Host      string       // Host header; empty means the endpoint's address
+	// Credential is the key that the caller has sent. It is passed on to other entry hosts only, and is in no Header.
+	Credential string
+	// Revoked reports whether the caller's key has been removed meanwhile, so that the request must not be sent any more. Nil means that it
+	// needs no key.
+	Revoked func() bool
 	// UseOldestConnection uses the connection that has been idle for longest instead of the one that became idle last, so that the
 	// connection is not closed by an idle timeout.
 	UseOldestConnection bool
@@ -43,6 +48,9 @@
 	RetainBody func() (release func())
 }
 
+// IsRevoked reports whether the call must not be sent any more because the caller's key has been removed.
+func (c *Call) IsRevoked() bool { return c.Revoked != nil && c.Revoked() }
+
 // Response is an upstream's response whose body is not read yet.
 type Response struct {
 	Status     int
--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -127,7 +127,7 @@
 // sendThroughHost starts to send the request through another host that reaches the service. It returns false if there is none.
 func (r *activeRequest) sendThroughHost(ctx context.Context, hedge bool) bool {
 	f := r.forwarder
-	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || f.cfg.Stopped() || !r.checkQuarantine() {
+	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || f.cfg.Stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		return false
 	}
 	now := time.Now()
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -95,6 +95,11 @@
 	Caller netip.Addr
 	// Version is the version of the configuration that has the route.
 	Version uint64
+	// Customer is the name of the customer whose key the caller has sent; empty if it is not known.
+	Customer string
+	// CustomerPriority is the priority of the customer's requests; 0 is the most urgent. It is that of the route if the customer is not known or
+	// states none.
+	CustomerPriority int
 	// Handover is set if the request came through another host.
 	Handover *Handover
 
@@ -258,7 +263,7 @@
 	if !ok {
 		return r.mayDetour() && r.sendThroughHost(ctx, hedge)
 	}
-	if ctx.Err() != nil || r.forwarder.cfg.Stopped() || !r.checkQuarantine() {
+	if ctx.Err() != nil || r.forwarder.cfg.Stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
 		r.forwarder.queue(r.call.Service.Name).WakeNext()
 		if r.lastFailure == nil && !hedge && r.result.Outcome != RefusedQuarantined {
--- a/internal/coordination/forward/result.go
+++ b/internal/coordination/forward/result.go
@@ -24,17 +24,19 @@
 	RefusedAllLimited Outcome = "refused_all_limited"
 	// RefusedQuarantined means that endpoints have ended while they ran this request, in this or an earlier attempt.
 	RefusedQuarantined Outcome = "refused_quarantined"
-	RefusedUpstream    Outcome = "refused_upstream" // every endpoint that the request reached refused it without running it
-	RefusedUnsent      Outcome = "refused_unsent"   // the deadline passed, or the caller left, before the request was sent
-	RefusedConnect     Outcome = "refused_connect"  // no connection to an endpoint could be opened
-	LostAnswer         Outcome = "lost_answer"      // the request was sent, and the connection ended before the answer was whole
-	TimedOut           Outcome = "timed_out"        // the request was sent, and the deadline passed or the caller left before an answer
+	// RefusedRevoked means that the caller's key was removed before the request was sent.
+	RefusedRevoked  Outcome = "refused_revoked"
+	RefusedUpstream Outcome = "refused_upstream" // every endpoint that the request reached refused it without running it
+	RefusedUnsent   Outcome = "refused_unsent"   // the deadline passed, or the caller left, before the request was sent
+	RefusedConnect  Outcome = "refused_connect"  // no connection to an endpoint could be opened
+	LostAnswer      Outcome = "lost_answer"      // the request was sent, and the connection ended before the answer was whole
+	TimedOut        Outcome = "timed_out"        // the request was sent, and the deadline passed or the caller left before an answer
 )
 
 // GuaranteesNotRun reports whether the outcome guarantees that no endpoint has run the request or will run it.
 func (o Outcome) GuaranteesNotRun() bool {
 	switch o {
-	case RefusedNoEndpoint, RefusedTooLate, RefusedAllRejecting, RefusedAllLimited, RefusedQuarantined, RefusedUpstream, RefusedUnsent, RefusedConnect:
+	case RefusedNoEndpoint, RefusedTooLate, RefusedAllRejecting, RefusedAllLimited, RefusedQuarantined, RefusedRevoked, RefusedUpstream, RefusedUnsent, RefusedConnect:
 		return true
 	}
 	return false
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -86,7 +86,7 @@
 // repeat sends the request again after all sends have failed, if that is safe and the repeat budget allows it. It reports whether a send
 // was started.
 func (r *activeRequest) repeat(ctx context.Context) bool {
-	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || !r.checkQuarantine() {
+	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || r.call.IsRevoked() || !r.checkQuarantine() {
 		return false
 	}
 	r.lateAt = r.call.Due // a late answer is better than the failure
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -79,6 +79,10 @@
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RouteUnknown, Ran: refusals.RanNo, Revision: table.Version,
 			Detail: "no route of the configuration in force matches " + r.Host + r.Path, Remedy: "ask the operator for a route"})
 	}
+	who := g.identify(table, route, r.Header[g.adapter.Dialect.CustomerKey])
+	if who.refusal != nil {
+		return g.refuse(r, id, who.refusal)
+	}
 	timeout, stated := g.requestTimeout(r.Header.Get(g.adapter.Dialect.DeadlineMS), route)
 	if stated && timeout <= 0 {
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RequestMalformed, Ran: refusals.RanNo, Revision: table.Version,
@@ -92,11 +96,15 @@
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
-		Header: callerapi.EndToEndHeaders(r.Header, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
+		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
+	who.addTo(call)
 	res := g.forwarder.Run(ctx, call)
+	checkRevoked(call, res)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
-		return g.refuse(r, id, refusalOf(res, route, table, g.drainEnded() || errors.Is(context.Cause(ctx), ingress.ErrStopped)))
+		refusal := refusalOf(res, route, table, g.drainEnded() || errors.Is(context.Cause(ctx), ingress.ErrStopped))
+		refusal.Customer = call.Customer
+		return g.refuse(r, id, refusal)
 	}
 	return responseOf(res)
 }
@@ -144,6 +152,8 @@
 	r := &refusals.Refusal{Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version, RetryAfter: res.RetryAfter, Detail: res.Detail,
 		Remedy: "send the request again after the stated delay"}
 	switch outcome := res.Outcome; {
+	case outcome == forward.RefusedRevoked:
+		r.Reason, r.Detail, r.Remedy, r.RetryAfter = refusals.CredentialsWrong, "the key was removed before the request was sent", remedyKey, 0
 	case stopped && outcome.GuaranteesNotRun():
 		r.Reason, r.Detail, r.RetryAfter = refusals.HostDraining, "this host stops and has not sent the request to an endpoint", stopRetryAfter
 	case stopped:
@@ -195,14 +205,19 @@
 	if id != "" {
 		h[g.adapter.Dialect.RequestID] = []string{id}
 	}
-	if refusal.RetryAfter > 0 && doc.Status == http.StatusServiceUnavailable {
+	if refusal.RetryAfter > 0 && (doc.Status == http.StatusServiceUnavailable || doc.Status == http.StatusTooManyRequests) {
 		h["Retry-After"] = []string{g.adapter.RetryAfter(refusal.RetryAfter)}
 	}
 	// For refusals with one of these reasons, logRequest has already written a line.
 	if refusal.Reason != refusals.UpstreamRejecting && refusal.Reason != refusals.UpstreamLimited && refusal.Reason != refusals.RequestQuarantined && refusal.Reason != refusals.DeadlineUnreachable && refusal.Reason != refusals.NoUpstream && refusal.Reason != refusals.UpstreamRefused &&
 		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning && refusal.Reason != refusals.HostDraining {
-		g.log.Info("refused", "id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision)
+		fields := []any{"id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision}
+		if refusal.Customer != "" || refusal.Reason == refusals.CredentialsWrong {
+			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail)
+		}
+		g.log.Info("refused", fields...)
 	}
+	g.countCustomerRefusal(refusal)
 	return &ingress.Response{Status: doc.Status, Header: h, Body: body}
 }
 
@@ -234,6 +249,9 @@
 	fields := []any{"id", id, "outcome", res.Outcome, "route", c.Route.Name, "service", c.Service.Name, "took_ms", ms(took),
 		"left_ms", ms(time.Until(c.Due)), "config", t.Version, "store_age_ms", age.Milliseconds(), "endpoints", res.Candidates,
 		"asked", res.ProbesSent, "unanswered", res.ProbesUnanswered, "unasked", res.ProbeRoundsSkipped, "waits", res.QueueWaits}
+	if c.Customer != "" {
+		fields = append(fields, "customer", c.Customer)
+	}
 	if c.Handover != nil {
 		fields = append(fields, "for", c.Handover.Host)
 	}
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -74,6 +74,7 @@
 	call := *c
 	call.Header = c.Header.Clone()
 	r.From = g.settings.Host
+	hop.SetKey(call.Header, c.Credential)
 	if err := hop.SetRequest(call.Header, r); err != nil {
 		return nil, nil, &executor.SendError{Err: err}
 	}
@@ -156,15 +157,21 @@
 	if g.mayBeCut(r.HeaderReadAt, deadline) {
 		return h.refuse(r, id, request, forward.RefusedNoEndpoint, "this host stops before the deadline of the request")
 	}
+	who := g.identifyHop(table, route, r.Header)
+	if who.refusal != nil {
+		return h.refuse(r, id, request, forward.RefusedRevoked, who.refusal.Detail)
+	}
 	service := request.Service
 	if !route.GoesTo(service) {
 		service = route.ServiceAt(g.nextSplitPosition(route.Name))
 	}
 	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.HeaderReadAt.Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
 		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late},
-		Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target, Header: callerapi.EndToEndHeaders(r.Header, hop.IsHeader), Body: r.Body,
+		Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target, Header: g.endpointHeader(table, r.Header, who, hop.IsHeader), Body: r.Body,
 			Deadline: deadline, Host: r.Host}}
+	who.addTo(call)
 	res := g.forwarder.Run(ctx, call)
+	checkRevoked(call, res)
 	g.logRequest(ctx, r, id, table, call, res)
 	return h.respond(r, res)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	meter            rateMeter     // of received
 	started          time.Time
 
+	customerRefusals customerRefusals
+
 	splitMu        sync.Mutex
 	splitPositions map[string]float64 // by route name, the last number of the sequence that divides its requests among services
 }
@@ -238,6 +240,7 @@
 
 // reportUnreadRequest counts and logs a request that was refused before it reached Serve.
 func (g *Gateway) reportUnreadRequest(caller net.Addr, header http.Header, status int, reason string) {
+	reason = g.withoutKey(reason)
 	g.metrics.Add("requests_unread_"+strconv.Itoa(status)+"_total", 1)
 	g.log.Info("refused_unread", "id", header.Get(g.adapter.Dialect.RequestID), "caller", caller.String(), "status", status,
 		"reason", reason[:min(maxLoggedReason, len(reason))], "connections", g.callers.Connections())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -100,9 +100,10 @@
 type deployment struct {
 	store    *memoryStore
 	upstream *httptest.Server
-	release  chan struct{} // requests for /lots/held are answered when it is closed
-	waiting  chan string   // ids of the requests that wait for release
-	ran      atomic.Int64  // requests that the upstream ran
+	release  chan struct{}               // requests for /lots/held are answered when it is closed
+	waiting  chan string                 // ids of the requests that wait for release
+	ran      atomic.Int64                // requests that the upstream ran
+	header   atomic.Pointer[http.Header] // of the last of them
 	logs     bytes.Buffer
 	logsMu   sync.Mutex
 }
@@ -130,6 +131,7 @@
 			return
 		}
 		d.ran.Add(1)
+		d.header.Store(&r.Header)
 		if size, cut, ok := largeResponse(r.URL.Path); ok {
 			half := make([]byte, size/2)
 			_, _ = w.Write(half) // fails if the host has left
@@ -164,7 +166,9 @@
 
 // adapter returns an adapter that uses the project's own header names, and JSON for the records of the store.
 func (d *deployment) adapter() Adapter {
-	return Adapter{Store: d.store, Dialect: upstreamconn.DefaultConfig().Dialect, ContractTopic: "contract", EndpointTopic: "endpoints", HostTopic: "hosts",
+	dialect := upstreamconn.DefaultConfig().Dialect
+	dialect.CustomerKey, dialect.Customer = testKeyHeader, testCustomerHeader
+	return Adapter{Store: d.store, Dialect: dialect, ContractTopic: "contract", EndpointTopic: "endpoints", HostTopic: "hosts",
 		DecodeContract: func(_ string, value []byte) (*routing.Config, error) {
 			var c routing.Config
 			return &c, json.Unmarshal(value, &c)
--- a/internal/protocol/hop/hop.go
+++ b/internal/protocol/hop/hop.go
@@ -18,6 +18,7 @@
 	HeaderDeadlineMS = "Arbutusspan-Hop-Deadline-Ms" // remaining time in milliseconds
 	headerRequest    = "Arbutusspan-Hop-Request"     // detour.HopRequest, as CBOR in base64url
 	headerResult     = "Arbutusspan-Hop-Result"      // detour.HopResult, as CBOR in base64url
+	headerKey        = "Arbutusspan-Hop-Key"         // the key that the caller has sent, unless it has sent none
 	headerPrefix     = "Arbutusspan-Hop-"
 )
 
@@ -33,6 +34,17 @@
 	return set(h, headerRequest, r)
 }
 
+// SetKey adds the caller's key to a header, or removes what the caller may have sent in its place.
+func SetKey(h http.Header, key string) {
+	delete(h, headerKey)
+	if key != "" {
+		h[headerKey] = []string{key}
+	}
+}
+
+// Key returns the caller's key that a header holds; empty if it holds none.
+func Key(h http.Header) string { return h.Get(headerKey) }
+
 // SetResult adds a result to a header.
 func SetResult(h http.Header, r *detour.HopResult) error {
 	r.Detail = r.Detail[:min(len(r.Detail), detour.MaxDetailBytes)]
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/customers"
 )
 
 // Route is the rule for requests with one host name and path prefix.
@@ -22,6 +24,7 @@
 	Priority      int               // 0 is the most urgent
 	MaxAttempts   int               // number of endpoints to which one request may be sent; at least 1
 	Split         []WeightedService // at least one service
+	Public        bool              // callers need no key
 }
 
 // WeightedService is the part of a route's requests that goes to one service.
@@ -54,21 +57,29 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Customers lists the customers. If there are any, requests on routes that are not public need a key of one of them.
+	Customers []customers.Entry
 }
 
 // Table finds the route of a request in a validated Config.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	routes   map[string][]*Route // by host, longest prefix first
-	services map[string]*Service
+	Version uint64
+	Limits  Limits
+	// Customers finds customers by their keys. It is nil if the configuration has none.
+	Customers *customers.Table
+	routes    map[string][]*Route // by host, longest prefix first
+	services  map[string]*Service
 }
 
-// New validates a configuration and returns its table. The error lists the invalid services and routes. The table is returned also
+// New validates a configuration and returns its table. The error lists the invalid services, routes and customers. The table is returned also
 // with an error: it then contains the valid routes.
 func New(c Config) (*Table, error) {
 	t := &Table{Version: c.Version, Limits: c.Limits.withDefaults(), routes: map[string][]*Route{}, services: map[string]*Service{}}
 	var errs []error
+	var err error
+	if t.Customers, err = customers.New(c.Customers); err != nil {
+		errs = append(errs, err)
+	}
 	for i := range c.Services {
 		s := &c.Services[i]
 		if s.Name == "" {
--- a/internal/transport/upstreamconn/dialect.go
+++ b/internal/transport/upstreamconn/dialect.go
@@ -14,6 +14,9 @@
 type Dialect struct {
 	RequestID  string // header that carries the request id; an upstream may repeat it in the response
 	DeadlineMS string // header that carries the milliseconds left until the deadline
+	// CustomerKey is the header that carries a caller's key to this host, and Customer the one that carries the customer's name to the upstream. Both
+	// are empty in deployments whose callers send no keys.
+	CustomerKey, Customer string
 	// Instance adds the header that prevents another endpoint at the same address from executing the request. It is nil if the upstreams
 	// support no such header.
 	Instance func(e endpoints.Endpoint, h http.Header)
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -77,9 +77,10 @@
 }
 
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
-// before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn meanwhile.
+// before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn
+// or the caller's key removed meanwhile.
 func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (*conn, *http.Response, error) {
-	if p.withdrawn(e.ID) {
+	if p.withdrawn(e.ID) || c.IsRevoked() {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
 	if cn := p.get(e.ID, time.Now(), c.UseOldestConnection); cn != nil {
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, nil, sendError(false, err)
 	}
-	if p.withdrawn(e.ID) {
+	if p.withdrawn(e.ID) || c.IsRevoked() {
 		cn.close()
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
