--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -103,12 +103,13 @@
 	Caller netip.Addr
 	// Version is the version of the configuration that has the route.
 	Version uint64
-	// Handover is set if the request came through another host.
-	Handover *Handover
-	// Customer is the name of the customer; empty if it is not known.
+	// Customer is the name of the customer whose key the caller has sent; empty if it is not known.
 	Customer string
-	// CustomerPriority is the priority of the customer; 0 is the most urgent.
+	// CustomerPriority is the priority of the customer's requests; 0 is the most urgent. It is that of the route if the customer is not known or
+	// states none.
 	CustomerPriority int
+	// Handover is set if the request came through another host.
+	Handover *Handover
 
 	fingerprintOnce sync.Once
 	fingerprintMemo quarantine.Fingerprint
@@ -281,7 +282,7 @@
 	if !ok {
 		return r.mayDetour() && r.sendThroughHost(ctx, hedge)
 	}
-	if ctx.Err() != nil || r.stopped() || !r.checkQuarantine() {
+	if ctx.Err() != nil || r.stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
 		r.forwarder.queue(r.call.Service.Name).WakeNext()
 		if r.lastFailure == nil && !hedge && r.result.Outcome != RefusedQuarantined {
