--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -129,7 +129,7 @@
 // sendThroughHost starts to send the request through another host that reaches the service. It returns false if there is none.
 func (r *activeRequest) sendThroughHost(ctx context.Context, hedge bool) bool {
 	f := r.forwarder
-	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || f.cfg.Stopped() || !r.checkQuarantine() {
+	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || r.stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		return false
 	}
 	now := time.Now()
@@ -154,7 +154,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline = r.call.Due.Add(-hopMargin)
+	execCall.Deadline, execCall.Idempotent = r.call.Due.Add(-hopMargin), r.call.Route.Idempotent
 	go func() {
 		got := sendResult{err: errPanicked, written: true}
 		defer func() {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -43,7 +43,10 @@
 	Withdrawn func(id endpoints.ID) bool
 	// Stopped reports whether this host sends no further requests, because its planned stop ends. Nil means that it does not stop.
 	Stopped func() bool
-	Random  func(n int) int // nil means placement.Random
+	// MayBeCut reports whether this host stops too soon for a request that is sent now and has the given deadline. Such a request is not sent for the
+	// first time; one that was sent may be repeated. Nil means that none is cut.
+	MayBeCut func(due time.Time) bool
+	Random   func(n int) int // nil means placement.Random
 	// CrashGuard knows the requests that end the endpoints which run them. Nil means that none is known.
 	CrashGuard CrashGuard
 	// Detour knows whether this host has lost its way to a service, and sends requests through other hosts. Nil means that there are no other hosts.
@@ -78,6 +81,9 @@
 	if cfg.Stopped == nil {
 		cfg.Stopped = func() bool { return false }
 	}
+	if cfg.MayBeCut == nil {
+		cfg.MayBeCut = func(time.Time) bool { return false }
+	}
 	if cfg.OnPanic == nil {
 		cfg.OnPanic = func(_ string, value any, _ []byte) { panic(value) }
 	}
@@ -97,12 +103,13 @@
 	Caller netip.Addr
 	// Version is the version of the configuration that has the route.
 	Version uint64
-	// Handover is set if the request came through another host.
-	Handover *Handover
-	// Customer is the name of the customer; empty if it is not known.
+	// Customer is the name of the customer whose key the caller has sent; empty if it is not known.
 	Customer string
-	// CustomerPriority is the priority of the customer; 0 is the most urgent.
+	// CustomerPriority is the priority of the customer's requests; 0 is the most urgent. It is that of the route if the customer is not known or
+	// states none.
 	CustomerPriority int
+	// Handover is set if the request came through another host.
+	Handover *Handover
 
 	fingerprintOnce sync.Once
 	fingerprintMemo quarantine.Fingerprint
@@ -275,7 +282,7 @@
 	if !ok {
 		return r.mayDetour() && r.sendThroughHost(ctx, hedge)
 	}
-	if ctx.Err() != nil || r.forwarder.cfg.Stopped() || !r.checkQuarantine() {
+	if ctx.Err() != nil || r.stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
 		r.forwarder.queue(r.call.Service.Name).WakeNext()
 		if r.lastFailure == nil && !hedge && r.result.Outcome != RefusedQuarantined {
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -86,7 +86,7 @@
 // repeat sends the request again after all sends have failed, if that is safe and the repeat budget allows it. It reports whether a send
 // was started.
 func (r *activeRequest) repeat(ctx context.Context) bool {
-	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || !r.checkQuarantine() {
+	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || r.call.IsRevoked() || !r.checkQuarantine() {
 		return false
 	}
 	r.lateAt = r.call.Due // a late answer is better than the failure
@@ -134,6 +134,11 @@
 	}
 }
 
+// stopped reports whether the request is not sent because this host stops.
+func (r *activeRequest) stopped() bool {
+	return r.forwarder.cfg.Stopped() || r.sends == 0 && r.forwarder.cfg.MayBeCut(r.call.Due)
+}
+
 // send starts to send the request to an endpoint. The result arrives on r.sendResults.
 func (r *activeRequest) send(ctx context.Context, v placement.EndpointView, expected time.Duration, hedge bool) {
 	n := len(r.result.Attempts)
@@ -145,7 +150,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline = r.call.Due
+	execCall.Deadline, execCall.Idempotent = r.call.Due, r.call.Route.Idempotent
 	queue, begin := r.forwarder.queue(r.call.Service.Name), time.Now()
 	request := r.overloadRequest()
 	queue.Started(&request, n == 0, begin)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,12 +91,15 @@
 	storeHealth      storeHealth
 	encodedStates    encodedStateCache
 	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
+	invalidEntries   *invalidEntries
 	storedHosts      storedHostList
 	storedQuarantine storedQuarantine
 	heartbeatNow     chan struct{} // has the next heartbeat sent at once
 	meter            rateMeter     // of received
 	started          time.Time
 
+	customerRefusals customerRefusals
+
 	splitMu        sync.Mutex
 	splitPositions map[string]float64 // by route name, the last number of the sequence that divides its requests among services
 }
@@ -143,7 +146,7 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
-		rateLimits: ratelimits.NewTable(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps, DetourAddress: s.advertisedDetour()}))
@@ -164,10 +167,10 @@
 	repeatLimiter := placement.NewRepeatLimiter(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.crashGuard = quarantine.New(quarantine.Config{RefusesConnections: g.pool.RefusesConnections, ClosesUnanswered: g.closesUnanswered, OthersAnswer: g.othersAnswer,
-		AnsweredSince: g.endpointStats.AnsweredSince, MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
+		MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
+		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
 		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
@@ -238,6 +241,7 @@
 
 // reportUnreadRequest counts and logs a request that was refused before it reached Serve.
 func (g *Gateway) reportUnreadRequest(caller net.Addr, header http.Header, status int, reason string) {
+	reason = g.withoutKey(reason)
 	g.metrics.Add("requests_unread_"+strconv.Itoa(status)+"_total", 1)
 	g.log.Info("refused_unread", "id", header.Get(g.adapter.Dialect.RequestID), "caller", caller.String(), "status", status,
 		"reason", reason[:min(maxLoggedReason, len(reason))], "connections", g.callers.Connections())
