gateway: waits and refusals under overload name the estimate that decided

Cause: a refusal under overload said only that no endpoint was expected to answer in time.

Change: the line of a request that found no free slot has the reason, capacity, what is left of it for its priority and its customer, the requests and the work before it, the expected wait and the time left; that of a caller that has returned says how long it had waited. The refusal's document has the same figures in a sentence. Requests that do not wait log nothing new.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -197,6 +197,7 @@
 	} else {
 		r.waitedFor = f.waits.Estimate(c.Route.Name, c.Due.Sub(c.Arrived), now)
 	}
+	r.result.WaitedBefore = r.waitedFor
 	r.targetAt = c.Due
 	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip - r.waitedFor); c.Route.TargetLatency > 0 && late.Before(c.Due) {
 		r.targetAt = late
--- a/internal/coordination/forward/result.go
+++ b/internal/coordination/forward/result.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
@@ -85,5 +86,9 @@
 	QueueWaits         int          // times that the request waited for an endpoint
 	Candidates         int          // usable endpoints of the service
 	ID                 endpoints.ID // endpoint that answered
-	Detail             string       // cause of a failure, for the caller; empty if there is none to add
+	// Overload is the estimate that decided last whether the request waited or was refused; nil if it did not wait for a free slot.
+	Overload *overload.Estimate
+	// WaitedBefore is how long the caller had waited before this attempt, by the times that it states.
+	WaitedBefore time.Duration
+	Detail       string // cause of a failure, for the caller; empty if there is none to add
 }
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
@@ -20,6 +22,16 @@
 // WakeAll has all waiting requests of a service look for an endpoint anew, because this host's way to them has changed.
 func (f *Forwarder) WakeAll(service string) { f.queue(service).WakeAll() }
 
+// QueueStates returns what this host knows of the queues of its services, ordered by their names.
+func (f *Forwarder) QueueStates(now time.Time) (states []overload.State) {
+	f.queues.Range(func(service, q any) bool {
+		states = append(states, q.(*overload.Queue).State(service.(string), now))
+		return true
+	})
+	slices.SortFunc(states, func(a, b overload.State) int { return strings.Compare(a.Service, b.Service) })
+	return states
+}
+
 // overloadRequest returns what the queue of the service has to know of the request.
 func (r *activeRequest) overloadRequest() overload.Request {
 	c := r.call
@@ -54,7 +66,9 @@
 	for first := true; ; first = false {
 		now := time.Now()
 		if starved && !r.mayBeLate() {
-			if r.overload = queue.Decide(w, now); r.overload.Reason != overload.NoReason {
+			r.overload = queue.Decide(w, now)
+			r.result.Overload = &r.overload
+			if r.overload.Reason != overload.NoReason {
 				r.refuseOverload(queue, now)
 				return false
 			}
--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -67,6 +67,7 @@
 	g.metrics.Gauge("hosts_live", func() any { return len(g.peers.LiveZonePeers(time.Now())) })
 	g.metrics.Gauge("caller_connections", func() any { return g.callers.Connections() })
 	g.metrics.Gauge("active_requests", func() any { return g.callers.Unanswered() })
+	g.metrics.Gauge("waiting_requests", func() any { return g.waitingRequests() })
 	g.metrics.Gauge("buffered_answer_bytes", func() any { return g.forwarder.BufferedBytes() })
 	g.metrics.Gauge("log_lines_left_out_total", func() any { return g.log.Dropped() })
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -16,6 +16,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
@@ -159,6 +160,8 @@
 		r.Reason, r.Detail, r.RetryAfter = refusals.HostDraining, "this host stops and has not sent the request to an endpoint", stopRetryAfter
 	case stopped:
 		r.Reason, r.Ran, r.Detail = refusals.UpstreamLost, refusals.RanUnknown, "this host stops and did not wait any longer for the endpoint"
+	case outcome == forward.RefusedTooLate && res.Overload != nil && res.Overload.Reason != overload.NoReason:
+		r.Reason, r.Detail = refusals.DeadlineUnreachable, res.Overload.Explain()
 	case outcome == forward.RefusedTooLate:
 		r.Reason, r.Detail = refusals.DeadlineUnreachable, "no endpoint is expected to answer in the time that is left"
 	case outcome == forward.RefusedUnsent:
@@ -253,6 +256,7 @@
 	if c.Customer != "" {
 		fields = append(fields, "customer", c.Customer)
 	}
+	fields = append(fields, g.reportOverload(res)...)
 	if c.Handover != nil {
 		fields = append(fields, "for", c.Handover.Host)
 	}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
 	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 )
@@ -40,8 +41,10 @@
 	LiveHosts            []string `json:"live_hosts"` // other hosts of this zone from which a message arrived recently
 	EndpointCount        int      `json:"endpoint_count"`
 	// Ways are this host's ways to the endpoints of the services that it has used.
-	Ways      []detour.ServiceState `json:"ways"`
-	Endpoints []EndpointDump        `json:"endpoints"`
+	Ways []detour.ServiceState `json:"ways"`
+	// Queues are the requests that wait on this host, by service.
+	Queues    []overload.State `json:"queues,omitempty"`
+	Endpoints []EndpointDump   `json:"endpoints"`
 }
 
 // EndpointDump is what this host knows about an endpoint.
@@ -104,7 +107,7 @@
 	d := Dump{Host: g.settings.Host, Zone: g.settings.Zone, Ready: g.ready(), Draining: g.draining.Load(), UptimeSeconds: int64(now.Sub(g.started).Seconds()),
 		StoreAgeMS: -1, StoreFailingMS: ms(g.follower.FailingFor(now)), ActiveRequests: g.callers.Unanswered(),
 		CallerConnections: g.callers.Connections(), AdvertisedAddresses: g.peers.Addresses(now, maxDirectoryAddresses),
-		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total, Ways: g.ways.States(now)}
+		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total, Ways: g.ways.States(now), Queues: g.forwarder.QueueStates(now)}
 	if t := g.routes.Load(); t != nil {
 		d.ConfigurationVersion = t.Version
 	}
@@ -160,6 +163,10 @@
 	d := g.dump(time.Now())
 	g.log.Info("dump", "ready", d.Ready, "configuration", d.ConfigurationVersion, "store_age_ms", d.StoreAgeMS,
 		"store_away_ms", d.StoreFailingMS, "active", d.ActiveRequests, "connections", d.CallerConnections, "offered", d.AdvertisedAddresses, "live_hosts", d.LiveHosts)
+	for _, q := range d.Queues {
+		g.log.Info("dump_queue", "service", q.Service, "waiting", q.Waiting, "waiting_late", q.WaitingLate, "running", q.Running, "capacity", tenths(q.CapacityPerSecond),
+			"stretch", tenths(q.Stretch))
+	}
 	for _, w := range d.Ways {
 		g.log.Info("dump_way", "service", w.Service, "state", w.State, "since_ms", w.SinceMS, "answered_ago_ms", w.AnsweredAgoMS, "failures", w.Failures)
 	}
