placement: a host learns from few rejections that a service's cold endpoints reject

Cause: cold endpoints accept few requests a second from all hosts together, although they report free slots. Each of many hosts sends such an endpoint so few requests that it learned that of each endpoint by a rejection of its own.

Change: outcomes of requests to cold endpoints (by their entry) make one rejection rate per service, which counts as the failure rate of each cold endpoint of it. And an arrival that joins the queue wakes the first request to look for an endpoint in its place: hosts searched less often than before while something waited, and slots that requests of other hosts freed stayed unused.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -32,8 +32,11 @@
 	now := time.Now()
 	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) {
 		waiter = queue.Add(request, true, now)
-		if !queue.IsFirst(waiter, now) && !r.waitForTurn(ctx, queue, waiter, true) {
-			return placement.EndpointView{}, 0, false
+		if !queue.IsFirst(waiter, now) {
+			queue.WakeFirst()
+			if !r.waitForTurn(ctx, queue, waiter, true) {
+				return placement.EndpointView{}, 0, false
+			}
 		}
 	}
 	for {
--- a/internal/coordination/forward/overload_test.go
+++ b/internal/coordination/forward/overload_test.go
@@ -1,76 +1,64 @@
 package forward
 
 import (
-	"context"
 	"fmt"
-	"net/http"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
-	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/faketime"
-	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
-// slottedService simulates endpoints that run at most as many requests as they have slots, and queue some more.
-type slottedService struct {
-	*fakeService
-	rejected int
+// played counts how requests ended.
+type played struct {
+	inTime, late, refused, sends int
+	refusalWait                  time.Duration
 }
 
-// slottedQueue is the number of requests that a simulated endpoint queues.
-const slottedQueue = 4
-
-// newSlottedService returns a service of endpoints with two slots each.
-func newSlottedService(count int) *slottedService {
-	ups := map[string]*fakeUpstream{}
-	for n := range count {
-		ups[fmt.Sprint(n)] = &fakeUpstream{duration: usualDuration}
+// hosts returns the forwarders of several hosts, which share no knowledge.
+func (f *slottedService) hosts(count int) (forwarders []*Forwarder) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range count {
+		fw := f.fakeService.forwarder(largeBurst)
+		fw.cfg.Sender, fw.cfg.Prober, fw.cfg.Random = f, f, random.IntN
+		forwarders = append(forwarders, fw)
 	}
-	return &slottedService{fakeService: newFakeService(ups)}
-}
-
-// forwarder returns a forwarder for the service.
-func (f *slottedService) forwarder() *Forwarder {
-	fw := f.fakeService.forwarder(0)
-	fw.cfg.Sender, fw.cfg.Prober, fw.cfg.Random = f, f, placement.Random
-	return fw
+	return forwarders
 }
 
-// Send implements executor.Sender.
-func (f *slottedService) Send(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*executor.Response, error) {
-	f.mu.Lock()
-	u := f.ups[e.Address]
-	if u.load.Running+u.load.Waiting >= u.load.Slots+slottedQueue {
-		f.rejected++
-		f.mu.Unlock()
-		return refusedResponse()
-	}
-	wait := time.Duration(0)
-	if u.load.Running == u.load.Slots {
-		u.load.Waiting++
-		wait = u.duration * time.Duration(u.load.Waiting) / time.Duration(u.load.Slots)
-	} else {
-		u.load.Running++
+// play sends requests at an interval for a time through the hosts in turn.
+func (f *slottedService) play(t *testing.T, forwarders []*Forwarder, interval, length time.Duration) (p played) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for n := range int(length / interval) {
+		wg.Go(func() {
+			time.Sleep(time.Duration(n) * interval)
+			c := request(true)
+			c.Due = c.Arrived.Add(2 * time.Second)
+			r := forwarders[n%len(forwarders)].Run(t.Context(), c)
+			took := time.Since(c.Arrived)
+			mu.Lock()
+			defer mu.Unlock()
+			p.sends += r.Sends()
+			switch {
+			case r.Outcome == Answered && took <= c.Route.TargetLatency:
+				p.inTime++
+			case r.Outcome == Answered:
+				p.late++
+			default:
+				p.refused++
+				p.refusalWait += took
+			}
+		})
 	}
-	f.mu.Unlock()
-	time.Sleep(wait)
-	resp, err := f.fakeService.Send(ctx, e, c)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if u.load.Waiting > 0 {
-		u.load.Waiting--
-	} else {
-		u.load.Running--
-	}
-	if err == nil {
-		resp.Slots, resp.InFlight, resp.Waiting = u.load.Slots, u.load.Running+u.load.Waiting, u.load.Waiting
-	}
-	return resp, err
+	wg.Wait()
+	time.Sleep(time.Minute)
+	t.Logf("%d in time, %d late, %d refused after %v on average; %d sends, %d rejected", p.inTime, p.late, p.refused,
+		p.refusalWait/time.Duration(max(1, p.refused)), p.sends, f.rejected)
+	return p
 }
 
 // TestOverloadedServiceRefusesAtOnce guards against refusals that come after a wait, slots that stay unused, and answers that come late, while twice as
@@ -79,41 +67,31 @@
 	faketime.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		const count, length = 10, 4 * time.Second
-		interval := usualDuration / (2 * 2 * count)
 		f := newSlottedService(count)
-		fw := f.forwarder()
-		var wg sync.WaitGroup
-		var mu sync.Mutex
-		inTime, late, refused := 0, 0, 0
-		var refusalWait time.Duration
-		for n := range int(length / interval) {
-			wg.Go(func() {
-				time.Sleep(time.Duration(n) * interval)
-				c := request(true)
-				c.Due = c.Arrived.Add(2 * time.Second)
-				r := fw.Run(t.Context(), c)
-				took := time.Since(c.Arrived)
-				mu.Lock()
-				defer mu.Unlock()
-				switch {
-				case r.Outcome == Answered && r.Response.Status == http.StatusOK && took <= c.Route.TargetLatency:
-					inTime++
-				case r.Outcome == Answered:
-					late++
-				default:
-					is.True(r.Outcome.GuaranteesNotRun())
-					refused++
-					refusalWait += took
-				}
-			})
-		}
-		wg.Wait()
+		p := f.play(t, f.hosts(1), usualDuration/(2*2*count), length)
 		capacity := int(length/usualDuration) * 2 * count
-		t.Logf("of %d that can be run: %d in time, %d late; %d refused after %v on average, %d by endpoints", capacity, inTime, late, refused,
-			refusalWait/time.Duration(max(1, refused)), f.rejected)
-		is.True(inTime >= capacity*8/10)
-		is.True(late <= inTime/10)
-		is.True(refusalWait/time.Duration(refused) < 40*time.Millisecond) // a fifth of the target latency
-		time.Sleep(time.Minute)
+		is.True(p.inTime >= capacity*8/10)
+		is.True(p.late <= p.inTime/10)
+		is.True(p.refusalWait/time.Duration(p.refused) < 40*time.Millisecond) // a fifth of the target latency
+	})
+}
+
+// TestFewSendsToColdEndpoints guards against requests that reach cold endpoints which reject them although they have free slots: a third of the
+// endpoints accept five requests per second each, from 96 hosts, each of which sends them few, while the others are full.
+func TestFewSendsToColdEndpoints(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		const hosts, count, length = 96, 48, 4 * time.Second
+		f := newSlottedService(count)
+		f.perSecond = map[string]float64{}
+		for n := range count / 3 {
+			f.perSecond[fmt.Sprint(n)] = 5
+		}
+		for _, e := range f.list {
+			if f.perSecond[e.Name] > 0 {
+				e.WarmUpEnd = f.begin.Add(length)
+			}
+		}
+		p := f.play(t, f.hosts(hosts), usualDuration/(2*count), length)
+		is.New(t).True(f.rejected*20 < p.sends)
 	})
 }
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -49,6 +49,9 @@
 		f.cfg.EndpointStats.RecordEndWithoutOutcome(v.ID, now)
 	default:
 		f.cfg.EndpointStats.RecordEnd(v.ID, got.resp.NotRun || got.resp.Status >= http.StatusInternalServerError, now)
+		if v.WarmUpLeft > 0 {
+			f.cfg.EndpointStats.RecordColdOutcome(v.Service, got.resp.NotRun, now)
+		}
 		if got.resp.Slots > 0 {
 			f.cfg.EndpointStats.RecordLoad(v.Endpoint.Endpoint, LoadFromResponse(got.resp), now)
 		}
--- a/internal/coordination/overload/decide.go
+++ b/internal/coordination/overload/decide.go
@@ -59,7 +59,7 @@
 			e.Share = q.leftForShare(w, e.Left, now)
 			e.Wait = max(e.Wait, waitFor(own-r.Work, e.Share))
 		}
-		if r.LateAt.Sub(now) > r.Work && (e.Capacity == 0 || e.Position == 0 || e.Wait <= e.TimeLeft) {
+		if e.Late = r.LateAt.Sub(now) <= r.Work; !e.Late && (e.Capacity == 0 || e.Position == 0 || e.Wait <= e.TimeLeft) {
 			return e
 		}
 	}
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -277,6 +277,15 @@
 	q.lanes(func(l *lane) bool { return !l.wakeNext() })
 }
 
+// WakeFirst wakes the first request, because one that arrives leaves the search for an endpoint to it.
+func (q *Queue) WakeFirst() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.first != nil {
+		q.first.wake()
+	}
+}
+
 // WakeAll wakes all requests.
 func (q *Queue) WakeAll() {
 	q.mu.Lock()
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -25,6 +25,7 @@
 	samplers    sync.Map     // service name -> *serviceSampler
 	rooms       sync.Map     // service name -> *serviceRoom
 	paces       sync.Map     // paceKey -> *meanPace
+	cold        sync.Map     // service name -> *coldRejections
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
 
 	rejectingCount atomic.Int64 // endpoints in rejections
@@ -101,6 +102,9 @@
 			v.Pace = s.pace.at(t.meanPace(e.Service, v.Local).get(), now)
 		}
 	})
+	if v.WarmUpLeft > 0 {
+		v.FailureRate = max(v.FailureRate, t.coldRejectionRate(e.Service, now))
+	}
 	return v
 }
 
