--- a/internal/coordination/forward/overload_test.go
+++ b/internal/coordination/forward/overload_test.go
@@ -21,9 +21,15 @@
 // hosts returns the forwarders of several hosts, which share no knowledge.
 func (f *slottedService) hosts(count int) (forwarders []*Forwarder) {
 	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
 	for range count {
 		fw := f.fakeService.forwarder(largeBurst)
-		fw.cfg.Sender, fw.cfg.Prober, fw.cfg.Random = f, f, random.IntN
+		fw.cfg.Sender, fw.cfg.Prober, fw.cfg.Random = f, f, draw
 		forwarders = append(forwarders, fw)
 	}
 	return forwarders
