overload: the capacity counts as known after four completed requests a second

Cause: a host that sends a service few requests took its own few completions for its capacity, and would have refused a small burst although slots that requests of other hosts free were to be had. And requests that found the service without a usable endpoint while others waited were decided by the queue's estimate first.

Change: with fewer than four completions in the last second, decayed, the capacity is unknown and nothing is refused by it. Requests join the queue on arrival only if the service has a usable endpoint, so that the checks keep their order.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -30,7 +30,7 @@
 		}
 	}()
 	now := time.Now()
-	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) {
+	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) && len(r.usableEndpoints(now)) > 0 {
 		waiter = queue.Add(request, true, now)
 		if !queue.IsFirst(waiter, now) {
 			queue.WakeFirst()
--- a/internal/coordination/overload/decide_test.go
+++ b/internal/coordination/overload/decide_test.go
@@ -59,12 +59,17 @@
 	}
 }
 
-// TestUnknownCapacityRefusesNone guards against refusals by an estimate that nothing supports: a host whose requests completed nothing lately lets
+// TestUnknownCapacityRefusesNone guards against refusals by an estimate that nothing supports: a host whose requests completed little lately lets
 // all requests wait that can be in time.
 func TestUnknownCapacityRefusesNone(t *testing.T) {
 	is := is.New(t)
 	q, now := measured(0, 0)
-	now = now.Add(2 * completionTime)
+	now = now.Add(4 * completionTime)
+	for range 2 {
+		r := requestAt(now, 1, time.Second)
+		q.Started(&r, true, now)
+		q.Ended(work, work, true, now)
+	}
 	for range 200 {
 		is.Equal(q.Decide(q.Add(requestAt(now, 1, 300*time.Millisecond), true, now), now).Reason, NoReason)
 	}
--- a/internal/coordination/overload/meters.go
+++ b/internal/coordination/overload/meters.go
@@ -10,6 +10,9 @@
 	// completionTime is the time constant of the measured capacity, and arrivalTime that of the arrivals.
 	completionTime = time.Second
 	arrivalTime    = 500 * time.Millisecond
+	// minCompleted is the number of requests, decayed by completionTime, that this host must have completed for its capacity to be known. A host that
+	// sends a service few requests gets slots that those of other hosts free, which its own completions do not show.
+	minCompleted = 4
 	// shareTime is the time constant of the share of the requests of a rank that are served.
 	shareTime = 2 * time.Second
 	// minRefused is the number of refused requests of a rank, decayed, from which its share is compared with that of less urgent ranks.
@@ -76,18 +79,19 @@
 		return
 	}
 	q.completed.add(work.Seconds(), completionTime, now)
+	q.completions.add(1, completionTime, now)
 	if q.stretch == 0 {
 		q.stretch = 1
 	}
 	q.stretch += stretchWeight * (float64(took)/float64(work) - q.stretch)
 }
 
-// capacity returns the work per second that this host's requests get done at the endpoints, or 0 if none was completed in the
-// last second. It is what they completed
+// capacity returns the work per second that this host's requests get done at the endpoints, or 0 if too few were completed in
+// the last second. It is what they completed
 // in the last second or, if that is more, as after a sudden rise of the demand, what those that run will complete at the present speed. q.mu must
 // be held.
 func (q *Queue) capacity(now time.Time) float64 {
-	if q.stretch == 0 || now.Sub(q.completed.at) > completionTime {
+	if q.completions.decayed(completionTime, now) < minCompleted {
 		return 0
 	}
 	return max(q.completed.rate(completionTime, now), float64(q.running)/q.stretch)
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -18,9 +18,11 @@
 
 	customers customers
 
-	running   int     // requests of this host at endpoints
-	completed meter   // work of the requests that endpoints answered
-	stretch   float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
+	running   int   // requests of this host at endpoints
+	completed meter // work of the requests that endpoints answered
+	// completions are these requests.
+	completions meter
+	stretch     float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
 }
 
 // orderWork is the work by which the waiting requests of one route are ordered. It stays the same while any of them waits, so that they keep the
