upstreamconn: requests share the connections of health checks again

Change: a request takes any idle connection and prefers one on which each response carried its id; a late copy of a health response costs it its response, and is never believed.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -43,9 +43,6 @@
 	// UseOldestConnection uses the connection that has been idle for longest instead of the one that became idle last, so that the
 	// connection is not closed by an idle timeout.
 	UseOldestConnection bool
-	// Idempotent says that the request may be sent again after it may have run. If it is false, the request is not sent on a connection on which a
-	// response could not be attributed to its request.
-	Idempotent bool
 	// HealthCheck says that this is a health check or load probe of the host itself. Its response is never one to a caller's request.
 	HealthCheck bool
 	// RetainBody is called before Body is passed to a connection. The function that it returns is called when the connection no
--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -154,7 +154,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline, execCall.Idempotent = r.call.Due.Add(-hopMargin), r.call.Route.Idempotent
+	execCall.Deadline = r.call.Due.Add(-hopMargin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true}
 		defer func() {
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -150,7 +150,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline, execCall.Idempotent = r.call.Due, r.call.Route.Idempotent
+	execCall.Deadline = r.call.Due
 	queue, begin := r.forwarder.queue(r.call.Service.Name), time.Now()
 	request := r.overloadRequest()
 	queue.Started(&request, n == 0, begin)
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
@@ -15,9 +16,9 @@
 	errAmbiguous      = errors.New("the answer names no request, and may belong to an earlier health check of the connection")
 )
 
-// unnamedLifetime is how long after its first response without a request id a connection is used. Limits that such responses state count as
-// stated at any time since then, so that a longer use would delay the end of a limit.
-const unnamedLifetime = 5 * time.Second
+// maxLateCopies is the number of second copies that a connection may have ahead of a response without a request id. The response is then that to
+// the exchange as many before. More of them would be bytes that arrive while no response is due, which end the connection.
+const maxLateCopies = 4
 
 // origin says where a response can have come from.
 type origin struct {
@@ -43,34 +44,30 @@
 	switch {
 	case success && !c.HealthCheck:
 		return origin{}, errUnnamedSuccess
-	case cn.unnamedSince.IsZero():
-		cn.unnamedSince = sentAt
-	case !success || !c.HealthCheck:
+	case len(cn.unnamed) > 0 && (!success || !c.HealthCheck):
 		return origin{}, errAmbiguous
 	}
+	cn.unnamed = append(cn.unnamed, sentAt)
+	if len(cn.unnamed) > maxLateCopies {
+		cn.unnamed = slices.Delete(cn.unnamed, 0, 1)
+	}
 	// The copy of a rejection would say "not run" of a later request. The copy of a successful health check only reports an older load.
-	return origin{cn.unnamedSince, success}, nil
-}
-
-// unnamedExpired reports whether the connection has carried a response without a request id and is not to be used any more.
-func (c *conn) unnamedExpired(now time.Time) bool {
-	return !c.unnamedSince.IsZero() && now.Sub(c.unnamedSince) > unnamedLifetime
+	return origin{cn.unnamed[0], success}, nil
 }
 
-// chooseIdle returns the index of the connection that the request uses, or -1 if it must use none of them. Connections are ordered by the time
-// since when they have been idle. A request that is not idempotent uses no connection on which a response lacked the request id, others
-// prefer the rest, and health checks use them first, so that they leave the rest to requests.
+// chooseIdle returns the index of the connection that the request uses, or -1 if none is idle. Connections are ordered by the time since when they
+// have been idle. Requests prefer those on which each response carried its id, since a late copy of a health response costs a request that waits for
+// its response. Health checks prefer the others, so that they leave the rest to requests.
 func chooseIdle(list []*conn, c *executor.Call) int {
 	unsuited := -1
 	for i := range list {
 		if !c.UseOldestConnection {
 			i = len(list) - 1 - i
 		}
-		unnamed := !list[i].unnamedSince.IsZero()
-		if unnamed == c.HealthCheck {
+		if unnamed := len(list[i].unnamed) > 0; unnamed == c.HealthCheck {
 			return i
 		}
-		if unsuited < 0 && (c.HealthCheck || c.Idempotent) {
+		if unsuited < 0 {
 			unsuited = i
 		}
 	}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -109,8 +109,8 @@
 	openedAt    time.Time // when it was begun to be opened
 	connectedAt time.Time // when it had been opened
 	idleSince   time.Time
-	// unnamedSince is when the first health check was sent whose response carried no request id. It is zero while each response carried one.
-	unnamedSince time.Time
+	// unnamed holds when the last maxLateCopies exchanges were sent whose responses carried no request id, oldest first.
+	unnamed []time.Time
 }
 
 func (c *conn) close() { c.http.Close() }
@@ -132,29 +132,13 @@
 		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
-		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && !cn.unnamedExpired(now) && cn.http.Err() == nil && cn.guarded.beginRequest() {
+		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && cn.http.Err() == nil && cn.guarded.beginRequest() {
 			return cn
 		}
 		unusable = append(unusable, cn)
 	}
 }
 
-// closeOneIdle closes the connection to the endpoint that has been idle for longest. It returns false if none is idle.
-func (p *Pool) closeOneIdle(id endpoints.ID) bool {
-	sh := p.shard(id)
-	sh.mu.Lock()
-	list := sh.idle[id]
-	if len(list) == 0 {
-		sh.mu.Unlock()
-		return false
-	}
-	c := list[0]
-	sh.idle[id] = slices.Delete(list, 0, 1)
-	sh.mu.Unlock()
-	c.close()
-	return true
-}
-
 // closeAll closes connections. It must not be called under a shard's lock, because closing a connection calls release, which takes that
 // lock.
 func closeAll(list []*conn) {
@@ -196,8 +180,7 @@
 
 // dial opens a connection to the endpoint.
 func (p *Pool) dial(ctx context.Context, e endpoints.Endpoint) (*conn, error) {
-	// An idle connection that the request must not use makes room for one that it may use.
-	if !p.reserve(e) && (!p.closeOneIdle(e.ID) || !p.reserve(e)) {
+	if !p.reserve(e) {
 		return nil, executor.ErrConnectionLimit
 	}
 	openedAt := time.Now()
--- a/internal/transport/upstreamconn/probe.go
+++ b/internal/transport/upstreamconn/probe.go
@@ -34,7 +34,7 @@
 // ProbeLoad implements forward.LoadProber. It requests an endpoint's load over a pooled connection, which a request can use afterwards.
 func (p *Pool) ProbeLoad(ctx context.Context, e endpoints.Endpoint, path string) (placement.Load, error) {
 	resp, err := p.Send(ctx, e, &executor.Call{RequestID: p.probeID(), Method: http.MethodGet, Path: path, Header: http.Header{},
-		UseOldestConnection: true, Idempotent: true, HealthCheck: true})
+		UseOldestConnection: true, HealthCheck: true})
 	if err != nil {
 		return placement.Load{}, err
 	}
@@ -63,7 +63,7 @@
 		defer cancel()
 	}
 	resp, err := p.Send(ctx, e, &executor.Call{RequestID: p.newID(), Method: http.MethodGet, Path: probePath, Header: http.Header{}, Deadline: deadline,
-		Idempotent: true, HealthCheck: true})
+		HealthCheck: true})
 	if err != nil {
 		return prequal.Load{}, trace.ConnectionProblem(err, "probe %s", e.ID)
 	}
