registry: entries count as late for 2 s again

Change: back to 2 s. Two entries of a leaving endpoint that are both written seconds late can make it usable for up to a heartbeat: not covered.

--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -107,9 +107,8 @@
 	// maxLateEntries is how many entries of a process may reach the store before an earlier one does. An entry further behind was not late: the
 	// entry with the higher number was not written by the endpoint.
 	maxLateEntries = 8
-	// lateEntrySpan is the time within which late entries of a process arrive: a write whose response was lost may be executed 6 s later. Entries that go
-	// on to arrive for longer are not late.
-	lateEntrySpan = 7 * time.Second
+	// lateEntrySpan is the time within which late entries of a process arrive. Entries that go on to arrive for longer are not late.
+	lateEntrySpan = 2 * time.Second
 )
 
 // isLate reports whether an older entry than the newest one is an earlier entry of the endpoint that was written late. Otherwise another program
