quarantine: the store's list no longer names released requests

Cause: an empty list was never written, so a released verdict stayed in the store and bound every host that started later.

Change: a zone's list is written whenever it differs from the store's, which the writer also knows from the record that it reads. A verdict that a host has from the store only ends when no list names it any more.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -81,7 +81,9 @@
 	Verdict
 	// derived is set if this host's evidence is the reason. Such a verdict is reversed if the evidence changes before firmTime.
 	derived bool
-	tried   [len(trialTimes)]bool // this host has sent the request once more
+	// fromStore is set while this host has the verdict from the store only. Such a verdict ends when the store's lists have it no more.
+	fromStore bool
+	tried     [len(trialTimes)]bool // this host has sent the request once more
 }
 
 // trialTimes are the times after a decision at which one host sends one matching request once more, if one comes within trialWindow: a proper request that
@@ -103,13 +105,14 @@
 	mu       sync.Mutex
 	doubts   map[endpoints.ID]map[*doubt]bool
 	crashes  map[endpoints.ID]*Crash
-	verdicts map[Fingerprint]*entry    // by pattern
-	answered map[Fingerprint]time.Time // by pattern, when an endpoint has last answered a suspected request that matches it
+	verdicts map[Fingerprint]*entry          // by pattern
+	stored   map[string]map[Fingerprint]bool // by key, the patterns of the lists in the store
+	answered map[Fingerprint]time.Time       // by pattern, when an endpoint has last answered a suspected request that matches it
 }
 
 // New returns a guard without evidence.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
+	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, stored: map[string]map[Fingerprint]bool{}, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
 }
 
 // Active reports whether there is evidence or a verdict. If not, no request has to be identified.
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -298,7 +298,7 @@
 		}
 		is.Equal(len(g.crashes), maxCrashes)
 		for i := range 2 * maxVerdicts {
-			g.Restore([]Verdict{{Pattern: fingerprint(fmt.Sprint("s", i)), Until: time.Now().Add(time.Hour)}}, time.Now())
+			g.Restore("zone", []Verdict{{Pattern: fingerprint(fmt.Sprint("s", i)), Until: time.Now().Add(time.Hour)}}, time.Now())
 		}
 		is.True(len(g.verdicts) <= maxVerdicts)
 		until, ok := g.Quarantined(fingerprint(fmt.Sprint("s", 2*maxVerdicts-1)), time.Now())
--- a/internal/coordination/quarantine/verdicts.go
+++ b/internal/coordination/quarantine/verdicts.go
@@ -117,7 +117,9 @@
 	valid := now.Before(v.Until) && v.DecidedAt.After(g.answered[v.Pattern])
 	if isNew = valid && (known == nil || !now.Before(known.Until) || v.Until.Sub(known.Until) > quarantineTime/4); isNew {
 		g.dropOldestVerdict()
-		g.verdicts[v.Pattern] = &entry{Verdict: v}
+		g.verdicts[v.Pattern] = &entry{Verdict: v, fromStore: source == SourceStore && (known == nil || known.fromStore)}
+	} else if known != nil && source != SourceStore {
+		known.fromStore = false
 	}
 	g.updateActive()
 	g.mu.Unlock()
@@ -144,9 +146,18 @@
 	return list
 }
 
-// Restore records verdicts that the store holds.
-func (g *Guard) Restore(list []Verdict, now time.Time) {
-	for _, v := range list[:min(maxVerdicts, len(list))] {
+// maxStoredLists bounds the lists of the store that are remembered. Each availability zone writes one.
+const maxStoredLists = 256
+
+// Restore records a list of verdicts that the store holds under a key. A verdict that this host has from the store only ends when no list has it any more.
+func (g *Guard) Restore(key string, list []Verdict, now time.Time) {
+	list = list[:min(maxVerdicts, len(list))]
+	patterns := make(map[Fingerprint]bool, len(list))
+	for _, v := range list {
+		patterns[v.Pattern] = true
+	}
+	g.report(g.replaceStored(key, patterns), SourceStore)
+	for _, v := range list {
 		if latest := now.Add(quarantineTime); v.Until.After(latest) {
 			v.Until = latest
 		}
@@ -156,3 +167,25 @@
 		g.addVerdict(v, SourceStore, now)
 	}
 }
+
+// replaceStored replaces the patterns that a list of the store has, and releases those that no list has any more and of which no host has told.
+func (g *Guard) replaceStored(key string, patterns map[Fingerprint]bool) (changes []change) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.stored[key]
+	if delete(g.stored, key); len(patterns) > 0 && len(g.stored) < maxStoredLists {
+		g.stored[key] = patterns
+	}
+	for f := range before {
+		listed := false
+		for _, other := range g.stored {
+			listed = listed || other[f]
+		}
+		if e := g.verdicts[f]; e != nil && e.fromStore && !listed {
+			delete(g.verdicts, f)
+			changes = append(changes, change{Verdict{Pattern: f, DecidedAt: e.DecidedAt}, 0})
+		}
+	}
+	g.updateActive()
+	return changes
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -51,6 +51,21 @@
 	return true
 }
 
+// empty reports whether the store has no request in the list, as far as is known.
+func (s *storedQuarantine) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests) == 0
+}
+
+// patternsOf returns the patterns of a list, in its order.
+func patternsOf(list []storedVerdict) (patterns []byte) {
+	for _, v := range list {
+		patterns = append(patterns, v.Pattern.String()...)
+	}
+	return patterns
+}
+
 func (s *storedQuarantine) set(requests []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,19 +77,18 @@
 func (g *Gateway) maintainQuarantine(ctx context.Context, now time.Time) {
 	g.crashGuard.Evict(now)
 	verdicts := g.crashGuard.Firm(now)
-	if len(verdicts) == 0 {
+	if len(verdicts) == 0 && g.storedQuarantine.empty() {
 		return
 	}
 	if _, self, ok := g.peers.Coordinator(g.settings.Zone, quarantineCoordination, 0, now); !ok || !self {
 		return
 	}
 	g.crashGuard.Refresh(now)
-	var list []storedVerdict
-	var requests []byte
+	list := []storedVerdict{} // an empty list is written too: otherwise a released request would bind hosts that start later
 	for _, v := range verdicts {
 		list = append(list, storedVerdict{v.Pattern, v.Until.UnixMilli(), v.DecidedAt.UnixMilli()})
-		requests = append(requests, v.Pattern.String()...)
 	}
+	requests := patternsOf(list)
 	if !g.storedQuarantine.due(requests, now) {
 		return
 	}
@@ -106,7 +120,10 @@
 	for _, v := range list {
 		verdicts = append(verdicts, quarantine.Verdict{Pattern: v.Pattern, Until: time.UnixMilli(v.UntilMS), DecidedAt: time.UnixMilli(v.SinceMS)})
 	}
-	g.crashGuard.Restore(verdicts, now)
+	if r.Key == quarantineKey+g.settings.Zone && r.Offset >= 0 {
+		g.storedQuarantine.set(patternsOf(list))
+	}
+	g.crashGuard.Restore(r.Key, verdicts, now)
 	return true
 }
 
