routing: an escaped slash does not separate segments of a path

Cause: routes were matched by the unescaped path, so that %2F counted as a slash and a request could take the route of another path.

Change: ingress passes the path as it was sent; routing.Table.Match compares it and the prefixes after NormalizePath, which unescapes unreserved characters only.

--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -15,13 +15,14 @@
 type Route struct {
 	Name          string
 	Host          string            // compared without case and port
-	Prefix        string            // path prefix; begins and ends with a slash
+	Prefix        string            // path prefix; begins and ends with a slash. It is compared with the path of requests as NormalizePath returns both
 	Idempotent    bool              // a request may run more than once
 	Timeout       time.Duration     // until the response to the caller; 0 means that only the caller's own deadline applies
 	TargetLatency time.Duration     // a response within this time has its full value to the caller; 0 if not stated
 	Priority      int               // 0 is the most urgent
 	MaxAttempts   int               // number of endpoints to which one request may be sent; at least 1
 	Split         []WeightedService // at least one service
+	match         string            // normalised prefix
 }
 
 // WeightedService is the part of a route's requests that goes to one service.
@@ -82,11 +83,11 @@
 			errs = append(errs, trace.Wrap(err, "route %q", r.Name))
 			continue
 		}
-		r.Host = strings.ToLower(r.Host)
+		r.Host, r.match = strings.ToLower(r.Host), NormalizePath(r.Prefix)
 		t.routes[r.Host] = append(t.routes[r.Host], r)
 	}
 	for _, list := range t.routes {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.match), len(a.match)) })
 	}
 	return t, trace.NewAggregate(errs...)
 }
@@ -125,14 +126,16 @@
 	return nil
 }
 
-// Match returns the route for a request, or nil.
+// Match returns the route for a request, or nil. path is the path as it was sent, in which only unreserved characters count as unescaped: an escaped
+// slash does not separate segments.
 func (t *Table) Match(host, path string) *Route {
 	host = strings.ToLower(host)
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
+	path = NormalizePath(path)
 	for _, r := range t.routes[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+		if strings.HasPrefix(path, r.match) {
 			return r
 		}
 	}
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func config() Config {
@@ -62,3 +63,29 @@
 		})
 	}
 }
+
+// TestEscapedPaths guards against a request that takes another route than its path states, because an escaped slash counts as one, and against one
+// that takes none because it escapes characters which need no escape.
+func TestEscapedPaths(t *testing.T) {
+	is := is.New(t)
+	var routes []Route
+	for _, prefix := range []string{"/", "/lots/", "/lots/a/", "/caf\u00e9/", "/x%2fy/", "/a b/"} {
+		routes = append(routes, Route{Name: prefix, Host: "h", Prefix: prefix, MaxAttempts: 1, Split: []WeightedService{{Service: "s", Weight: 1}}})
+	}
+	table, err := New(Config{Services: []Service{{Name: "s"}}, Routes: routes})
+	is.NoErr(err)
+	for path, want := range map[string]string{"/lots/a/1": "/lots/a/", "/lots/a%2F1": "/lots/", "/lots%2Fa/1": "/", "/lots%2fa%2f1": "/", "/l%6fts/%61/1": "/lots/a/",
+		"/%6C%6F%74%73/1": "/lots/", "/caf%c3%a9/": "/caf\u00e9/", "/caf\u00e9/": "/caf\u00e9/", "/x%2Fy/1": "/x%2fy/", "/x/y/1": "/", "/a%20b/": "/a b/",
+		"/lots%252Fa/1": "/", "/lots/%": "/lots/", "/lots/%4": "/lots/", "/lots/%zz/": "/lots/"} {
+		if got := table.Match("h", path); got.Name != want {
+			t.Errorf("%s: route %s instead of %s", path, got.Name, want)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		path := rapid.String().Draw(t, "path")
+		once := NormalizePath(path)
+		if NormalizePath(once) != once || strings.Count(once, "/") != strings.Count(path, "/") {
+			t.Fatalf("%q: %q, then %q", path, once, NormalizePath(once))
+		}
+	})
+}
--- a/internal/transport/ingress/parse.go
+++ b/internal/transport/ingress/parse.go
@@ -72,7 +72,7 @@
 		return
 	}
 	p.keepAlive = !r.Close && r.ProtoAtLeast(1, 1)
-	p.request = &Request{Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header, HeaderReadAt: readAt}
+	p.request = &Request{Method: r.Method, Target: r.RequestURI, Path: pathOf(r.RequestURI), Host: r.Host, Header: r.Header, HeaderReadAt: readAt}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		delete(r.Header, "Expect")
 		p.sendContinue()
@@ -80,6 +80,12 @@
 	p.readBody(r)
 }
 
+// pathOf returns the path of a request target, as it was sent.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 // readHead reads up to the empty line that ends the header. Empty lines before the request line are skipped (RFC 9112 section 2.2).
 func (p *parser) readHead() ([]byte, error) {
 	var head []byte
--- a/internal/transport/ingress/refused_test.go
+++ b/internal/transport/ingress/refused_test.go
@@ -50,3 +50,11 @@
 		})
 	}
 }
+
+// TestPathIsAsSent guards against a route that is chosen by another path than the endpoint gets.
+func TestPathIsAsSent(t *testing.T) {
+	is := is.New(t)
+	p, _ := parseBytes([]byte(get("/lots%2Fa/%61?path=/b%2Fc")))
+	is.Equal(p.request.Path, "/lots%2Fa/%61")
+	is.Equal(p.request.Target, "/lots%2Fa/%61?path=/b%2Fc")
+}
