--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -35,12 +35,14 @@
 	Attempt   keys.Attempt // the caller's attempt; a number above 0 means a repeat
 	Key       string       // idempotency key, or empty
 	Host      string       // Host header; empty means the endpoint's address
+	// Credential is the key that the caller has sent. It is passed on to other entry hosts only, and is in no Header.
+	Credential string
+	// Revoked reports whether the caller's key has been removed meanwhile, so that the request must not be sent any more. Nil means that it
+	// needs no key.
+	Revoked func() bool
 	// UseOldestConnection uses the connection that has been idle for longest instead of the one that became idle last, so that the
 	// connection is not closed by an idle timeout.
 	UseOldestConnection bool
-	// Idempotent says that the request may be sent again after it may have run. If it is false, the request is not sent on a connection on which a
-	// response could not be attributed to its request.
-	Idempotent bool
 	// HealthCheck says that this is a health check or load probe of the host itself. Its response is never one to a caller's request.
 	HealthCheck bool
 	// RetainBody is called before Body is passed to a connection. The function that it returns is called when the connection no
@@ -48,6 +50,9 @@
 	RetainBody func() (release func())
 }
 
+// IsRevoked reports whether the call must not be sent any more because the caller's key has been removed.
+func (c *Call) IsRevoked() bool { return c.Revoked != nil && c.Revoked() }
+
 // Response is an upstream's response whose body is not read yet.
 type Response struct {
 	Status     int
--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -38,6 +38,8 @@
 	Tried    []endpoints.ID // endpoints to which it is not sent again
 	Counted  bool           // that host has counted it for its repeat budget
 	Late     bool           // an answer after the target latency is better than none
+	// WaitedBefore is how long the caller had waited before this attempt, by the times that it states.
+	WaitedBefore time.Duration
 }
 
 const (
@@ -127,7 +129,7 @@
 // sendThroughHost starts to send the request through another host that reaches the service. It returns false if there is none.
 func (r *activeRequest) sendThroughHost(ctx context.Context, hedge bool) bool {
 	f := r.forwarder
-	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || f.cfg.Stopped() || !r.checkQuarantine() {
+	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || r.stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		return false
 	}
 	now := time.Now()
@@ -140,7 +142,7 @@
 		allowed-- // one is left in case that the connection to the host breaks
 	}
 	request := &detour.HopRequest{Service: r.call.Service.Name, Version: r.call.Version, Waited: now.Sub(r.call.Arrived).Milliseconds(), Attempts: allowed, Caller: r.call.Caller,
-		Tried: r.tried, Counted: r.counted, Late: r.sends > 0}
+		Tried: r.tried, Counted: r.counted, Late: r.sends > 0, WaitedBefore: r.waitedFor.Milliseconds()}
 	r.counted = true
 	r.result.Outcome, r.result.RetryAfter = "", 0
 	expected := hopDurationFactor * r.serviceTime
@@ -152,7 +154,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline, execCall.Idempotent = r.call.Due.Add(-hopMargin), r.call.Route.Idempotent
+	execCall.Deadline = r.call.Due.Add(-hopMargin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true}
 		defer func() {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -42,7 +43,10 @@
 	Withdrawn func(id endpoints.ID) bool
 	// Stopped reports whether this host sends no further requests, because its planned stop ends. Nil means that it does not stop.
 	Stopped func() bool
-	Random  func(n int) int // nil means placement.Random
+	// MayBeCut reports whether this host stops too soon for a request that is sent now and has the given deadline. Such a request is not sent for the
+	// first time; one that was sent may be repeated. Nil means that none is cut.
+	MayBeCut func(due time.Time) bool
+	Random   func(n int) int // nil means placement.Random
 	// CrashGuard knows the requests that end the endpoints which run them. Nil means that none is known.
 	CrashGuard CrashGuard
 	// Detour knows whether this host has lost its way to a service, and sends requests through other hosts. Nil means that there are no other hosts.
@@ -60,7 +64,8 @@
 type Forwarder struct {
 	cfg          Config
 	serviceTimes serviceTimeEstimator
-	queues       sync.Map // service name -> *placement.Queue
+	queues       sync.Map // service name -> *overload.Queue
+	waits        overload.Waits
 
 	bufferedBytes atomic.Int64 // memory that is reserved for the bodies of answers
 }
@@ -76,6 +81,9 @@
 	if cfg.Stopped == nil {
 		cfg.Stopped = func() bool { return false }
 	}
+	if cfg.MayBeCut == nil {
+		cfg.MayBeCut = func(time.Time) bool { return false }
+	}
 	if cfg.OnPanic == nil {
 		cfg.OnPanic = func(_ string, value any, _ []byte) { panic(value) }
 	}
@@ -95,6 +103,11 @@
 	Caller netip.Addr
 	// Version is the version of the configuration that has the route.
 	Version uint64
+	// Customer is the name of the customer whose key the caller has sent; empty if it is not known.
+	Customer string
+	// CustomerPriority is the priority of the customer's requests; 0 is the most urgent. It is that of the route if the customer is not known or
+	// states none.
+	CustomerPriority int
 	// Handover is set if the request came through another host.
 	Handover *Handover
 
@@ -132,7 +145,9 @@
 	call        *Call
 	start       time.Time
 	serviceTime time.Duration  // usual duration of the route's requests
-	lateAt      time.Time      // when the answer is late: at the target latency or the deadline, whichever is earlier
+	lateAt      time.Time      // when the answer is late: at the target latency or the deadline, whichever is earlier; at the deadline for a repeat
+	waitedFor   time.Duration  // how long the caller had waited before this attempt, by the times that it states
+	targetAt    time.Time      // when the target latency is exceeded, counted from the caller's first attempt; at most the deadline
 	tried       []endpoints.ID // endpoints to which the request was sent, also by another host
 	through     []string       // hosts through which it was sent
 	counted     bool           // it counts for the repeat budget
@@ -141,9 +156,10 @@
 	inFlight    int // sends in flight
 	// allRejectingUntil is the time before which no endpoint of the service wants requests; zero if one does, as found by the last search.
 	allRejectingUntil time.Time
-	limits            limitedEndpoints // found by the last search
-	onTrial           bool             // the request is quarantined and is sent once
-	direct            bool             // the request looks for an endpoint although this host has lost its way
+	limits            limitedEndpoints  // found by the last search
+	onTrial           bool              // the request is quarantined and is sent once
+	overload          overload.Estimate // the last one while the request waited
+	direct            bool              // the request looks for an endpoint although this host has lost its way
 	// mayHaveRun says that an endpoint may have run the request.
 	mayHaveRun  bool
 	sends       int                  // sends that count as attempts: all but those that failed before a byte was written
@@ -176,10 +192,16 @@
 	now := time.Now()
 	r := &activeRequest{forwarder: f, call: c, start: now, serviceTime: f.serviceTimes.estimate(c.Route), result: &Result{},
 		sendResults: make(chan sendResult, 8)}
-	r.lateAt = c.Due
-	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip); c.Route.TargetLatency > 0 && late.Before(c.Due) {
-		r.lateAt = late
+	if c.Handover != nil {
+		r.waitedFor = c.Handover.WaitedBefore
+	} else {
+		r.waitedFor = f.waits.Estimate(c.Route.Name, c.Due.Sub(c.Arrived), now)
+	}
+	r.targetAt = c.Due
+	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip - r.waitedFor); c.Route.TargetLatency > 0 && late.Before(c.Due) {
+		r.targetAt = late
 	}
+	r.lateAt = r.targetAt
 	if c.Handover != nil {
 		r.tried, r.counted = slices.Clone(c.Handover.Tried), c.Handover.Counted
 		if c.Handover.Late {
@@ -189,6 +211,8 @@
 	if !r.checkQuarantine() {
 		return r.result
 	}
+	request := r.overloadRequest()
+	f.queue(c.Service.Name).Arrived(&request, now)
 	ctx, cancel := context.WithDeadline(ctx, c.Due)
 	r.serve(ctx)
 	if r.result.Stream == nil {
@@ -258,7 +282,7 @@
 	if !ok {
 		return r.mayDetour() && r.sendThroughHost(ctx, hedge)
 	}
-	if ctx.Err() != nil || r.forwarder.cfg.Stopped() || !r.checkQuarantine() {
+	if ctx.Err() != nil || r.stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
 		r.forwarder.queue(r.call.Service.Name).WakeNext()
 		if r.lastFailure == nil && !hedge && r.result.Outcome != RefusedQuarantined {
@@ -269,15 +293,3 @@
 	r.send(ctx, view, expected, hedge)
 	return true
 }
-
-// queue returns the queue of a service.
-func (f *Forwarder) queue(service string) *placement.Queue {
-	if q, ok := f.queues.Load(service); ok {
-		return q.(*placement.Queue)
-	}
-	q, _ := f.queues.LoadOrStore(service, &placement.Queue{})
-	return q.(*placement.Queue)
-}
-
-// WakeAll has all waiting requests of a service look for an endpoint anew, because this host's way to them has changed.
-func (f *Forwarder) WakeAll(service string) { f.queue(service).WakeAll() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,8 @@
 	meter            rateMeter     // of received
 	started          time.Time
 
+	customerRefusals customerRefusals
+
 	splitMu        sync.Mutex
 	splitPositions map[string]float64 // by route name, the last number of the sequence that divides its requests among services
 }
@@ -168,7 +170,7 @@
 		MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
+		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
 		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
@@ -239,6 +241,7 @@
 
 // reportUnreadRequest counts and logs a request that was refused before it reached Serve.
 func (g *Gateway) reportUnreadRequest(caller net.Addr, header http.Header, status int, reason string) {
+	reason = g.withoutKey(reason)
 	g.metrics.Add("requests_unread_"+strconv.Itoa(status)+"_total", 1)
 	g.log.Info("refused_unread", "id", header.Get(g.adapter.Dialect.RequestID), "caller", caller.String(), "status", status,
 		"reason", reason[:min(maxLoggedReason, len(reason))], "connections", g.callers.Connections())
