platform, routing: one bad entry does not invalidate a configuration

Cause: one entry that could not be read, for example a weight of 0.9, made the whole configuration unreadable.

Weights are fractions; a service without weight gets no request by a rounding error.

--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -31,7 +31,7 @@
 // WeightedService is the part of a route's requests that goes to one service.
 type WeightedService struct {
 	Service string
-	Weight  int // relative to the other services of the route
+	Weight  float64 // relative to the other services of the route
 }
 
 // Service is the configuration of a service.
@@ -60,8 +60,13 @@
 	Limits   Limits
 	// Customers lists the customers. If there are any, requests on routes that are not public need a key of one of them.
 	Customers []customers.Entry
+	// Faults lists entries of the configuration that are left out because they cannot be read.
+	Faults []error `json:"-"`
 }
 
+// maxWeight bounds the weight of a service, so that sums of weights are finite.
+const maxWeight = 1e12
+
 // Table finds the route of a request in a validated Config.
 type Table struct {
 	Version uint64
@@ -76,7 +81,7 @@
 // with an error: it then contains the valid routes.
 func New(c Config) (*Table, error) {
 	t := &Table{Version: c.Version, Limits: c.Limits.withDefaults(), routes: map[string][]*Route{}, services: map[string]*Service{}}
-	var errs []error
+	errs := slices.Clone(c.Faults)
 	var err error
 	if t.Customers, err = customers.New(c.Customers); err != nil {
 		errs = append(errs, err)
@@ -85,6 +90,7 @@
 		s := &c.Services[i]
 		if s.Name == "" {
 			errs = append(errs, trace.BadParameter("services[%d]: the name is empty: name the service", i))
+			continue
 		}
 		t.services[s.Name] = s
 	}
@@ -121,13 +127,13 @@
 	case len(r.Split) == 0:
 		return trace.BadParameter("no service is named: name one, or a split with weights")
 	}
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		if services[s.Service] == nil {
 			return trace.BadParameter("service %q is not defined: add it to the services", s.Service)
 		}
-		if s.Weight < 0 {
-			return trace.BadParameter("the weight of service %q is %d: use 0 or more", s.Service, s.Weight)
+		if !(s.Weight >= 0 && s.Weight <= maxWeight) { // NaN compares false
+			return trace.BadParameter("the weight of service %q is %g: use 0 or more, at most %g", s.Service, s.Weight, float64(maxWeight))
 		}
 		total += s.Weight
 	}
@@ -183,15 +189,19 @@
 
 // ServiceAt returns the service of the split that u selects. u is in [0, 1); the weights divide this range into one part per service.
 func (r *Route) ServiceAt(u float64) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		total += s.Weight
 	}
-	remaining := u * float64(total)
+	remaining, last := u*total, ""
 	for _, s := range r.Split {
-		if remaining -= float64(s.Weight); remaining < 0 {
+		if s.Weight == 0 {
+			continue
+		}
+		if remaining -= s.Weight; remaining < 0 {
 			return s.Service
 		}
+		last = s.Service
 	}
-	return r.Split[len(r.Split)-1].Service
+	return last // the sum of fractions may be less than the total by a rounding error
 }
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -89,3 +90,20 @@
 		}
 	})
 }
+
+// TestFractionalWeights guards against a service without weight that gets requests, because fractions do not add up exactly, and against parts that are
+// not as the weights state.
+func TestFractionalWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Route{Split: []WeightedService{{"a", rapid.Float64Range(1e-9, 1).Draw(t, "a")}, {"b", rapid.Float64Range(0, 1).Draw(t, "b")}, {"c", 0}}}
+		for _, u := range []float64{0, rapid.Float64Range(0, 1).Draw(t, "u"), math.Nextafter(1, 0)} {
+			want, total := "a", r.Split[0].Weight+r.Split[1].Weight
+			if r.Split[1].Weight > 0 && u*total >= r.Split[0].Weight {
+				want = "b"
+			}
+			if got := r.ServiceAt(u); got != want {
+				t.Fatalf("%v at %v: %s instead of %s", r.Split, u, got, want)
+			}
+		}
+	})
+}
