quota: permits for the requests of customers, granted by one coordinator

A customer's limit counts over all hosts, and a few large hosts carry the traffic, which moves within seconds. One host holds the customer's token bucket and grants permits ahead of demand; hosts that hold permits use them without a message. Permits expire, the bucket of a new coordinator is nearly empty, and a host that hears from less than half of its zone grants nothing, so that the sum stays within the tolerance when hosts die, freeze, are cut off or all restart. The bucket remembers what was granted when: a permit that is given back counts as if it had never been granted, also after a wait.

peers.Table ranks the hosts that may coordinate a quota (largest first, then rendezvous order), shares the choice with Coordinator, and tells from how many hosts of the zone this host has heard. Status gets field 8.

Not used by the gateway yet.

--- a/internal/coordination/peers/coordinator.go
+++ b/internal/coordination/peers/coordinator.go
@@ -26,15 +26,7 @@
 			return t.hosts[ranked[failures%len(ranked)]].Host, false, true
 		}
 	}
-	var names []string
-	if t.status.Coordinates {
-		names = append(names, t.cfg.Self.Name)
-	}
-	for _, p := range t.hosts {
-		if p.Zone == t.cfg.Self.Zone && p.Coordinates && t.isLive(p, now) {
-			names = append(names, p.Name)
-		}
-	}
+	names := t.coordinating(func(Status) bool { return true }, now)
 	if len(names) == 0 {
 		return Host{}, false, false
 	}
@@ -45,6 +37,20 @@
 	return t.hosts[first].Host, false, true
 }
 
+// coordinating returns the names of the hosts of this zone, this host included, that are live, coordinate, and whose status is accepted. t.mu must be
+// held.
+func (t *Table) coordinating(accept func(Status) bool, now time.Time) (names []string) {
+	if t.status.Coordinates && accept(t.status) {
+		names = append(names, t.cfg.Self.Name)
+	}
+	for _, p := range t.hosts {
+		if p.Zone == t.cfg.Self.Zone && p.Coordinates && accept(p.Status) && t.isLive(p, now) {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
 // HomeZone returns the zone in which something is coordinated that belongs to no zone.
 func (t *Table) HomeZone(key string) string {
 	t.mu.Lock()
--- a/internal/coordination/peers/host.go
+++ b/internal/coordination/peers/host.go
@@ -54,11 +54,14 @@
 	Coordinates bool `cbor:"6,keyasint,omitempty"`
 	// CutOff is set while the host has lost its way to the endpoints of a service that other hosts reach.
 	CutOff bool `cbor:"7,keyasint,omitempty"`
+	// Quotas is set while the host may grant permits for the requests of customers: its build supports them, and it hears from half of its zone.
+	// Earlier builds leave it out.
+	Quotas bool `cbor:"8,keyasint,omitempty"`
 }
 
 // sameForCallers reports whether two statuses differ at most in what does not concern callers: the rate, which changes with nearly every
-// message, whether the store answers, and whether the host coordinates.
+// message, whether the store answers, whether the host coordinates, and what its build supports.
 func (s Status) sameForCallers(other Status) bool {
-	s.Rate, s.StoreFailing, s.Coordinates = other.Rate, other.StoreFailing, other.Coordinates
+	s.Rate, s.StoreFailing, s.Coordinates, s.Quotas = other.Rate, other.StoreFailing, other.Coordinates, other.Quotas
 	return s == other
 }
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -59,6 +59,7 @@
 	status          Status
 	advertisedCache advertisedCache
 	startLists      map[string]startList // cached results of HostsForZone, by zone
+	quorumBase      quorumBase
 }
 
 // peer is the entry of another host.
--- /dev/null
+++ b/internal/coordination/peers/quorum.go
@@ -0,0 +1,92 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/rendezvous"
+)
+
+// QuotaHosts returns at most limit hosts of a zone that may coordinate the quota of a key, the best first: those with the most cores, because most of
+// the requests arrive there, and of these in rendezvous order. Of this host's zone they are the live ones that coordinate and support quotas,
+// this host included. Of other zones, from which this host gets no heartbeats, they are all that may do so and pass messages on otherwise.
+func (t *Table) QuotaHosts(zone, key string, limit int, now time.Time) []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	if zone == t.cfg.Self.Zone {
+		names = t.coordinating(func(s Status) bool { return s.Quotas }, now)
+	} else {
+		for _, p := range t.hosts {
+			if p.Zone == zone && (p.lastMessage.IsZero() || p.Quotas && !p.Leaving) {
+				names = append(names, p.Name)
+			}
+		}
+	}
+	list := make([]Host, 0, len(names))
+	for _, name := range rendezvous.Rank(coordinatorKey+key, names) {
+		if name == t.cfg.Self.Name {
+			list = append(list, t.cfg.Self)
+			continue
+		}
+		list = append(list, t.hosts[name].Host)
+	}
+	slices.SortStableFunc(list, func(a, b Host) int { return cmp.Compare(b.Cores, a.Cores) })
+	return list[:min(limit, len(list))]
+}
+
+// LastMessage returns when the last message of a host arrived; zero if none has.
+func (t *Table) LastMessage(name string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.hosts[name]; p != nil {
+		return p.lastMessage
+	}
+	return time.Time{}
+}
+
+const (
+	// minQuorumWindow is the least time in which a host must have sent a message to count as heard from. On large zones, whose hosts send
+	// heartbeats less often, the time is quorumIntervals heartbeat intervals: about four fifths of the hosts send one within it.
+	minQuorumWindow = 500 * time.Millisecond
+	quorumIntervals = 0.8
+	// quorumMemory is how long a host counts the hosts that it knew when it last heard from half of them. A host that is cut off forgets silent
+	// hosts much sooner, and would else take itself for the whole zone.
+	quorumMemory = 5 * time.Minute
+)
+
+// quorumBase is the number of hosts of the zone that the table knew when this host last heard from half of them.
+type quorumBase struct {
+	known int
+	at    time.Time
+}
+
+// Quorum returns from how many hosts of this zone this host has heard lately, and how many it knows, itself included in both. Hosts that have
+// announced that they leave do not count, and of several descriptions with one address only one does. A host that has not heard from half of them may be
+// cut off from the rest.
+func (t *Table) Quorum(now time.Time) (heard, known int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	window := max(minQuorumWindow, time.Duration(quorumIntervals*float64(t.heartbeatIntervalLocked())))
+	addresses := map[string]bool{t.cfg.Self.PeerAddress: true} // whether the host was heard from
+	for _, p := range t.hosts {
+		if p.Zone != t.cfg.Self.Zone || p.Leaving {
+			continue
+		}
+		recent := !p.lastMessage.IsZero() && now.Sub(p.lastMessage) <= window
+		addresses[p.PeerAddress] = addresses[p.PeerAddress] || recent
+	}
+	for _, recent := range addresses {
+		if recent {
+			heard++
+		}
+	}
+	b := &t.quorumBase
+	known = max(len(addresses), b.known)
+	if 2*heard >= known || now.Sub(b.at) > quorumMemory {
+		known = len(addresses)
+		*b = quorumBase{known, now}
+	}
+	return heard, known
+}
--- /dev/null
+++ b/internal/coordination/quota/bucket.go
@@ -0,0 +1,92 @@
+package quota
+
+import "time"
+
+const (
+	// slotTime is the resolution at which a bucket remembers what was granted, and slotCount the number of slots that it remembers: longer than
+	// a request waits before it is refused as not run.
+	slotTime  = 25 * time.Millisecond
+	slotCount = 320
+)
+
+// bucket is the token bucket of a customer. It remembers when permits were granted, and computes its tokens from that: a permit that is given
+// back counts as if it had never been granted, also if the bucket has been full since. Adding it to the tokens instead would let a customer whose
+// waiting requests are refused exceed its limit.
+type bucket struct {
+	terms
+	origin  time.Time // slots are counted from here
+	first   int64     // oldest slot that is remembered
+	base    float64   // tokens at the start of slot first
+	granted [slotCount]float64
+}
+
+func newBucket(t terms, tokens float64, now time.Time) *bucket {
+	return &bucket{terms: t, origin: now, base: min(tokens, t.depth)}
+}
+
+func (b *bucket) slot(at time.Time) int64 { return int64(at.Sub(b.origin) / slotTime) }
+
+// advance drops slots that are too old to be remembered.
+func (b *bucket) advance(now time.Time) {
+	last := b.slot(now)
+	oldest := last - slotCount + 1
+	if oldest-b.first > slotCount { // unused for long
+		b.base, b.first = b.depth, oldest
+		clear(b.granted[:])
+		return
+	}
+	for ; b.first < oldest; b.first++ {
+		g := &b.granted[b.first%slotCount]
+		b.base = min(b.depth, b.base+b.rate*slotTime.Seconds()) - *g
+		*g = 0
+	}
+}
+
+// tokens returns the number of permits that may be granted now. What was granted in a slot counts from the end of the slot, so that the depth is
+// never exceeded.
+func (b *bucket) tokens(now time.Time) float64 {
+	b.advance(now)
+	last := b.slot(now)
+	t, perSlot := b.base, b.rate*slotTime.Seconds()
+	for s := b.first; s < last; s++ {
+		t = min(b.depth, t+perSlot) - b.granted[s%slotCount]
+	}
+	elapsed := now.Sub(b.origin) - time.Duration(last)*slotTime
+	return min(b.depth, t+b.rate*elapsed.Seconds()) - b.granted[last%slotCount]
+}
+
+// grant takes up to n permits and returns their number.
+func (b *bucket) grant(n int, now time.Time) int {
+	n = max(0, min(n, int(b.tokens(now))))
+	b.granted[b.slot(now)%slotCount] += float64(n)
+	return n
+}
+
+// maxGrantDelaySlots is the number of slots in which a request reaches the coordinator.
+const maxGrantDelaySlots = 8
+
+// giveBack takes back permits that were requested some time ago, granted soon after that, and not used. It ignores those of which it remembers no
+// grant.
+func (b *bucket) giveBack(n float64, age time.Duration, now time.Time) {
+	b.advance(now)
+	requested := now.Add(-max(0, age))
+	if requested.Before(b.origin) {
+		return
+	}
+	first := b.slot(requested)
+	for s := max(first, b.first); s <= min(first+maxGrantDelaySlots, b.slot(now)) && n > 0; s++ {
+		g := &b.granted[s%slotCount]
+		taken := min(*g, n)
+		*g -= taken
+		n -= taken
+	}
+}
+
+// add adds tokens that another host had until now.
+func (b *bucket) add(tokens float64) { b.base = min(b.depth, b.base+max(0, tokens)) }
+
+// setTerms changes the terms from now on. The tokens are kept, up to the new depth. Permits granted before are not taken back any more.
+func (b *bucket) setTerms(t terms, now time.Time) {
+	tokens := min(t.depth, max(0, b.tokens(now)))
+	*b = bucket{terms: t, origin: now, base: tokens}
+}
--- /dev/null
+++ b/internal/coordination/quota/quota.go
@@ -0,0 +1,238 @@
+// Package quota keeps the requests of a customer on all entry hosts together within its limit. One host, the customer's coordinator, holds the
+// customer's token bucket and grants permits, one for each request. Hosts request permits ahead of their demand; permits expire, so that a
+// host that is cut off or was suspended uses no more than it holds. The bucket of a new coordinator is nearly empty, because another host may have
+// granted the rest until now. The package does no network I/O itself.
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+)
+
+const (
+	// requestTimeout is the time after which a request for permits, or its response, counts as lost. Another host is asked too then.
+	requestTimeout = 30 * time.Millisecond
+	// lateGrantTime is how long after a request its grant is still accepted.
+	lateGrantTime = time.Second
+	// takeoverTime is how long a coordinator must be silent although it is asked before the next host takes its place. A host that is cut off with
+	// less than half of its zone has noticed that by then (peers.Table.Quorum) and grants nothing.
+	takeoverTime = 500 * time.Millisecond
+	// pingInterval is the interval at which a silent coordinator is asked for a response.
+	pingInterval = 100 * time.Millisecond
+	// tickInterval is the interval at which Tick is to be called.
+	tickInterval = 20 * time.Millisecond
+	// pauseLimit is the time between two calls of Tick that shows that the process was suspended. Another host may have become the coordinator.
+	pauseLimit = 500 * time.Millisecond
+	// resumeTime is how long after that requests get no permits. They may have been sent long before, when others used up the quota of that time.
+	resumeTime = 250 * time.Millisecond
+	// viewTime is how long a host uses what it found out about coordinators and its zone.
+	viewTime = 50 * time.Millisecond
+	// maxCandidates is the number of hosts of a zone that are asked in turn.
+	maxCandidates = 4
+	// unavailableDelay is the delay stated if there is no coordinator. Up to as much is added at random.
+	unavailableDelay = 150 * time.Millisecond
+	// maxAfter bounds the time for which a host refuses requests without asking: permits may be given back meanwhile.
+	maxAfter = 250 * time.Millisecond
+	// unusedLifetime is how long the state of a customer is kept after its last use.
+	unusedLifetime = 30 * time.Second
+	// keptReturns is the number of returns that wait for a message.
+	keptReturns = 64
+	// returnDelay is how long a return waits for a request that takes it along.
+	returnDelay = 50 * time.Millisecond
+	// askerLifetime is how long a coordinator counts a host as one that asks.
+	askerLifetime = time.Second
+)
+
+// Config holds the parts that a Limiter uses.
+type Config struct {
+	Tolerance Tolerance
+	Host      string // name of this host
+	Zone      string // availability zone of this host
+	// Limit returns the limit of a customer in the configuration in force. ok is false if the customer has none.
+	Limit func(customer string) (l Limit, ok bool)
+	// Limited returns the names of the customers that have a limit.
+	Limited func() []string
+	// HomeZone returns the zone whose hosts coordinate a customer.
+	HomeZone func(customer string) string
+	// Candidates returns hosts of a zone that may coordinate a customer, the best first; see peers.Table.QuotaHosts.
+	Candidates func(zone, customer string, limit int, now time.Time) []peers.Host
+	// LastMessage returns when the last message of a host arrived.
+	LastMessage func(host string) time.Time
+	// Quorum returns from how many hosts of this zone this host has heard lately, and how many it knows; see peers.Table.Quorum.
+	Quorum func(now time.Time) (heard, known int)
+	// Send sends a message to the address of a host, without waiting. Messages may be lost.
+	Send func(address string, requests []Request, grants []Grant)
+	// OnEvent reports a change of what this host coordinates. Fields are pairs of names and values, as for eventlog.
+	OnEvent func(event string, fields ...any)
+}
+
+// Limiter holds the permits of this host, and the buckets of the customers that it coordinates. It is safe for concurrent use.
+type Limiter struct {
+	cfg Config
+
+	mu           sync.Mutex
+	holdings     map[string]*holding     // by customer
+	coordinated  map[string]*coordinated // by customer; those that this host coordinates
+	awaited      map[string]*awaited     // by host name; hosts of this zone that were asked
+	outbox       map[string][]Request    // by address; requests that wait for the next message there
+	lastNumber   uint64
+	share        float64 // of limits that this host may grant: 0 if it may be cut off, 0.5 with exactly half of the zone, else 1
+	viewAt       time.Time
+	maintainedAt time.Time
+	lastTick     time.Time
+	resumedAt    time.Time
+}
+
+// awaited is a host that was asked.
+type awaited struct {
+	address  string
+	customer string
+	since    time.Time // when it was first asked since its last message
+	pingedAt time.Time
+}
+
+// New returns a limiter.
+func New(cfg Config, now time.Time) *Limiter {
+	return &Limiter{cfg: cfg, holdings: map[string]*holding{}, coordinated: map[string]*coordinated{}, awaited: map[string]*awaited{},
+		outbox: map[string][]Request{}, lastNumber: uint64(now.UnixMicro()) << 10, lastTick: now}
+}
+
+// Outcome says whether a request may run.
+type Outcome string
+
+// Outcomes.
+const (
+	Granted     Outcome = "granted"
+	Exceeded    Outcome = "exceeded"    // the customer has used up its limit
+	Unavailable Outcome = "unavailable" // no coordinator has answered
+)
+
+// Result is the result of Acquire.
+type Result struct {
+	Outcome    Outcome
+	Permit     *Permit       // nil if the customer has no limit
+	RetryAfter time.Duration // for the caller of a request that is refused
+	Limit      Limit
+}
+
+// Permit allows one request to run.
+type Permit struct {
+	customer  string
+	requested time.Time // when the permit was requested
+	until     time.Time // when it expires
+	limit     Limit     // under which it was granted
+	returned  bool
+}
+
+// Acquire uses a permit of the customer, or waits for one for at most maxWait. It refuses at once if the limit is used up.
+func (l *Limiter) Acquire(ctx context.Context, customer string, maxWait time.Duration) Result {
+	result, w := l.begin(customer, time.Now())
+	if w == nil {
+		return result
+	}
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	select {
+	case result = <-w.done:
+	case <-timer.C:
+		result = l.abandon(customer, w)
+	case <-ctx.Done():
+		result = l.abandon(customer, w)
+	}
+	return result
+}
+
+// begin does the work of Acquire without waiting. If the waiter is not nil, it gets the result.
+func (l *Limiter) begin(customer string, now time.Time) (Result, *waiter) {
+	limit, limited := l.cfg.Limit(customer)
+	if !limited {
+		return Result{Outcome: Granted}, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noticePause(now)
+	h := l.holding(customer, limit, now)
+	h.demand.add(now)
+	if now.Sub(l.resumedAt) < resumeTime {
+		return h.unavailable(), nil
+	}
+	if p := h.take(now); p != nil {
+		l.topUp(h, now)
+		return Result{Outcome: Granted, Permit: p, Limit: limit}, nil
+	}
+	if now.Before(h.refusedUntil) {
+		return h.exceeded(l.cfg.Tolerance.Window, now), nil
+	}
+	if l.coordinates(h, now) {
+		return l.grantSelf(h, now), nil
+	}
+	w := &waiter{done: make(chan Result, 1)}
+	h.waiters = append(h.waiters, w)
+	if h.awaitsGrant(now) {
+		l.flush(h.asked[len(h.asked)-1].address)
+	} else if !l.request(h, now, true) {
+		h.waiters = h.waiters[:len(h.waiters)-1]
+		return h.unavailable(), nil
+	}
+	return Result{}, w
+}
+
+// abandon ends the wait for a permit. The result may have arrived meanwhile.
+func (l *Limiter) abandon(customer string, w *waiter) Result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.holdings[customer]
+	select {
+	case result := <-w.done:
+		return result
+	default:
+	}
+	h.removeWaiter(w)
+	return h.unavailable()
+}
+
+// Refund returns the permit of a request that was not run, once. It is of use to another request of this host until it expires; afterwards it goes
+// back to the coordinator, whose bucket counts it as if it had never been granted.
+func (l *Limiter) Refund(p *Permit, now time.Time) {
+	if p == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p.returned {
+		return
+	}
+	p.returned = true
+	h := l.holdings[p.customer]
+	switch c := l.coordinated[p.customer]; {
+	case c != nil && c.bucket != nil:
+		c.bucket.giveBack(1, now.Sub(p.requested), now)
+	case h == nil:
+	case now.Before(p.until):
+		h.lots = append(h.lots, lot{1, p.requested, p.until, p.limit})
+		h.serveWaiters(now)
+	default:
+		h.addReturn(1, p.requested, now)
+	}
+}
+
+// unavailableRetryAfter returns the delay stated if there is no coordinator.
+func unavailableRetryAfter() time.Duration { return unavailableDelay + rand.N(unavailableDelay) }
+
+// noticePause forgets what this host coordinates if the process was suspended. l.mu must be held.
+func (l *Limiter) noticePause(now time.Time) {
+	paused := now.Sub(l.lastTick)
+	if paused <= pauseLimit {
+		return
+	}
+	l.lastTick, l.resumedAt = now, now
+	if len(l.coordinated) > 0 {
+		l.cfg.OnEvent("quota_paused", "paused_ms", paused.Milliseconds(), "coordinated", len(l.coordinated))
+	}
+	clear(l.coordinated)
+	clear(l.awaited)
+}
