registry, gateway: zones can be evacuated

Cause: there was no way to stop all requests to the endpoints of a zone at once (section 4.4 of docs/design/customers-zones-overload.md).

Change: a record evacuate/ZONE in the topic of the configuration withdraws the endpoints of the zone until it is removed, also if the removal shows only as a missing key.

--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -81,9 +81,12 @@
 	return state == detour.Cut || state == detour.Silent && r.call.Handover != nil
 }
 
-// refuseNoEndpoint refuses the request because no endpoint of the service answers.
+// refuseNoEndpoint refuses the request because no endpoint of the service answers, or because all of them are in evacuated zones.
 func (r *activeRequest) refuseNoEndpoint() {
 	r.result.Outcome, r.result.RetryAfter = RefusedNoEndpoint, defaultRetryAfter
+	if n := r.forwarder.cfg.Endpoints().Evacuated[r.call.Service.Name]; n > 0 && r.result.Candidates == 0 {
+		r.result.Detail = "all endpoints of the service are in evacuated zones"
+	}
 }
 
 // takeDetour sends the request through another host, or refuses it, if this host has lost its way to the service. decided is false if this host is to look for
--- a/internal/ctl/gateway.go
+++ b/internal/ctl/gateway.go
@@ -20,6 +20,7 @@
 		{Name: "status", Usage: "show the configuration in force, its age, the endpoints and the load of each host", Flags: gatewayTargets(), Action: gatewayStatus},
 		{Name: "compare", Usage: "show the hosts that differ in configuration, age of the endpoints or health of their store connection", Flags: compareFlags, Action: gatewayCompare},
 		{Name: "endpoints", Usage: "show the endpoints and their load as known to each host", Flags: gatewayTargets(), Action: gatewayEndpoints},
+		{Name: "zones", Usage: "show the availability zones of the endpoints, and which are evacuated, as known to each host", Flags: gatewayTargets(), Action: gatewayZones},
 		{Name: "find", Usage: "show which host received a request and how it ended", ArgsUsage: "REQUEST-ID", Flags: gatewayTargets(), Action: gatewayFind},
 		{Name: "explain", Usage: "explain why a request was refused", ArgsUsage: "REQUEST-ID", Flags: gatewayTargets(), Action: gatewayExplain},
 	}}
@@ -98,3 +99,25 @@
 	}
 	return errors.Join(newPrinter(cmd).print(list, t), checkAnyResponded(list))
 }
+
+func gatewayZones(ctx context.Context, cmd *cli.Command) error {
+	list, err := fetchDumps(ctx, cmd, gateway.SummaryPath)
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"HOST", "ZONE", "ENDPOINTS", "EVACUATED", "FOR", "ERROR"}}
+	for _, d := range list {
+		if d.Dump == nil {
+			t.add(d.Name, "", "", "", "", d.Error)
+			continue
+		}
+		for _, z := range d.Dump.Zones {
+			since := ""
+			if z.Evacuated {
+				since = (time.Duration(z.EvacuatedMS) * time.Millisecond).String()
+			}
+			t.add(d.Dump.Host, z.Zone, z.Endpoints, z.Evacuated, since, "")
+		}
+	}
+	return errors.Join(newPrinter(cmd).print(list, t), checkAnyResponded(list))
+}
--- a/internal/ctl/gateway_test.go
+++ b/internal/ctl/gateway_test.go
@@ -210,7 +210,7 @@
 // TestGatewayHostsAreRequired guards against a command without hosts that reports success.
 func TestGatewayHostsAreRequired(t *testing.T) {
 	is := is.New(t)
-	for _, args := range [][]string{{"compare"}, {"status"}, {"endpoints"}, {"find", "r-1"}, {"explain", "r-1"}} {
+	for _, args := range [][]string{{"compare"}, {"status"}, {"endpoints"}, {"zones"}, {"find", "r-1"}, {"explain", "r-1"}} {
 		_, code, err := runGateway(t, append([]string{"gateway"}, args...)...)
 		is.Equal(code, ExitUsage)
 		is.True(strings.Contains(err.Error(), "--from"))
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -42,6 +42,30 @@
 	// Ways are this host's ways to the endpoints of the services that it has used.
 	Ways      []detour.ServiceState `json:"ways"`
 	Endpoints []EndpointDump        `json:"endpoints"`
+	// Zones are the availability zones of the endpoints, and those that are evacuated.
+	Zones []ZoneDump `json:"zones"`
+}
+
+// ZoneDump is what this host knows about an availability zone.
+type ZoneDump struct {
+	Zone      string `json:"zone"`
+	Endpoints int    `json:"endpoints"` // usable according to their entries
+	Evacuated bool   `json:"evacuated"` // nothing is sent to its endpoints
+	// EvacuatedMS is the time since this host learned of the evacuation, in milliseconds; -1 if the zone is not evacuated.
+	EvacuatedMS int64 `json:"evacuated_ms"`
+}
+
+// zones returns the state of the zones.
+func (g *Gateway) zones(now time.Time) []ZoneDump {
+	list := []ZoneDump{}
+	for _, z := range g.endpoints.Zones() {
+		d := ZoneDump{Zone: z.Zone, Endpoints: z.Endpoints, Evacuated: !z.EvacuatedSince.IsZero(), EvacuatedMS: -1}
+		if d.Evacuated {
+			d.EvacuatedMS = ms(now.Sub(z.EvacuatedSince))
+		}
+		list = append(list, d)
+	}
+	return list
 }
 
 // EndpointDump is what this host knows about an endpoint.
@@ -104,7 +128,7 @@
 	d := Dump{Host: g.settings.Host, Zone: g.settings.Zone, Ready: g.ready(), Draining: g.draining.Load(), UptimeSeconds: int64(now.Sub(g.started).Seconds()),
 		StoreAgeMS: -1, StoreFailingMS: ms(g.follower.FailingFor(now)), ActiveRequests: g.callers.Unanswered(),
 		CallerConnections: g.callers.Connections(), AdvertisedAddresses: g.peers.Addresses(now, maxDirectoryAddresses),
-		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total, Ways: g.ways.States(now)}
+		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total, Ways: g.ways.States(now), Zones: g.zones(now)}
 	if t := g.routes.Load(); t != nil {
 		d.ConfigurationVersion = t.Version
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -30,13 +30,16 @@
 }
 
 // contractHandler implements follow.Handler for the contract topic. It puts each configuration in force that is newer than the current one
-// and ignores older versions.
+// and ignores older versions. It also applies the records that evacuate zones.
 type contractHandler struct{ g *Gateway }
 
 // Apply puts the configuration of a record in force if it is newer than the current one. A configuration with faulty routes is used
 // without them unless no route is left.
-func (h contractHandler) Apply(r follow.Record, _ bool, _ time.Time) bool {
+func (h contractHandler) Apply(r follow.Record, _ bool, now time.Time) bool {
 	g := h.g
+	if zone, ok := g.evacuatedZone(r.Key); ok {
+		return g.setEvacuation(zone, r, now)
+	}
 	if r.Value == nil {
 		return false
 	}
@@ -99,8 +102,10 @@
 	return current == nil || cfg.Version > current.Version
 }
 
-// RetainKeys does nothing: a configuration stays in force when its record is removed.
-func (h contractHandler) RetainKeys(map[string]bool, bool, time.Time) {}
+// RetainKeys ends the evacuations whose records were removed. A configuration stays in force when its record is removed.
+func (h contractHandler) RetainKeys(keys map[string]bool, _ bool, now time.Time) {
+	h.g.retainEvacuations(keys, now)
+}
 
 // Compare orders configurations by their versions. An unreadable one is older than a readable one.
 func (h contractHandler) Compare(a, b follow.Record) (order int, renewal bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -45,6 +44,9 @@
 	ContractTopic, EndpointTopic, HostTopic string
 	// DecodeContract decodes a record of ContractTopic. It returns nil for records that are not a configuration.
 	DecodeContract func(key string, value []byte) (*routing.Config, error)
+	// DecodeEvacuation returns the zone to whose endpoints nothing is to be sent while ContractTopic has a record with the key. ok is false for
+	// keys of other records. Nil means that there are no such records.
+	DecodeEvacuation func(key string) (zone string, ok bool)
 	// DecodeEndpoint decodes a record of EndpointTopic.
 	DecodeEndpoint func(key string, value []byte) (registry.Entry, error)
 	// Directory returns the handler that serves callers the addresses of the hosts to connect to. lookup returns the hosts' addresses and
@@ -91,6 +93,7 @@
 	storeHealth      storeHealth
 	encodedStates    encodedStateCache
 	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
+	evacuations      evacuations
 	storedHosts      storedHostList
 	storedQuarantine storedQuarantine
 	heartbeatNow     chan struct{} // has the next heartbeat sent at once
@@ -198,27 +201,6 @@
 	return g
 }
 
-// advertisedBurstFraction is the fraction of the repeat budget's burst that the advertised hosts divide among themselves. All hosts divide
-// the rest.
-const advertisedBurstFraction = 0.75
-
-// repeatBudgetParts returns into how many parts like this host's the burst of the repeat budget is divided.
-func (g *Gateway) repeatBudgetParts() int {
-	now := time.Now()
-	return burstParts(g.peers.SelfAdvertised(now), g.peers.AdvertisedHostCount(now), g.peers.HostCount())
-}
-
-// burstParts returns the inverse of a host's share of the burst. Hosts that the directory advertises receive most requests. The others
-// serve only callers that still use older addresses. With equal shares, hundreds of hosts would leave those that receive the requests of a
-// zone about one repeat each.
-func burstParts(selfAdvertised bool, advertisedHosts, hosts int) int {
-	share := (1 - advertisedBurstFraction) / float64(hosts)
-	if selfAdvertised {
-		share += advertisedBurstFraction / float64(advertisedHosts)
-	}
-	return int(math.Ceil(1 / share))
-}
-
 // usedProbeFraction is the fraction of the allowed load probes that the hosts advertised by the directory use. The rest is left for other
 // hosts, which callers may still use with older addresses.
 const usedProbeFraction = 0.85
--- a/internal/state/registry/leaving.go
+++ b/internal/state/registry/leaving.go
@@ -28,7 +28,7 @@
 	announcements int       // messages to other hosts that will still carry the mark
 }
 
-// Withdrawn reports whether the incarnation must not get new requests: it is leaving or its entry is gone. It takes no lock.
+// Withdrawn reports whether the incarnation must not get new requests: it is leaving, its entry is gone or its zone is evacuated. It takes no lock.
 func (t *Table) Withdrawn(id endpoints.ID) bool {
 	withdrawn, _ := t.withdrawn.get(id)
 	return withdrawn
@@ -124,7 +124,7 @@
 func (t *Table) dropMark(id endpoints.ID) {
 	delete(t.marks, id)
 	r := t.records[EndpointName(id)]
-	t.withdrawn.set(id, r != nil && r.endpoint.ID == id && !r.usable, false)
+	t.withdrawn.set(id, r != nil && r.endpoint.ID == id && !t.listed(r), false)
 }
 
 // EndpointName returns the name of the endpoint from an incarnation that incarnation returned.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -51,6 +51,8 @@
 	Version  uint64 // number of changes that were applied, see Table.Version
 	Services map[string][]*Endpoint
 	Total    int
+	// Evacuated is the number of endpoints per service that are left out because their zone is evacuated. It is nil without evacuated zones.
+	Evacuated map[string]int
 }
 
 // Change describes one applied change of an endpoint, for logs.
@@ -74,7 +76,9 @@
 	marks          map[endpoints.ID]*leavingMark
 	marksCheckedAt time.Time      // when the old ones were last dropped
 	unannounced    []endpoints.ID // marks that messages to other hosts have to carry
-	withdrawn      idSet          // incarnations that are marked or whose record is not usable
+	withdrawn      idSet          // incarnations that are marked, whose record is not usable or whose zone is evacuated
+
+	evacuated map[string]time.Time // evacuated zones, and since when
 }
 
 // service lists the usable endpoints of one service, ordered by name.
@@ -115,7 +119,7 @@
 func (t *Table) Endpoint(id endpoints.ID) (Endpoint, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[EndpointName(id)]; r != nil && r.usable && r.endpoint.ID == id {
+	if r := t.records[EndpointName(id)]; r != nil && t.listed(r) && r.endpoint.ID == id {
 		return *r.endpoint, true
 	}
 	return Endpoint{}, false
@@ -132,7 +136,7 @@
 	if old.Version == t.version.Load() {
 		return old
 	}
-	s := &Snapshot{Version: t.version.Load(), Services: maps.Clone(old.Services), Total: t.total}
+	s := &Snapshot{Version: t.version.Load(), Services: maps.Clone(old.Services), Total: t.total, Evacuated: t.countEvacuated()}
 	for name, list := range t.services {
 		switch {
 		case len(list.endpoints) == 0:
@@ -170,7 +174,7 @@
 	marked := t.isMarked(r.endpoint.ID, now)
 	r.usable = r.usable && !marked
 	t.records[e.Name] = r
-	if r.usable {
+	if t.listed(r) {
 		t.withdrawn.set(r.endpoint.ID, false, false)
 	} else {
 		defer t.withdrawn.set(r.endpoint.ID, true, marked) // after the new snapshot, which must not list a withdrawn endpoint
@@ -187,6 +191,8 @@
 	state := "usable"
 	if !r.usable {
 		state = "leaving"
+	} else if !t.listed(r) {
+		state = "evacuated"
 	}
 	return &Change{Name: e.Name, Service: e.Service, Address: e.Address, State: state, ID: r.endpoint.ID}
 }
@@ -284,12 +290,12 @@
 	}
 	i, listed := slices.BinarySearchFunc(list.endpoints, r.entry.Name, func(e *Endpoint, name string) int { return strings.Compare(e.Name, name) })
 	switch {
-	case listed && r.usable:
+	case listed && t.listed(r):
 		list.endpoints[i] = r.endpoint
 	case listed:
 		list.endpoints = slices.Delete(list.endpoints, i, i+1)
 		t.total--
-	case r.usable:
+	case t.listed(r):
 		list.endpoints = slices.Insert(list.endpoints, i, r.endpoint)
 		t.total++
 	}
