--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -97,6 +97,8 @@
 	Service *routing.Service
 	// Due is the deadline of the caller or of the route, whichever is earlier.
 	Due time.Time
+	// CallerDue is until when the caller waits, as it states. It is later than Due if the route's timeout is shorter, and zero if it is not known.
+	CallerDue time.Time
 	// Arrived is when the host had read the request.
 	Arrived time.Time
 	// Caller is the address of the caller, without a port.
@@ -115,6 +117,14 @@
 	fingerprintMemo quarantine.Fingerprint
 }
 
+// callerDue returns CallerDue, or Due if it is not known.
+func (c *Call) callerDue() time.Time {
+	if c.CallerDue.After(c.Due) {
+		return c.CallerDue
+	}
+	return c.Due
+}
+
 const (
 	// probeTimeout bounds a probe, including the set-up of a connection to a busy endpoint.
 	probeTimeout = 150 * time.Millisecond
@@ -195,7 +205,7 @@
 	if c.Handover != nil {
 		r.waitedFor = c.Handover.WaitedBefore
 	} else {
-		r.waitedFor = f.waits.Estimate(c.Route.Name, c.Due.Sub(c.Arrived), now)
+		r.waitedFor = f.waits.Estimate(c.Route.Name, c.callerDue().Sub(c.Arrived), now)
 	}
 	r.result.WaitedBefore = r.waitedFor
 	r.targetAt = c.Due
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -36,7 +36,7 @@
 func (r *activeRequest) overloadRequest() overload.Request {
 	c := r.call
 	return overload.Request{CustomerPriority: c.CustomerPriority, RoutePriority: c.Route.Priority, Route: c.Route.Name, Guest: c.Handover != nil, Customer: c.Customer,
-		Work: r.serviceTime, FirstSent: c.Arrived.Add(-r.waitedFor), LateAt: r.targetAt, Due: c.Due}
+		Work: r.serviceTime, FirstSent: c.Arrived.Add(-r.waitedFor), LateAt: r.targetAt, Due: c.Due, CallerDue: c.callerDue()}
 }
 
 const (
--- a/internal/coordination/overload/decide.go
+++ b/internal/coordination/overload/decide.go
@@ -137,7 +137,7 @@
 func (q *Queue) RetryAfter(r *Request, now time.Time, random func() float64) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	longest := time.Duration(retryFraction * float64(r.Due.Sub(now)))
+	longest := time.Duration(retryFraction * float64(r.callerDue().Sub(now)))
 	capacity := q.capacity(now)
 	spare := capacity - q.arrivals(now, func(*band) bool { return true })
 	own := q.band(r.rank())
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -19,6 +19,7 @@
 	FirstSent        time.Time     // when the caller sent its first attempt, as far as this host knows
 	LateAt           time.Time     // when the target latency is exceeded, counted from FirstSent
 	Due              time.Time     // deadline of this attempt
+	CallerDue        time.Time     // until when the caller waits, with further attempts; Due if that is later
 }
 
 // rank is the part of the order that time does not change. A lower rank is served first.
@@ -49,6 +50,14 @@
 // urgency returns the time by which requests of one rank are ordered, with the given work.
 func (r *Request) urgency(work time.Duration) time.Time { return r.FirstSent.Add(agingFactor * work) }
 
+// callerDue returns until when the caller waits.
+func (r *Request) callerDue() time.Time {
+	if r.CallerDue.After(r.Due) {
+		return r.CallerDue
+	}
+	return r.Due
+}
+
 // leastWork is the least duration of a request that still counts as likely, as a fraction of its usual one.
 const leastWork = 0.8
 
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -98,6 +98,7 @@
 	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
+	call.CallerDue = r.HeaderReadAt.Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
 	who.addTo(call)
 	res := g.forwarder.Run(ctx, call)
 	checkRevoked(call, res)
@@ -134,6 +135,18 @@
 	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
+// maxStatedTime bounds the time that a caller states. No caller waits for longer.
+const maxStatedTime = time.Hour
+
+// statedTime returns for how long a caller waits, by the stated time in milliseconds. It is 0 if none is stated or the text is no number.
+func statedTime(text string) time.Duration {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms > 0) { // NaN compares false
+		return 0
+	}
+	return time.Duration(min(ms, float64(maxStatedTime.Milliseconds())) * float64(time.Millisecond))
+}
+
 // responseOf returns the response of an endpoint as a response to the caller, without hop-by-hop header fields. A large body is streamed.
 func responseOf(res *forward.Result) *ingress.Response {
 	out := &ingress.Response{Status: res.Response.Status, Header: callerapi.EndToEndHeaders(res.Response.Header, nil), Body: res.Body, Length: res.Response.Length}
