ratelimit, forward: cold endpoints get no more requests than they take

Cause: after its start an endpoint takes few requests for some seconds, and ends at rates well above. Hosts held it for slow, and sent it as many as its slots take (section 4.3 of docs/design/customers-zones-overload.md).

Change: the rate of a service's cold endpoints is a limit like one that an endpoint names, for as long as its entry or its responses to health checks say. The lower of the two counts. A request for permits states what the host knows (Request field 7), and a host that learns it from a health check tells the others (Statement field 5). Where there is a rate, an endpoint gets a health check before its next request if it has not responded for 5 s, or a connection to it has ended since. A zone whose endpoints are all cold serves requests with much time left, and those for which no other zone has room. An entry that states a longer warm-up than before is no mere renewal. arbutusctl gateway endpoints shows for how long an endpoint is cold and at which rate; docs/design/cold-endpoints.md has failures and costs.

Services without a rate are served as before.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -43,6 +43,8 @@
 	Idempotent bool
 	// HealthCheck says that this is a health check or load probe of the host itself. Its response is never one to a caller's request.
 	HealthCheck bool
+	// RecentContact says that the request is not sent on a new connection if the upstream may have started again since its last response.
+	RecentContact bool
 	// RetainBody is called before Body is passed to a connection. The function that it returns is called when the connection no
 	// longer reads Body, which may be after the call has ended. RetainBody is nil if Body's memory is never reused.
 	RetainBody func() (release func())
@@ -72,6 +74,9 @@
 	HasRateLimit bool
 	// MalformedRateLimit is the limit that the response names if it cannot be read, for logs.
 	MalformedRateLimit string
+	// ColdFor is how much longer the endpoint is cold after its start, as this response states it. It is valid if HasColdFor is set.
+	ColdFor    time.Duration
+	HasColdFor bool
 	// HealthCheck says that the response is one to a health check or load probe.
 	HealthCheck bool
 	// SentAt and ReadAt enclose the time at which the upstream made the response: when the request was passed to the connection, and when the
--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -152,6 +152,11 @@
 	views := r.forwarder.cfg.EndpointStats.Sample(r.call.Service.Name, list, r.forwarder.cfg.Random, now)
 	avoid := func(id endpoints.ID) bool { return slices.Contains(r.tried, id) || r.forwarder.cfg.Withdrawn(id) }
 	r.findLimited(views, now)
+	if len(r.limits.indices) > 0 && len(r.result.Attempts) == 0 {
+		if v, expected := r.chooseLocalCold(ctx, views, avoid, coldMargin); v != nil {
+			return v, expected
+		}
+	}
 	best, expected := r.chooseWithoutPermit(ctx, views, avoid, waiting, now)
 	return r.chooseLimited(ctx, views, avoid, ahead, best, expected)
 }
@@ -165,7 +170,7 @@
 	stats := r.forwarder.cfg.EndpointStats
 	cfg := stats.Config()
 	if r.call.Service.HealthPath == "" || stats.ReportsNoLoad(r.call.Service.Name, now) {
-		return r.chooseWithoutProbes(cfg, views, avoid)
+		return r.chooseWithContact(ctx, cfg, views, avoid)
 	}
 	var candidates []int
 	for i := range views {
@@ -202,7 +207,7 @@
 		best, expected = cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
 	}
 	if best < 0 && r.result.ProbeRoundsSkipped > 0 {
-		v, expected := r.chooseWithoutProbes(cfg, views, avoid)
+		v, expected := r.chooseWithoutProbes(cfg, views, r.withContact(views, avoid))
 		if v == nil || !stats.LikelyRoom(v.Service, v.Local, now) {
 			return nil, 0
 		}
--- a/internal/coordination/forward/limited.go
+++ b/internal/coordination/forward/limited.go
@@ -56,7 +56,15 @@
 // has answered a moment ago. ahead is the number of requests that wait before this one.
 func (r *activeRequest) chooseLimited(ctx context.Context, views []placement.EndpointView, avoid func(endpoints.ID) bool, ahead int,
 	best *placement.EndpointView, expected time.Duration) (*placement.EndpointView, time.Duration) {
-	if len(r.limits.indices) == 0 || best != nil && best.HasFreeSlot() && expected <= time.Until(r.lateAt) {
+	if len(r.limits.indices) == 0 {
+		return best, expected
+	}
+	if best == nil || !best.Local && !best.LeavesRoom() {
+		if v, expected := r.chooseLocalCold(ctx, views, avoid, 1); v != nil {
+			return v, expected
+		}
+	}
+	if best != nil && best.HasFreeSlot() && expected <= time.Until(r.lateAt) {
 		return best, expected
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitWait)
@@ -70,7 +78,7 @@
 		if !v.HasFreeSlot() || best != nil && best.HasFreeSlot() && expected <= limitedExpected {
 			continue
 		}
-		if r.forwarder.cfg.RateLimiter.Acquire(ctx, v.Endpoint.Endpoint, 0) {
+		if r.forwarder.cfg.RateLimiter.Acquire(ctx, v.Endpoint.Endpoint, 0) && r.checkLimited(ctx, views, i) {
 			return v, limitedExpected
 		}
 	}
@@ -95,7 +103,7 @@
 	}
 	for _, i := range order {
 		v := &views[i]
-		if _, permits := r.forwarder.cfg.RateLimiter.Permits(v.ID, time.Now()); permits > 0 && v.HasFreeSlot() {
+		if _, permits := r.forwarder.cfg.RateLimiter.Permits(v.ID, time.Now()); permits > 0 && v.HasFreeSlot() && r.checkLimited(ctx, views, i) {
 			r.limits.all = false
 			return v, r.forwarder.cfg.EndpointStats.Config().ExpectedDuration(v, r.serviceTime)
 		}
--- a/internal/coordination/forward/limited_test.go
+++ b/internal/coordination/forward/limited_test.go
@@ -25,6 +25,11 @@
 	for name, perSecond := range named {
 		limits.Record(endpoints.ID{Address: name, Incarnation: name}, ratelimits.Statement{PerSecond: perSecond, SentAt: now.Add(-time.Second), AnsweredAt: now})
 	}
+	return f.forwarderWithLimits(limits)
+}
+
+// forwarderWithLimits returns a forwarder of a host that coordinates the endpoints in a table.
+func (f *fakeService) forwarderWithLimits(limits *ratelimits.Table) *Forwarder {
 	limiter := ratelimit.New(ratelimit.Config{Limits: limits, Hosts: func() int { return 1 },
 		Coordinator: func(string, endpoints.ID, int, time.Time) (peers.Host, bool, bool) { return peers.Host{}, true, true }})
 	cfg := placement.DefaultConfig()
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -41,6 +41,7 @@
 		f.recordUnanswered(v.Endpoint.Endpoint, got.err, now)
 	case got.err != nil:
 		f.cfg.EndpointStats.RecordEnd(v.ID, true, now)
+		f.cfg.EndpointStats.RecordContactLost(v.ID, now)
 		f.recordUnanswered(v.Endpoint.Endpoint, got.err, now)
 		if f.cfg.CrashGuard != nil && (sendErr == nil || sendErr.Broken) && !f.cfg.Withdrawn(v.ID) {
 			f.cfg.CrashGuard.ConnectionBroke(ctx, v.Endpoint.Endpoint, call.fingerprint())
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -145,7 +145,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline, execCall.Idempotent = r.call.Due, r.call.Route.Idempotent
+	execCall.Deadline, execCall.Idempotent, execCall.RecentContact = r.call.Due, r.call.Route.Idempotent, r.call.needsContact() && !v.Cold
 	go func() {
 		got := sendResult{err: errPanicked, written: true} // stays so if the send panics
 		defer func() {
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -51,6 +51,7 @@
 	inFlightLimit  int           // bound of inFlight after a rejection; 0 if there is none
 	usedAt         time.Time     // of the last access, for EvictUnused
 	answeredAt     time.Time     // of the last response
+	contactLostAt  time.Time     // when a connection to it last failed or was ended by it
 	pace           pace
 }
 
@@ -95,6 +96,9 @@
 	v := EndpointView{Endpoint: e, Local: e.Zone == t.cfg.Zone, WarmUpLeft: max(0, e.WarmUpEnd.Sub(now))}
 	if t.cfg.RateLimiter != nil {
 		v.Limited, v.Permits = t.cfg.RateLimiter.Permits(e.ID, now)
+		if until := t.cfg.RateLimiter.ColdUntil(e.ID, now); !until.IsZero() {
+			v.Cold, v.WarmUpLeft = true, max(v.WarmUpLeft, until.Sub(now))
+		}
 	}
 	t.update(e.ID, now, func(s *endpointEntry) {
 		s.fill(&v, now)
@@ -113,6 +117,7 @@
 	}
 	v.ProbeInFlight = !s.probeStartedAt.IsZero()
 	v.Rejecting, v.InFlightLimit = s.rejecting(now), s.inFlightLimit
+	v.Unchecked, v.ContactLost = s.unchecked(now), s.contactLost()
 	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
 }
 
@@ -158,7 +163,7 @@
 func (t *EndpointStats) StartProbe(id endpoints.ID, now time.Time) bool {
 	started := false
 	t.update(id, now, func(s *endpointEntry) {
-		if started = s.probeStartedAt.IsZero() && !s.rejecting(now) && t.takePermit(id, now); started {
+		if started = s.probeStartedAt.IsZero() && !s.rejecting(now) && t.takeForCheck(id, now); started {
 			s.probeStartedAt = now
 		}
 	})
@@ -175,7 +180,7 @@
 func (t *EndpointStats) RecordUnreachable(id endpoints.ID, now time.Time) {
 	t.update(id, now, func(s *endpointEntry) {
 		s.suspectTime = min(max(minSuspectTime, 2*s.suspectTime), maxSuspectTime)
-		s.suspectUntil = now.Add(s.suspectTime)
+		s.suspectUntil, s.contactLostAt = now.Add(s.suspectTime), now
 	})
 }
 
@@ -196,6 +201,11 @@
 	return t.cfg.RateLimiter == nil || t.cfg.RateLimiter.Take(id, now)
 }
 
+// takeForCheck uses up a permit for a load probe if the endpoint has a limit that counts probes. It returns false if there is none.
+func (t *EndpointStats) takeForCheck(id endpoints.ID, now time.Time) bool {
+	return t.cfg.RateLimiter == nil || t.cfg.RateLimiter.TakeForCheck(id, now)
+}
+
 func (s *endpointEntry) recordSend() { s.inFlight, s.sentSinceLoad = s.inFlight+1, s.sentSinceLoad+1 }
 
 // RecordEnd records the end of a request of this host, and whether it failed.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -51,6 +51,10 @@
 	Permits(id endpoints.ID, now time.Time) (limited bool, permits int)
 	// Take uses up a permit of a limited endpoint. It returns false if this host holds none.
 	Take(id endpoints.ID, now time.Time) bool
+	// TakeForCheck is Take for a load probe, which needs no permit at an endpoint that is only cold.
+	TakeForCheck(id endpoints.ID, now time.Time) bool
+	// ColdUntil returns until when an endpoint takes few requests and is slow after its start; zero if it is not known to do so.
+	ColdUntil(id endpoints.ID, now time.Time) time.Time
 }
 
 // DefaultConfig returns the settings used in production, without the zone.
@@ -98,6 +102,9 @@
 	ProbeInFlight bool          // this host has sent it a probe that has not ended
 	Limited       bool          // it limits the requests of all hosts together
 	Permits       int           // requests that this host may send if it is limited
+	Cold          bool          // it takes few requests for some time after its start, which counts as a limit
+	Unchecked     bool          // it may have started again since its last response to this host, see EndpointStats.Unchecked
+	ContactLost   bool          // a connection to it has failed or ended since that response
 	Pace          float64       // recent duration of requests as a multiple of the usual one; 0 if the endpoint has reported its load
 	WarmUpLeft    time.Duration // how much longer the endpoint is slow after its start
 }
@@ -164,8 +171,10 @@
 	return v.LoadAge >= 0 && v.LoadAge <= maxAge && !v.Suspect && !v.Rejecting && (!v.Limited || v.Permits > 0)
 }
 
-// mayBeProbed reports whether a load probe of the endpoint leaves a permit for a request.
-func (v *EndpointView) mayBeProbed() bool { return !v.Limited || v.Permits > 1 }
+// mayBeProbed reports whether a load probe of the endpoint leaves a permit for a request. A cold one is probed only for a request that may follow.
+func (v *EndpointView) mayBeProbed() bool {
+	return !v.Limited || v.Permits > 1 || v.Cold && v.Permits > 0
+}
 
 // ProbeRounds returns the indices of the endpoints to probe, in rounds and in random order; rng(n) returns a random number in [0, n). The
 // caller probes the endpoints of a round at the same time, and goes on to the next round only if no endpoint was good enough. The first
@@ -253,9 +262,18 @@
 // enough, and another request would not make it nearly full: a host would go on sending to the endpoints whose answers it has just
 // received, and fill these while others are idle.
 func (c *Config) GoodEnough(v *EndpointView, expected, serviceTime time.Duration) bool {
+	return v.LeavesRoom() && c.FastEnough(v, expected, serviceTime)
+}
+
+// LeavesRoom reports whether another request would not make the endpoint nearly full.
+func (v *EndpointView) LeavesRoom() bool {
 	busy, slots := v.occupancy()
-	leavesRoom := busy == 0 || !isNearlyFull(busy+1, slots)
-	return leavesRoom && c.FastEnough(v, expected, serviceTime)
+	return busy == 0 || !isNearlyFull(busy+1, slots)
+}
+
+// ColdDuration returns how long a request of the given usual duration takes at a cold endpoint that nothing else slows.
+func ColdDuration(serviceTime time.Duration) time.Duration {
+	return time.Duration(float64(serviceTime) * warmUpSlowdown)
 }
 
 // FastEnough reports whether an endpoint with the expected duration is worth choosing without probing endpoints of other zones. One
--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -53,13 +53,14 @@
 
 // recordMessage records a statement that another host has sent. What is new and comes from another zone is passed on to the hosts of this zone.
 func (l *Limiter) recordMessage(s Statement, from Sender, now time.Time) {
+	isCold := l.recordColdMessage(s.ID, s.Cold, from, now)
 	isNew, change := l.record(s.ID, s.At(now))
 	if change != nil {
 		l.cfg.OnChange(s.ID, *change, s.At(now), from.Name)
 	}
 	switch {
 	case from.OwnZone:
-	case change != nil:
+	case change != nil, isCold:
 		l.announcements.Forward(s.ID)
 		l.cfg.OnUrgent()
 	case isNew:
@@ -81,15 +82,27 @@
 func (l *Limiter) statements(ids []endpoints.ID, now time.Time) []Statement {
 	var list []Statement
 	for _, id := range ids {
-		if s, ok := l.cfg.Limits.Get(id); ok {
-			list = append(list, NewStatement(id, s, now))
+		cold := l.coldMessage(id, now)
+		if _, ok := l.cfg.Limits.Get(id); ok || cold != nil {
+			s := l.statement(id, now)
+			s.Cold = cold
+			list = append(list, s)
 		}
 	}
 	return list
 }
 
+// statement returns what this host knows of the limit that an endpoint has named.
+func (l *Limiter) statement(id endpoints.ID, now time.Time) Statement {
+	if s, ok := l.cfg.Limits.Get(id); ok {
+		return NewStatement(id, s, now)
+	}
+	return unknownStatement(id)
+}
+
 // HandleRequest answers a request of another host if this host is the coordinator, and passes it on otherwise, once.
 func (l *Limiter) HandleRequest(r Request, from Sender, now time.Time) {
+	l.recordColdMessage(r.ID, r.Cold, from, now)
 	l.recordMessage(r.Statement, from, now)
 	host, self, ok := l.cfg.Coordinator(r.Zone, r.ID, 0, now)
 	forwarded := r.ReplyTo != ""
@@ -108,19 +121,19 @@
 
 // answer returns the response to a request to this host as the coordinator. Without a limit there is nothing to grant: the statement says so.
 func (l *Limiter) answer(r Request, now time.Time) Grant {
-	statement, limited := l.cfg.Limits.Get(r.ID)
-	if !limited {
-		statement = r.Statement.At(now)
+	g := Grant{ID: r.ID, Number: r.Number, Statement: l.statement(r.ID, now)}
+	if _, limited := l.cfg.Limits.Get(r.ID); !limited {
+		g.Statement = r.Statement
 	}
-	g := Grant{ID: r.ID, Number: r.Number, Statement: NewStatement(r.ID, statement, now)}
-	if statement.PerSecond == ratelimits.Unlimited {
+	perSecond := min(g.Statement.PerSecond, l.cfg.Limits.Effective(r.ID, now))
+	if perSecond == ratelimits.Unlimited {
 		return g
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	granted := l.grant(r.ID, statement.PerSecond, time.Duration(r.MaxWaitMS)*time.Millisecond, now)
+	granted := l.grant(r.ID, perSecond, time.Duration(r.MaxWaitMS)*time.Millisecond, now)
 	g.Permits, g.AfterMS = granted.permits, int64(min(maxWaitMS, math.Ceil(granted.after.Seconds()*1000)))
-	if granted.perSecond != statement.PerSecond {
+	if granted.perSecond != g.Statement.PerSecond {
 		g.PerSecond = granted.perSecond
 	}
 	return g
@@ -136,6 +149,10 @@
 		return // another response, or the host has asked again since
 	}
 	s.number = 0
-	l.add(s, g.ID, grant{g.Permits, time.Duration(g.AfterMS) * time.Millisecond, g.limit()}, now)
+	got := grant{g.Permits, time.Duration(g.AfterMS) * time.Millisecond, g.limit()}
+	if got.permits == 0 && got.after == 0 {
+		got.after = noCoordinatorDelay // the coordinator, of an earlier version, grants no permits for endpoints that are only cold
+	}
+	l.add(s, g.ID, got, now)
 	close(s.answered)
 }
--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -16,6 +16,8 @@
 	PerSecond     float64      `cbor:"2,keyasint"` // infinite if the endpoint names no limit any more
 	SentAgoMS     int64        `cbor:"3,keyasint"` // since the request was sent
 	AnsweredAgoMS int64        `cbor:"4,keyasint"` // since the response arrived
+	// Cold is set in announcements if the sender knows the endpoint as cold. Hosts of earlier versions ignore it.
+	Cold *Cold `cbor:"5,keyasint,omitempty"`
 }
 
 // NewStatement returns the message of a statement.
@@ -36,7 +38,12 @@
 	case s.AnsweredAgoMS < 0 || s.AnsweredAgoMS > s.SentAgoMS || s.SentAgoMS > maxAgeMS:
 		return trace.BadParameter("the limit of %s is %d ms old, and was asked for %d ms ago", s.ID, s.AnsweredAgoMS, s.SentAgoMS)
 	}
-	return nil
+	return s.Cold.check(s.ID)
+}
+
+// unknownStatement returns the message about an endpoint that has named no limit. It is so old that it replaces none that its receiver knows.
+func unknownStatement(id endpoints.ID) Statement {
+	return Statement{ID: id, PerSecond: ratelimits.Unlimited, SentAgoMS: maxAgeMS, AnsweredAgoMS: maxAgeMS}
 }
 
 // At returns the statement with times of this host's clock.
@@ -55,6 +62,9 @@
 	Statement Statement `cbor:"5,keyasint"`
 	// MaxWaitMS is how long after the request a permit is still of use.
 	MaxWaitMS int64 `cbor:"6,keyasint,omitempty"`
+	// Cold is set if the host that asks knows the endpoint as cold. Without it, the coordinator goes by its own knowledge alone, as it does with requests
+	// of earlier versions.
+	Cold *Cold `cbor:"7,keyasint,omitempty"`
 }
 
 // maxWaitMS bounds Request.MaxWaitMS and Grant.AfterMS in milliseconds. Reservations do not add up to more than the time of a request.
@@ -65,6 +75,9 @@
 	if r.ID != r.Statement.ID || r.Zone == "" || r.MaxWaitMS < 0 || r.MaxWaitMS > maxWaitMS {
 		return trace.BadParameter("a request for permits names no zone, or two endpoints, or waits for %d ms: not 0 to %d", r.MaxWaitMS, maxWaitMS)
 	}
+	if err := r.Cold.check(r.ID); err != nil {
+		return err
+	}
 	return r.Statement.Check()
 }
 
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -1,6 +1,7 @@
 // Package ratelimit keeps the requests of all entry hosts to an endpoint within the limit that the endpoint has named. One host of the
 // endpoint's availability zone, the coordinator, divides the limit: it grants permits, one for each request. A host sends nothing to a
 // limited endpoint without a permit, so a host that reaches no coordinator, or has just started, sends nothing there once it knows of the limit.
+// The rate at which an endpoint takes requests while it is cold is such a limit too, for as long as it is cold; see cold.go.
 // The package does no network I/O itself.
 package ratelimit
 
@@ -48,10 +49,14 @@
 	// Coordinator returns the host that grants permits for an endpoint of the zone, or one that passes the request on to it. self says
 	// that it is this host. failures is the number of requests to hosts of that zone that got no response. ok is false if there is none.
 	Coordinator func(zone string, id endpoints.ID, failures int, now time.Time) (h peers.Host, self, ok bool)
+	// ColdTolerance is what a cold endpoint survives. If Over is 0, its rate counts as a limit that it has named.
+	ColdTolerance ColdTolerance
 	// Hosts returns the number of entry hosts.
 	Hosts func() int
 	// OnChange is called after this host's belief about a limit has changed. source is SourceResponse or the name of a host.
 	OnChange func(id endpoints.ID, c ratelimits.Change, s ratelimits.Statement, source string)
+	// OnCold is called after this host has learned that an endpoint is cold. source is SourceEntry, SourceHealthCheck or the name of a host.
+	OnCold func(id endpoints.ID, c ratelimits.Cold, source string)
 	// OnUrgent is called when the other hosts should get this host's statements at once. Others may go with the next regular message.
 	OnUrgent func()
 	// SendRequest and SendGrant send a message to the address of a host, without waiting. Messages may be lost.
@@ -81,12 +86,15 @@
 
 // New returns a limiter.
 func New(cfg Config) *Limiter {
+	if cfg.OnCold == nil {
+		cfg.OnCold = func(endpoints.ID, ratelimits.Cold, string) {}
+	}
 	return &Limiter{cfg: cfg, stocks: map[endpoints.ID]*stock{}, buckets: map[endpoints.ID]*bucket{}, failures: map[string]int{}}
 }
 
 // Permits reports whether an endpoint has a limit, and how many permits for it this host may use now.
 func (l *Limiter) Permits(id endpoints.ID, now time.Time) (limited bool, permits int) {
-	if l.cfg.Limits.PerSecond(id) == ratelimits.Unlimited {
+	if l.cfg.Limits.Effective(id, now) == ratelimits.Unlimited {
 		return false, 0
 	}
 	l.mu.Lock()
@@ -96,7 +104,7 @@
 
 // Take reports whether a request may be sent to the endpoint. It uses up a permit if the endpoint has a limit.
 func (l *Limiter) Take(id endpoints.ID, now time.Time) bool {
-	if l.cfg.Limits.PerSecond(id) == ratelimits.Unlimited {
+	if l.cfg.Limits.Effective(id, now) == ratelimits.Unlimited {
 		return true
 	}
 	l.mu.Lock()
@@ -104,6 +112,20 @@
 	return l.stocks[id].take(now)
 }
 
+// TakeForCheck is Take for a health check. It needs no permit at an endpoint that is only cold.
+func (l *Limiter) TakeForCheck(id endpoints.ID, now time.Time) bool {
+	return l.cfg.Limits.PerSecond(id) == ratelimits.Unlimited || l.Take(id, now)
+}
+
+// ColdUntil returns until when an endpoint is cold, as far as this host knows; zero if it is not.
+func (l *Limiter) ColdUntil(id endpoints.ID, now time.Time) time.Time {
+	c, cold := l.cfg.Limits.Cold(id, now)
+	if !cold {
+		return time.Time{}
+	}
+	return c.Until
+}
+
 // Reserved returns the number of permits for an endpoint that this host may use later, and when the first of them, or of those that the
 // coordinator has not granted yet, is valid. The time is zero if it is not known.
 func (l *Limiter) Reserved(id endpoints.ID, now time.Time) (permits int, first time.Time) {
@@ -147,7 +169,7 @@
 // Stock asks for permits without waiting if the endpoint's limit is so high that this host gets several at a time and it holds less than half of
 // those.
 func (l *Limiter) Stock(e endpoints.Endpoint, now time.Time) {
-	most := l.permitsPerGrant(l.cfg.Limits.PerSecond(e.ID))
+	most := l.permitsPerGrant(l.cfg.Limits.Effective(e.ID, now))
 	if _, permits := l.Permits(e.ID, now); most > 1 && permits < most/2 {
 		l.request(e, 0, now)
 	}
@@ -156,8 +178,8 @@
 // request sends a request for permits unless this host may use one now, awaits a response or was refused. answered is closed when the response
 // arrives; it is nil if none is awaited. joined says that the response is that to an earlier request.
 func (l *Limiter) request(e endpoints.Endpoint, maxWait time.Duration, now time.Time) (held bool, answered <-chan struct{}, joined bool) {
-	statement, limited := l.cfg.Limits.Get(e.ID)
-	if !limited || statement.PerSecond == ratelimits.Unlimited {
+	perSecond := l.cfg.Limits.Effective(e.ID, now)
+	if perSecond == ratelimits.Unlimited {
 		return true, nil, false
 	}
 	l.mu.Lock()
@@ -185,13 +207,13 @@
 		return false, nil, false
 	case self:
 		s.number = 0
-		l.add(s, e.ID, l.grant(e.ID, statement.PerSecond, maxWait, now), now)
+		l.add(s, e.ID, l.grant(e.ID, perSecond, maxWait, now), now)
 		return s.valid(now) > 0, nil, false
 	}
 	l.lastNumber++
 	s.number, s.requestedAt, s.answered = l.lastNumber, now, make(chan struct{})
-	l.cfg.SendRequest(host.PeerAddress, Request{ID: e.ID, Zone: e.Zone, Number: s.number, Statement: NewStatement(e.ID, statement, now),
-		MaxWaitMS: maxWait.Milliseconds()})
+	l.cfg.SendRequest(host.PeerAddress, Request{ID: e.ID, Zone: e.Zone, Number: s.number, Statement: l.statement(e.ID, now),
+		MaxWaitMS: maxWait.Milliseconds(), Cold: l.coldMessage(e.ID, now)})
 	return false, s.answered, false
 }
 
@@ -224,7 +246,7 @@
 // held, so that a limit which falls meanwhile is applied afterwards by voidAbove.
 func (l *Limiter) add(s *stock, id endpoints.ID, g grant, now time.Time) {
 	s.add(g, now)
-	s.dropAbove(l.cfg.Limits.PerSecond(id))
+	s.dropAbove(l.cfg.Limits.Effective(id, now))
 }
 
 // voidAbove drops the permits for an endpoint that were granted under a higher limit than the given one, in requests per second.
@@ -238,8 +260,7 @@
 
 // bucket returns the bucket of an endpoint. A new one is empty, since another host may have granted permits until now. l.mu must be held.
 func (l *Limiter) bucket(id endpoints.ID, perSecond float64, now time.Time) *bucket {
-	granted := min(max(minPerSecond, usedShare*perSecond), math.MaxInt32)
-	burst := max(1, int(granted*burstTime.Seconds()))
+	granted, burst := l.permitRate(id, perSecond, now)
 	b := l.buckets[id]
 	switch {
 	case b == nil:
@@ -251,6 +272,16 @@
 	return b
 }
 
+// permitRate returns the rate of permits per second for an endpoint with a limit, and how many may add up.
+func (l *Limiter) permitRate(id endpoints.ID, perSecond float64, now time.Time) (granted float64, burst int) {
+	granted = usedShare * perSecond
+	if c, cold := l.cfg.Limits.Cold(id, now); cold && c.PerSecond <= perSecond && l.cfg.ColdTolerance.Over > 0 {
+		granted, burst = l.cfg.ColdTolerance.permitRate(perSecond)
+	}
+	granted = min(max(minPerSecond, granted), math.MaxInt32)
+	return granted, max(1, burst, int(granted*burstTime.Seconds()))
+}
+
 // setLimit changes the limit of an endpoint, the rate of its permits per second, and the number of permits that add up. What was reserved under a
 // higher limit is void, so that the new rate need not make up for it: after a fall from 40 to 2 a second, that would take 20 times as long
 // as it was reserved for. Within debtInterval of such a fall, the time that is reserved stays reserved.
@@ -281,7 +312,7 @@
 // Coordinate announces again the limits of the endpoints that this host coordinates, and calls check for those whose newest statement is old, if
 // there is a permit for a check. It is to be called a few times a second.
 func (l *Limiter) Coordinate(lookup func(endpoints.ID) (endpoints.Endpoint, bool), check func(endpoints.Endpoint), now time.Time) {
-	for _, id := range l.cfg.Limits.Limited() {
+	for _, id := range l.cfg.Limits.EffectivelyLimited(now) {
 		e, ok := lookup(id)
 		if !ok {
 			continue
@@ -290,9 +321,12 @@
 			l.dropBucket(id)
 			continue
 		}
-		statement, _ := l.cfg.Limits.Get(id)
+		statement, limited := l.cfg.Limits.Get(id)
+		if !limited || statement.PerSecond == ratelimits.Unlimited {
+			continue // it is only cold, which ends by itself
+		}
 		l.mu.Lock()
-		b := l.bucket(id, statement.PerSecond, now)
+		b := l.bucket(id, l.cfg.Limits.Effective(id, now), now)
 		due := now.Sub(b.refreshedAt) >= refreshInterval
 		if due {
 			b.refreshedAt = now
@@ -321,7 +355,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	unused := func(id endpoints.ID, usedAt time.Time) bool {
-		return now.Sub(usedAt) > unusedLifetime || l.cfg.Limits.PerSecond(id) == ratelimits.Unlimited
+		return now.Sub(usedAt) > unusedLifetime || l.cfg.Limits.Effective(id, now) == ratelimits.Unlimited
 	}
 	for id, s := range l.stocks {
 		if unused(id, s.usedAt) {
@@ -329,7 +363,7 @@
 		}
 	}
 	for id := range l.buckets {
-		if l.cfg.Limits.PerSecond(id) == ratelimits.Unlimited {
+		if l.cfg.Limits.Effective(id, now) == ratelimits.Unlimited {
 			delete(l.buckets, id)
 		}
 	}
--- a/internal/coordination/ratelimit/sim_test.go
+++ b/internal/coordination/ratelimit/sim_test.go
@@ -30,6 +30,8 @@
 	limit    float64       // requests per second; ratelimits.Unlimited if the endpoint names none
 	runs     time.Duration // of a request
 	arrivals []simArrival
+
+	requests, grants int // messages about permits
 }
 
 // simArrival is a request that reached the endpoint.
@@ -121,7 +123,7 @@
 	for _, other := range s.hosts {
 		h.table.Add(other.host, s.now)
 	}
-	h.limiter = New(Config{Limits: h.limits, Hosts: h.table.HostCount,
+	h.limiter = New(Config{Limits: h.limits, ColdTolerance: ColdTolerance{Over: 1.5, Slack: 8}, Hosts: h.table.HostCount,
 		Coordinator: func(zone string, id endpoints.ID, failures int, now time.Time) (peers.Host, bool, bool) {
 			return h.table.Coordinator(zone, id.String(), failures, now)
 		},
@@ -132,9 +134,11 @@
 		},
 		OnUrgent: func() { h.beatAt(maxTime(s.now, h.lastBeat.Add(20*time.Millisecond))) },
 		SendRequest: func(address string, r Request) {
+			s.requests++
 			h.send(address, func(to *simHost) { to.limiter.HandleRequest(r, to.sender(h), s.now) })
 		},
 		SendGrant: func(address string, g Grant) {
+			s.grants++
 			h.send(address, func(to *simHost) { to.limiter.HandleGrant(g, to.sender(h), s.now) })
 		}})
 	h.nextBeat = time.Time{}
@@ -218,7 +222,7 @@
 		if h.down || h.incarnation != incarnation {
 			return
 		}
-		h.limiter.Coordinate(func(endpoints.ID) (endpoints.Endpoint, bool) { return h.sim.endpoint, true }, func(endpoints.Endpoint) { h.sendRequest() }, h.sim.now)
+		h.limiter.Coordinate(func(id endpoints.ID) (endpoints.Endpoint, bool) { return h.sim.endpoint, id == h.sim.endpoint.ID }, func(endpoints.Endpoint) { h.sendRequest() }, h.sim.now)
 		h.coordinate(incarnation)
 	})
 }
--- a/internal/ctl/gateway.go
+++ b/internal/ctl/gateway.go
@@ -87,14 +87,15 @@
 	if err != nil {
 		return err
 	}
-	t := &table{header: []string{"HOST", "SERVICE", "ENDPOINT", "ADDRESS", "ZONE", "SLOTS", "RUNNING", "WAITING", "SLOWNESS", "LOAD AGE MS", "FAILING", "SUSPECT"}}
+	t := &table{header: []string{"HOST", "SERVICE", "ENDPOINT", "ADDRESS", "ZONE", "SLOTS", "RUNNING", "WAITING", "SLOWNESS", "LOAD AGE MS", "FAILING", "SUSPECT",
+		"COLD MS", "COLD PER S"}}
 	for _, d := range list {
 		if d.Dump == nil {
 			continue
 		}
 		for _, e := range d.Dump.Endpoints {
 			t.add(d.Dump.Host, e.Service, e.Name, e.Address, e.Zone, e.Slots, e.Running, e.Waiting, e.Slowness, e.LoadAgeMS,
-				e.FailureRate, e.Suspect)
+				e.FailureRate, e.Suspect, e.ColdMS, e.ColdPerSecond)
 		}
 	}
 	return errors.Join(newPrinter(cmd).print(list, t), checkAnyResponded(list))
--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -63,6 +63,7 @@
 	g.metrics.Gauge("store_age_ms", func() any { age, _ := g.follower.Age(time.Now()); return age.Milliseconds() })
 	g.metrics.Gauge("endpoints", func() any { return g.endpoints.Snapshot().Total })
 	g.metrics.Gauge("endpoints_limited", func() any { return len(g.rateLimits.Limited()) })
+	g.metrics.Gauge("endpoints_cold", func() any { return g.rateLimits.CountCold(time.Now()) })
 	g.metrics.Gauge("zones_evacuated", func() any { return g.evacuations.count.Load() })
 	g.metrics.Gauge("hosts_known", func() any { return g.peers.HostCount() })
 	g.metrics.Gauge("hosts_live", func() any { return len(g.peers.LiveZonePeers(time.Now())) })
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -85,6 +85,10 @@
 	Suspect     bool    `json:"suspect"`     // this host could not reach the endpoint recently
 	// RateLimit is the number of requests per second that the endpoint takes from all hosts together; absent if it names no limit.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// ColdMS is how much longer the endpoint takes only ColdPerSecond requests per second from all hosts together after its start, in
+	// milliseconds. Both are absent if it is not cold, or takes as many as later.
+	ColdMS        int64   `json:"cold_ms,omitempty"`
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
 }
 
 // HostAddress tells operators where a host of the deployment is reached.
@@ -114,6 +118,7 @@
 			if s, _ := g.rateLimits.Get(v.ID); s.PerSecond != ratelimits.Unlimited {
 				e.RateLimit = &s.PerSecond
 			}
+			g.coldDump(&e, v.ID, now)
 			if v.LoadAge >= 0 {
 				e.Running, e.Waiting, e.Slowness, e.LoadAgeMS = v.Load.Running, v.Load.Waiting, v.Load.Slowness, ms(v.LoadAge)
 			}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -136,7 +136,11 @@
 		return true
 	}
 	renews := g.endpoints.Renews(e)
-	return g.logEndpointChange(g.endpoints.Put(e, now), sourceStore) || !renews
+	change := g.endpoints.Put(e, now)
+	if e.WarmUp > 0 {
+		g.recordColdEntry(e.Name, now)
+	}
+	return g.logEndpointChange(change, sourceStore) || !renews
 }
 
 // RetainKeys removes the endpoints whose keys are missing after a full read of the topic.
@@ -257,6 +261,7 @@
 	g.ways.Answered(e.Service, e.ID, r.ReadAt)
 	g.crashGuard.Answered(e.ID, r.SentAt)
 	g.recordRateLimit(e, r)
+	g.recordColdAnswer(e, r)
 	if !r.Leaving {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,8 @@
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps, DetourAddress: s.advertisedDetour()}))
 	g.ways, g.hopPool, g.hops = g.newTracker(), g.newHopPool(), g.newHopServer()
 	g.rateLimiter = ratelimit.New(ratelimit.Config{Limits: g.rateLimits, Coordinator: g.limitCoordinator, Hosts: g.peers.HostCount,
-		OnChange: g.logRateLimit, OnUrgent: g.requestHeartbeat, SendRequest: g.sendPermitRequest, SendGrant: g.sendGrant})
+		OnChange: g.logRateLimit, OnCold: g.logCold,
+		ColdTolerance: ratelimit.ColdTolerance{Over: s.ColdOver, Slack: s.ColdSlack}, OnUrgent: g.requestHeartbeat, SendRequest: g.sendPermitRequest, SendGrant: g.sendGrant})
 	cfg := placement.DefaultConfig()
 	cfg.Zone, cfg.RateLimiter = s.Zone, g.rateLimiter
 	g.endpointStats = placement.NewEndpointStats(cfg)
@@ -160,6 +161,7 @@
 	poolConfig.Dialect, poolConfig.IdleTimeout, poolConfig.ConnectTimeout = a.Dialect, upstreamIdleTimeout, upstreamConnectTimeout
 	poolConfig.MaxPerEndpoint, poolConfig.SourceIP = g.maxConnections, s.upstreamSourceIP
 	poolConfig.OnResponse, poolConfig.Leaving = g.recordResponse, g.endpoints.Withdrawn
+	poolConfig.Unchecked, poolConfig.OnContactLost = g.unchecked, g.recordContactLost
 	poolConfig.Rejecting = func(id endpoints.ID) bool {
 		return g.endpointStats.AnyRejecting() && g.endpointStats.Rejecting(id, time.Now())
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -49,6 +49,10 @@
 	RepeatWindowS float64 `json:"repeat_window_s"` // seconds
 	// ProbesPerS limits the load probes that all hosts together send to an endpoint, in probes per second.
 	ProbesPerS float64 `json:"asks_per_s"`
+	// ColdOver and ColdSlack say what an endpoint survives while it is cold: in any second, ColdOver times its rate of requests per second, and
+	// ColdSlack requests. With 0 or without ColdOver, the rate counts as a limit that the endpoint has named.
+	ColdOver  float64 `json:"cold_over"`
+	ColdSlack float64 `json:"cold_slack"` // requests
 	// GraceS is the time between the stop signal and the kill, in seconds.
 	GraceS float64 `json:"grace_s"`
 	// AddressLifetimeS limits how long callers may keep a host address, in seconds.
@@ -84,6 +88,7 @@
 	minMemoryMB    = 64       // MiB
 	maxMemoryMB    = 16 << 20 // MiB
 	minDescriptors = 256
+	maxColdOver    = 10 // times the stated rate
 	maxRepeatRatio = 10 // a RepeatRatio above 10 repeats per request is taken for a mistake
 )
 
@@ -139,6 +144,8 @@
 	check(s.RepeatBurst >= 0, "repeat_burst is %v: use 0 or more requests", s.RepeatBurst)
 	check(s.RepeatWindowS > 0 && s.RepeatWindowS <= maxSettingS, "repeat_window_s is %v: use more than 0 and up to %d seconds", s.RepeatWindowS, maxSettingS)
 	check(s.ProbesPerS > 0, "asks_per_s is %v: use more than 0", s.ProbesPerS)
+	check(s.ColdOver == 0 || s.ColdOver >= 1 && s.ColdOver <= maxColdOver, "cold_over is %v: use 1 to %d, or leave it out", s.ColdOver, maxColdOver)
+	check(s.ColdSlack >= 0, "cold_slack is %v: use 0 or more requests", s.ColdSlack)
 	check(s.GraceS >= minGraceS && s.GraceS <= maxGraceS, "grace_s is %v: use %d to %d seconds", s.GraceS, minGraceS, maxGraceS)
 	check(s.AddressLifetimeS > 0 && s.AddressLifetimeS <= maxSettingS, "address_lifetime_s is %v: use more than 0 and up to %d seconds",
 		s.AddressLifetimeS, maxSettingS)
--- a/internal/state/ratelimits/ratelimits.go
+++ b/internal/state/ratelimits/ratelimits.go
@@ -1,5 +1,5 @@
 // Package ratelimits keeps the limits that endpoints name in their responses: how many requests per second an endpoint takes from all hosts
-// together. Responses of one endpoint reach several hosts in any order, so each statement carries the time span in which the endpoint made it.
+// together. It also keeps which endpoints take only a stated rate for some time after their start. Responses of one endpoint reach several hosts in any order, so each statement carries the time span in which the endpoint made it.
 package ratelimits
 
 import (
@@ -39,12 +39,14 @@
 // Change describes a change of an endpoint's limit, in requests per second.
 type Change struct{ Old, New float64 }
 
-// Table holds the newest statement of each endpoint that has named a limit. It is safe for concurrent use.
+// Table holds the newest statement of each endpoint that has named a limit, and the endpoints that are cold. It is safe for concurrent use.
 type Table struct {
-	size atomic.Int64 // of statements
+	size     atomic.Int64 // of statements
+	coldSize atomic.Int64 // of cold
 
 	mu         sync.RWMutex
 	statements map[endpoints.ID]Statement
+	cold       map[endpoints.ID]Cold
 }
 
 // NewTable returns an empty table.
@@ -119,11 +121,12 @@
 
 // Evict removes limits that were withdrawn more than withdrawnLifetime ago, and the endpoints for which gone returns true.
 func (t *Table) Evict(gone func(endpoints.ID) bool, now time.Time) {
-	if t.size.Load() == 0 {
+	if t.size.Load() == 0 && t.coldSize.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.evictCold(now)
 	for id, s := range t.statements {
 		if gone(id) || s.PerSecond == Unlimited && now.Sub(s.AnsweredAt) > withdrawnLifetime {
 			delete(t.statements, id)
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -33,8 +33,16 @@
 	return cmp.Or(cmp.Compare(e.Started, other.Started), cmp.Compare(e.Sequence, other.Sequence))
 }
 
-// Renews reports whether e and other differ in nothing but their sequence numbers and the remaining times of warm-up.
+// Renews reports whether e and other differ in nothing but their sequence numbers and the remaining times of warm-up, and the later one states no longer
+// time than the other: an endpoint may become cold again.
 func (e Entry) Renews(other Entry) bool {
+	earlier, later := other, e
+	if later.Sequence < earlier.Sequence {
+		earlier, later = later, earlier
+	}
+	if later.WarmUp > earlier.WarmUp {
+		return false
+	}
 	e.Sequence, e.WarmUp = other.Sequence, other.WarmUp
 	return e == other
 }
@@ -103,6 +111,10 @@
 // endpoint sent it.
 const tombstoneLifetime = time.Minute
 
+// warmUpTolerance is the difference up to which the ends of the warm-up in two entries count as the same. Entries arrive with delays that differ
+// by about a second.
+const warmUpTolerance = 1500 * time.Millisecond
+
 // NewTable returns an empty table. If an entry lapses during or shortly after an outage of the store, its endpoint stays usable for
 // the grace period lapseGrace, because it may be alive and only unable to renew the entry.
 func NewTable(lapseGrace time.Duration) *Table {
@@ -125,6 +137,16 @@
 	return Endpoint{}, false
 }
 
+// Named returns the usable endpoint with a name.
+func (t *Table) Named(name string) (Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[name]; r != nil && t.listed(r) {
+		return *r.endpoint, true
+	}
+	return Endpoint{}, false
+}
+
 // Snapshot returns the usable endpoints, with all changes that were applied before the call.
 func (t *Table) Snapshot() *Snapshot {
 	if s := t.current.Load(); s.Version == t.version.Load() {
@@ -179,7 +201,8 @@
 	} else {
 		defer t.withdrawn.set(r.endpoint.ID, true, marked) // after the new snapshot, which must not list a withdrawn endpoint
 	}
-	if old != nil && old.removedAt.IsZero() && old.graceEnd.IsZero() && old.usable == r.usable && old.endpoint.Endpoint == r.endpoint.Endpoint && (e.WarmUp > 0) == (old.entry.WarmUp > 0) {
+	if old != nil && old.removedAt.IsZero() && old.graceEnd.IsZero() && old.usable == r.usable && old.endpoint.Endpoint == r.endpoint.Endpoint && (e.WarmUp > 0) == (old.entry.WarmUp > 0) &&
+		r.endpoint.WarmUpEnd.Sub(old.endpoint.WarmUpEnd) <= warmUpTolerance {
 		r.endpoint = old.endpoint
 		return nil
 	}
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -201,3 +201,25 @@
 	}
 	is.Equal(table.Snapshot().Version, table.Version())
 }
+
+// TestColdAgain guards against an endpoint whose entry says that it is slow again after its warm-up, or for longer, and that counts as warm: on the host
+// that reads the entries, and on others, which do not get entries that only renew the last one.
+func TestColdAgain(t *testing.T) {
+	is := is.New(t)
+	warming := func(sequence int64, left time.Duration) Entry {
+		e := entry(sequence)
+		e.WarmUp = left
+		return e
+	}
+	is.True(warming(3, time.Second).Renews(warming(2, 2500*time.Millisecond)))
+	is.True(warming(2, 2500*time.Millisecond).Renews(warming(3, time.Second)))
+	is.True(!warming(3, 2*time.Second).Renews(warming(2, time.Second)))
+	is.True(!warming(2, time.Second).Renews(warming(3, 2*time.Second)))
+	table := NewTable(grace)
+	end := func() time.Duration { return table.Snapshot().Services["lotdesk"][0].WarmUpEnd.Sub(start) }
+	table.Put(warming(1, 3*time.Second), start)
+	is.Equal(table.Put(warming(2, 1500*time.Millisecond), start.Add(1500*time.Millisecond)), nil)
+	is.Equal(end(), 3*time.Second)
+	is.True(table.Put(warming(4, 3*time.Second), start.Add(2*time.Second)) != nil)
+	is.Equal(end(), 5*time.Second)
+}
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -35,6 +35,9 @@
 	Name           string
 	HealthPath     string // path at which an endpoint reports its load; empty if there is none
 	MaxConnections int    // to one endpoint, summed over all hosts; 0 if not stated
+	// ColdPerSecond is the number of requests per second that an endpoint takes from all hosts together while it is cold, for some time after its
+	// start; 0 if it takes as many as later.
+	ColdPerSecond float64
 }
 
 // Limits are the limits for the requests and connections of callers.
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -46,6 +46,10 @@
 	// Leaving reports whether an endpoint must not get new requests any more, and Rejecting whether it must not get any for a while. Send
 	// calls both right before it writes. Connections to leaving endpoints are not kept. Nil means that no endpoint is.
 	Leaving, Rejecting func(id endpoints.ID) bool
+	// Unchecked reports whether an endpoint may have started again since its last response, and OnContactLost is called when all idle connections to
+	// one turned out to be closed. Both are called only for requests with RecentContact. Nil means no call.
+	Unchecked     func(id endpoints.ID) bool
+	OnContactLost func(id endpoints.ID)
 	// MaxBodyBytes is the maximum size of a response body.
 	MaxBodyBytes int64
 }
@@ -115,8 +119,8 @@
 func (c *conn) close() { c.http.Close() }
 
 // get returns an idle connection to the endpoint for the request, or nil. It prefers the one that was used last, because that one is most likely
-// still open, or the one that has been idle for longest if the request asks for it.
-func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) *conn {
+// still open, or the one that has been idle for longest if the request asks for it. closed says that the endpoint had closed an idle connection.
+func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) (idle *conn, closed bool) {
 	var unusable []*conn
 	defer func() { closeAll(unusable) }()
 	sh := p.shard(id)
@@ -126,14 +130,15 @@
 	for {
 		at := chooseIdle(list, c)
 		if at < 0 {
-			return nil
+			return nil, closed
 		}
 		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
 		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && !cn.unnamedExpired(now) && cn.http.Err() == nil && cn.guarded.beginRequest() {
-			return cn
+			return cn, closed
 		}
+		closed = closed || cn.http.Err() != nil
 		unusable = append(unusable, cn)
 	}
 }
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -90,7 +90,8 @@
 	if p.withdrawn(e.ID) {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
-	if cn := p.get(e.ID, time.Now(), c); cn != nil {
+	cn, closed := p.get(e.ID, time.Now(), c)
+	if cn != nil {
 		resp, err := cn.http.RoundTrip(req)
 		if err == nil {
 			return cn, resp, nil
@@ -99,8 +100,12 @@
 		if cn.guarded.requestWritten() || ctx.Err() != nil {
 			return nil, nil, cn.sendError(err)
 		}
+		closed = true
 		setBody(req, c)
 	}
+	if p.needsContact(e.ID, closed, c) {
+		return nil, nil, sendError(false, executor.ErrWithdrawn)
+	}
 	cn, err := p.dial(ctx, e)
 	if err != nil {
 		return nil, nil, sendError(false, err)
@@ -117,6 +122,18 @@
 	return cn, resp, nil
 }
 
+// needsContact reports whether a request may not be sent on a new connection to an endpoint before a health check, because the endpoint may have
+// started again. closed says that the endpoint had closed an idle connection.
+func (p *Pool) needsContact(id endpoints.ID, closed bool, c *executor.Call) bool {
+	if !c.RecentContact || p.cfg.Unchecked == nil {
+		return false
+	}
+	if closed && p.cfg.OnContactLost != nil {
+		p.cfg.OnContactLost(id)
+	}
+	return p.cfg.Unchecked(id)
+}
+
 func (p *Pool) newRequest(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*http.Request, error) {
 	target, err := url.ParseRequestURI(c.Path)
 	if err != nil {
--- a/internal/transport/upstreamconn/send_test.go
+++ b/internal/transport/upstreamconn/send_test.go
@@ -608,7 +608,8 @@
 	p.CloseIdle(time.Now().Add(time.Hour))
 	is.Equal(p.openCount(u.endpoint.ID), 0)
 	idleOne()
-	is.True(p.get(u.endpoint.ID, time.Now().Add(time.Hour), &executor.Call{}) == nil)
+	idle, _ := p.get(u.endpoint.ID, time.Now().Add(time.Hour), &executor.Call{})
+	is.True(idle == nil)
 	is.Equal(p.openCount(u.endpoint.ID), 0)
 }
 
