--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -83,9 +83,12 @@
 	return state == detour.Cut || state == detour.Silent && r.call.Handover != nil
 }
 
-// refuseNoEndpoint refuses the request because no endpoint of the service answers.
+// refuseNoEndpoint refuses the request because no endpoint of the service answers, or because all of them are in evacuated zones.
 func (r *activeRequest) refuseNoEndpoint() {
 	r.result.Outcome, r.result.RetryAfter = RefusedNoEndpoint, defaultRetryAfter
+	if n := r.forwarder.cfg.Endpoints().Evacuated[r.call.Service.Name]; n > 0 && r.result.Candidates == 0 {
+		r.result.Detail = "all endpoints of the service are in evacuated zones"
+	}
 }
 
 // takeDetour sends the request through another host, or refuses it, if this host has lost its way to the service. decided is false if this host is to look for
@@ -154,7 +157,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline, execCall.Idempotent = r.call.Due.Add(-hopMargin), r.call.Route.Idempotent
+	execCall.Deadline = r.call.Due.Add(-hopMargin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true}
 		defer func() {
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -33,8 +33,16 @@
 	return cmp.Or(cmp.Compare(e.Started, other.Started), cmp.Compare(e.Sequence, other.Sequence))
 }
 
-// Renews reports whether e and other differ in nothing but their sequence numbers and the remaining times of warm-up.
+// Renews reports whether e and other differ in nothing but their sequence numbers and the remaining times of warm-up, and the later one states no longer
+// time than the other: an endpoint may become cold again.
 func (e Entry) Renews(other Entry) bool {
+	earlier, later := other, e
+	if later.Sequence < earlier.Sequence {
+		earlier, later = later, earlier
+	}
+	if later.WarmUp > earlier.WarmUp {
+		return false
+	}
 	e.Sequence, e.WarmUp = other.Sequence, other.WarmUp
 	return e == other
 }
@@ -51,6 +59,8 @@
 	Version  uint64 // number of changes that were applied, see Table.Version
 	Services map[string][]*Endpoint
 	Total    int
+	// Evacuated is the number of endpoints per service that are left out because their zone is evacuated. It is nil without evacuated zones.
+	Evacuated map[string]int
 }
 
 // Change describes one applied change of an endpoint, for logs.
@@ -74,7 +84,9 @@
 	marks          map[endpoints.ID]*leavingMark
 	marksCheckedAt time.Time      // when the old ones were last dropped
 	unannounced    []endpoints.ID // marks that messages to other hosts have to carry
-	withdrawn      idSet          // incarnations that are marked or whose record is not usable
+	withdrawn      idSet          // incarnations that are marked, whose record is not usable or whose zone is evacuated
+
+	evacuated map[string]time.Time // evacuated zones, and since when
 }
 
 // service lists the usable endpoints of one service, ordered by name.
@@ -128,6 +140,10 @@
 	return true
 }
 
+// warmUpTolerance is the difference up to which the ends of the warm-up in two entries count as the same. Entries arrive with delays that differ
+// by about a second.
+const warmUpTolerance = 1500 * time.Millisecond
+
 // NewTable returns an empty table. If an entry lapses during or shortly after an outage of the store, its endpoint stays usable for
 // the grace period lapseGrace, because it may be alive and only unable to renew the entry.
 func NewTable(lapseGrace time.Duration) *Table {
@@ -144,7 +160,17 @@
 func (t *Table) Endpoint(id endpoints.ID) (Endpoint, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[EndpointName(id)]; r != nil && r.usable && r.endpoint.ID == id {
+	if r := t.records[EndpointName(id)]; r != nil && t.listed(r) && r.endpoint.ID == id {
+		return *r.endpoint, true
+	}
+	return Endpoint{}, false
+}
+
+// Named returns the usable endpoint with a name.
+func (t *Table) Named(name string) (Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[name]; r != nil && t.listed(r) {
 		return *r.endpoint, true
 	}
 	return Endpoint{}, false
@@ -161,7 +187,7 @@
 	if old.Version == t.version.Load() {
 		return old
 	}
-	s := &Snapshot{Version: t.version.Load(), Services: maps.Clone(old.Services), Total: t.total}
+	s := &Snapshot{Version: t.version.Load(), Services: maps.Clone(old.Services), Total: t.total, Evacuated: t.countEvacuated()}
 	for name, list := range t.services {
 		switch {
 		case len(list.endpoints) == 0:
@@ -197,12 +223,13 @@
 	marked := t.isMarked(r.endpoint.ID, now)
 	r.usable = r.usable && !marked
 	t.records[e.Name] = r
-	if r.usable {
+	if t.listed(r) {
 		t.withdrawn.set(r.endpoint.ID, false, false)
 	} else {
 		defer t.withdrawn.set(r.endpoint.ID, true, marked) // after the new snapshot, which must not list a withdrawn endpoint
 	}
-	if old != nil && old.removedAt.IsZero() && old.graceEnd.IsZero() && old.usable == r.usable && old.endpoint.Endpoint == r.endpoint.Endpoint && (e.WarmUp > 0) == (old.entry.WarmUp > 0) {
+	if old != nil && old.removedAt.IsZero() && old.graceEnd.IsZero() && old.usable == r.usable && old.endpoint.Endpoint == r.endpoint.Endpoint && (e.WarmUp > 0) == (old.entry.WarmUp > 0) &&
+		r.endpoint.WarmUpEnd.Sub(old.endpoint.WarmUpEnd) <= warmUpTolerance {
 		r.endpoint = old.endpoint
 		return nil
 	}
@@ -214,6 +241,8 @@
 	state := "usable"
 	if !r.usable {
 		state = "leaving"
+	} else if !t.listed(r) {
+		state = "evacuated"
 	}
 	return &Change{Name: e.Name, Service: e.Service, Address: e.Address, State: state, ID: r.endpoint.ID}
 }
@@ -311,12 +340,12 @@
 	}
 	i, listed := slices.BinarySearchFunc(list.endpoints, r.entry.Name, func(e *Endpoint, name string) int { return strings.Compare(e.Name, name) })
 	switch {
-	case listed && r.usable:
+	case listed && t.listed(r):
 		list.endpoints[i] = r.endpoint
 	case listed:
 		list.endpoints = slices.Delete(list.endpoints, i, i+1)
 		t.total--
-	case r.usable:
+	case t.listed(r):
 		list.endpoints = slices.Insert(list.endpoints, i, r.endpoint)
 		t.total++
 	}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -46,6 +46,10 @@
 	// Leaving reports whether an endpoint must not get new requests any more, and Rejecting whether it must not get any for a while. Send
 	// calls both right before it writes. Connections to leaving endpoints are not kept. Nil means that no endpoint is.
 	Leaving, Rejecting func(id endpoints.ID) bool
+	// Unchecked reports whether an endpoint may have started again since its last response, and OnContactLost is called when all idle connections to
+	// one turned out to be closed. Both are called only for requests with RecentContact. Nil means no call.
+	Unchecked     func(id endpoints.ID) bool
+	OnContactLost func(id endpoints.ID)
 	// MaxBodyBytes is the maximum size of a response body.
 	MaxBodyBytes int64
 }
@@ -109,15 +113,15 @@
 	openedAt    time.Time // when it was begun to be opened
 	connectedAt time.Time // when it had been opened
 	idleSince   time.Time
-	// unnamedSince is when the first health check was sent whose response carried no request id. It is zero while each response carried one.
-	unnamedSince time.Time
+	// unnamed holds when the last maxLateCopies exchanges were sent whose responses carried no request id, oldest first.
+	unnamed []time.Time
 }
 
 func (c *conn) close() { c.http.Close() }
 
 // get returns an idle connection to the endpoint for the request, or nil. It prefers the one that was used last, because that one is most likely
-// still open, or the one that has been idle for longest if the request asks for it.
-func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) *conn {
+// still open, or the one that has been idle for longest if the request asks for it. closed says that the endpoint had closed an idle connection.
+func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) (idle *conn, closed bool) {
 	var unusable []*conn
 	defer func() { closeAll(unusable) }()
 	sh := p.shard(id)
@@ -127,34 +131,19 @@
 	for {
 		at := chooseIdle(list, c)
 		if at < 0 {
-			return nil
+			return nil, closed
 		}
 		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
-		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && !cn.unnamedExpired(now) && cn.http.Err() == nil && cn.guarded.beginRequest() {
-			return cn
+		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && cn.http.Err() == nil && cn.guarded.beginRequest() {
+			return cn, closed
 		}
+		closed = closed || cn.http.Err() != nil
 		unusable = append(unusable, cn)
 	}
 }
 
-// closeOneIdle closes the connection to the endpoint that has been idle for longest. It returns false if none is idle.
-func (p *Pool) closeOneIdle(id endpoints.ID) bool {
-	sh := p.shard(id)
-	sh.mu.Lock()
-	list := sh.idle[id]
-	if len(list) == 0 {
-		sh.mu.Unlock()
-		return false
-	}
-	c := list[0]
-	sh.idle[id] = slices.Delete(list, 0, 1)
-	sh.mu.Unlock()
-	c.close()
-	return true
-}
-
 // closeAll closes connections. It must not be called under a shard's lock, because closing a connection calls release, which takes that
 // lock.
 func closeAll(list []*conn) {
@@ -196,8 +185,7 @@
 
 // dial opens a connection to the endpoint.
 func (p *Pool) dial(ctx context.Context, e endpoints.Endpoint) (*conn, error) {
-	// An idle connection that the request must not use makes room for one that it may use.
-	if !p.reserve(e) && (!p.closeOneIdle(e.ID) || !p.reserve(e)) {
+	if !p.reserve(e) {
 		return nil, executor.ErrConnectionLimit
 	}
 	openedAt := time.Now()
