overload: requests without a customer weigh as their usual traffic does

Cause: beside known customers, all requests of public routes together had the weight of one average customer. Change: they count as one customer with its usual traffic. Without any customer nothing is measured, as before.

--- a/internal/coordination/overload/customers.go
+++ b/internal/coordination/overload/customers.go
@@ -35,9 +35,10 @@
 	sweptAt time.Time
 }
 
-// get returns a customer, and adds it if it is new. It returns nil for requests without a customer.
+// get returns a customer, and adds it if it is new. All requests without one count as those of one customer; it returns nil for them if no customer
+// is known, as in deployments without customers.
 func (c *customers) get(name string, now time.Time) *customer {
-	if name == "" {
+	if name == "" && len(c.byName) == 0 {
 		return nil
 	}
 	known := c.byName[name]
--- a/internal/coordination/overload/customers_test.go
+++ b/internal/coordination/overload/customers_test.go
@@ -88,6 +88,14 @@
 	traffic(7*time.Second, 20)
 	is.True(weight("c9") < 1.3*usual)
 	is.True(weight("new") <= 1)
+	for range 20 { // requests without a customer are many customers' in truth
+		for range 300 {
+			r := customerRequest("", work, now)
+			q.Arrived(&r, now)
+		}
+		traffic(time.Second, 1)
+	}
+	is.True(weight("") > 2*weight("c0"))
 	now = now.Add(idleTime + sweepInterval)
 	q.sweep(now)
 	is.Equal(len(q.customers.byName), 0)
--- a/internal/coordination/overload/flows.go
+++ b/internal/coordination/overload/flows.go
@@ -7,9 +7,9 @@
 )
 
 // share is the part of one customer in the service of a band (Goyal, Vin and Cheng, Start-time Fair Queueing, 1996). Requests without a customer have
-// one share together.
+// one share together, by their usual traffic.
 type share struct {
-	customer *customer // nil without one
+	customer *customer // nil if no customer is known
 	// tag is the virtual start of the customer's next request: the work that it got done, divided by its weight, and not less than that of the
 	// customers that were served when it began to wait.
 	tag      float64
@@ -25,8 +25,8 @@
 	index   int           // in lane.flows; -1 if none waits
 }
 
-func newShare(c *customer) *share {
-	s := &share{customer: c}
+func newShare() *share {
+	s := &share{}
 	for i := range s.flows {
 		s.flows[i] = flow{share: s, index: -1}
 	}
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -51,9 +51,12 @@
 		if b.shares == nil {
 			b.shares = map[string]*share{}
 		}
-		s = newShare(q.customers.get(name, now))
+		s = newShare()
 		b.shares[name] = s
 	}
+	if s.customer == nil {
+		s.customer = q.customers.get(name, now)
+	}
 	return s
 }
 
