--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -24,8 +24,8 @@
 	defer func() {
 		if waiter != nil {
 			queue.Remove(waiter, ok, time.Now())
-			if !ok {
-				queue.WakeNext() // passes on a wake-up that this request may have received and does not use
+			if !ok && (r.woken || len(waiter.Wake) > 0) {
+				queue.WakeNext() // passes on a wake-up that this request has received and does not use
 			}
 		}
 	}()
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -168,6 +168,7 @@
 	allRejectingUntil time.Time
 	limits            limitedEndpoints  // found by the last search
 	onTrial           bool              // the request is quarantined and is sent once
+	woken             bool              // the last wait ended by a wake-up
 	overload          overload.Estimate // the last one while the request waited
 	direct            bool              // the request looks for an endpoint although this host has lost its way
 	// mayHaveRun says that an endpoint may have run the request.
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -63,6 +63,7 @@
 // when it can no longer be answered before lateAt or its deadline, and when ctx ends. It returns false if the request is refused because too many
 // requests are served before it, which is decided at once and while it waits. starved says that it has found no free slot.
 func (r *activeRequest) waitForTurn(ctx context.Context, queue *overload.Queue, w *overload.Waiter, starved bool) bool {
+	r.woken = false
 	for first := true; ; first = false {
 		now := time.Now()
 		if starved && !r.mayBeLate() {
@@ -86,6 +87,7 @@
 		select {
 		case <-w.Wake:
 			timer.Stop()
+			r.woken = true
 			return true
 		case <-timer.C:
 			if search || queue.IsFirst(w, time.Now()) {
