ingress, gateway: a memory budget for what clients send and do not read

Cause: bodies reserved their stated length until the client sent the rest, one body of the largest legal size did not fit on the smallest machine at all, connections beyond the limit were not bounded, heads of thousands of fields and the responses to pipelined requests were not counted, and readiness, directory, state and metrics accepted any number of connections.

Change: one budget from memory_mb for connections, heads, small and large bodies and responses, with a share for each address. Large bodies have pages of their own, counted as they arrive and freed at once. Bodies that stall, and connections without progress, make room for others. Requests that no route matches have their body discarded. Pipelined requests run one at a time if the caller does not read, or if too many run. Heads of very many fields are limited to 4 a second, send buffers to 128 KiB. The other HTTP servers have a bound on connections (transport/connlimit). A body is retained from the start of a send, and closed also if it was never sent.

--- a/internal/coordination/forward/answer.go
+++ b/internal/coordination/forward/answer.go
@@ -75,10 +75,10 @@
 	return nil
 }
 
-// reserve raises the memory that is reserved for the body of got to size. It returns false if that would exceed Config.MaxBufferedBytes.
+// reserve raises the memory that is reserved for the body of got to size. It returns false if there is none left.
 func (f *Forwarder) reserve(got *sendResult, size int64) bool {
 	more := size - got.reserved
-	if f.bufferedBytes.Add(more) > f.cfg.MaxBufferedBytes && f.cfg.MaxBufferedBytes > 0 {
+	if f.bufferedBytes.Add(more) > f.cfg.MaxBufferedBytes && f.cfg.MaxBufferedBytes > 0 || f.cfg.ReserveMemory != nil && !f.cfg.ReserveMemory(more) {
 		f.bufferedBytes.Add(-more)
 		return false
 	}
@@ -87,7 +87,13 @@
 }
 
 func (f *Forwarder) release(got *sendResult) {
+	if got.reserved == 0 {
+		return
+	}
 	f.bufferedBytes.Add(-got.reserved)
+	if f.cfg.ReleaseMemory != nil {
+		f.cfg.ReleaseMemory(got.reserved)
+	}
 	got.reserved = 0
 }
 
--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -153,10 +153,12 @@
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
 	execCall.Deadline, execCall.Idempotent = r.call.Due.Add(-hopMargin), r.call.Route.Idempotent
+	release := retainBody(&execCall)
 	go func() {
 		got := sendResult{err: errPanicked, written: true}
 		defer func() {
 			got.attempt, got.through, got.allowed = n, h.Name, allowed
+			release()
 			r.sendResults <- got
 		}()
 		defer f.recoverPanic(execCall.RequestID)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -53,6 +53,10 @@
 	// MaxBufferedBytes limits the memory for the bodies of answers, in bytes, apart from small ones. Beyond it, answers are passed on while they
 	// are read. 0 means no limit.
 	MaxBufferedBytes int64
+	// ReserveMemory reserves memory that counts in MaxBufferedBytes from a budget that others use too, and ReleaseMemory gives it back. Nil means that
+	// there is no such budget.
+	ReserveMemory func(bytes int64) bool
+	ReleaseMemory func(bytes int64)
 	// OnCut is called after an endpoint's answer has ended early or without progress, except if the request's log entry tells so. Nil means no call.
 	OnCut func(Cut)
 	// OnPanic is called after a panic that ended a send or a probe. Nil means that a panic ends the process.
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 )
 
@@ -151,6 +152,7 @@
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
 	execCall.Deadline, execCall.Idempotent = r.call.Due, r.call.Route.Idempotent
+	release := retainBody(&execCall)
 	go func() {
 		got := sendResult{err: errPanicked, written: true} // stays so if the send panics
 		defer func() {
@@ -158,6 +160,7 @@
 				r.forwarder.cfg.EndpointStats.RecordEnd(v.ID, true, time.Now())
 			}
 			got.attempt = n
+			release()
 			r.sendResults <- got
 		}()
 		defer r.forwarder.recoverPanic(execCall.RequestID)
@@ -165,6 +168,14 @@
 	}()
 }
 
+// retainBody keeps the memory of a request's body while a send may read it, which may be after the request has ended.
+func retainBody(c *executor.Call) (release func()) {
+	if c.RetainBody == nil {
+		return func() {}
+	}
+	return c.RetainBody()
+}
+
 // cancelSends cancels the sends whose answers are not used.
 func (r *activeRequest) cancelSends() {
 	for _, cancel := range r.cancels {
--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/transport/connlimit"
 )
 
 // auxServer describes an HTTP server other than the one for callers' requests.
@@ -12,6 +15,33 @@
 	address      string
 	handler      http.Handler
 	writeTimeout time.Duration
+	connections  int // the most that may be open
+}
+
+const (
+	// auxHeaderBytes is the size of the largest header that these servers read; net/http adds 4 KiB.
+	auxHeaderBytes = 12 << 10
+	// directoryPerMB and readyPerMB are the connections to the directory and the readiness check for each MiB of the process's memory. A connection takes
+	// up to 0.3 MB while it sends a header of very many fields.
+	directoryPerMB = 0.25
+	readyPerMB     = 0.125
+	// minAuxConnections is the least number of connections to each of the two.
+	minAuxConnections = 16
+	// maxStateConnections bounds the connections of hosts that fetch the state, and maxMetricsConnections those of operators.
+	maxStateConnections   = 128
+	maxMetricsConnections = 16
+)
+
+// newAuxServer returns the server and the listener that it serves.
+func (g *Gateway) newAuxServer(aux auxServer, l net.Listener) (*http.Server, net.Listener) {
+	server := &http.Server{Handler: aux.handler, ReadTimeout: auxServerTimeout, WriteTimeout: aux.writeTimeout, IdleTimeout: auxIdleTimeout,
+		MaxHeaderBytes: auxHeaderBytes}
+	limiter := connlimit.New(aux.connections, func(caller net.Addr) {
+		g.metrics.Add("aux_connections_closed_total", 1)
+		g.log.Info("aux_connection_closed", "address", aux.address, "caller", caller.String(), "most", aux.connections)
+	})
+	limiter.Apply(server)
+	return server, limiter.Listener(l)
 }
 
 // auxIdleTimeout is the idle timeout of these servers. It keeps open the connections of callers that look up addresses repeatedly.
@@ -23,15 +53,16 @@
 	lookup := func() ([]string, time.Duration) {
 		return g.peers.Addresses(time.Now(), maxDirectoryAddresses), time.Duration(g.settings.AddressLifetimeS * float64(time.Second))
 	}
+	connections := func(perMB float64) int { return max(minAuxConnections, int(g.settings.MemoryMB*perMB)) }
 	state := http.NewServeMux()
 	state.HandleFunc("GET "+statePath, g.serveState)
 	servers := []auxServer{
-		{g.settings.StateAddress, state, maxTransferTime},
-		{g.settings.ReadyAddress, g.adapter.Ready(g.ready), auxServerTimeout},
-		{g.settings.DirectoryAddress, g.adapter.Directory(lookup), auxServerTimeout},
+		{g.settings.StateAddress, state, maxTransferTime, maxStateConnections},
+		{g.settings.ReadyAddress, g.adapter.Ready(g.ready), auxServerTimeout, connections(readyPerMB)},
+		{g.settings.DirectoryAddress, g.adapter.Directory(lookup), auxServerTimeout, connections(directoryPerMB)},
 	}
 	if g.settings.MetricsAddress != "" {
-		servers = append(servers, auxServer{g.settings.MetricsAddress, g.operatorHandler(), auxServerTimeout})
+		servers = append(servers, auxServer{g.settings.MetricsAddress, g.operatorHandler(), auxServerTimeout, maxMetricsConnections})
 	}
 	return servers
 }
@@ -68,5 +99,6 @@
 	g.metrics.Gauge("caller_connections", func() any { return g.callers.Connections() })
 	g.metrics.Gauge("active_requests", func() any { return g.callers.Unanswered() })
 	g.metrics.Gauge("buffered_answer_bytes", func() any { return g.forwarder.BufferedBytes() })
+	g.registerMemoryGauges()
 	g.metrics.Gauge("log_lines_left_out_total", func() any { return g.log.Dropped() })
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -75,6 +75,10 @@
 			Detail: "this host has not learned the configuration in force yet", Remedy: "use another address, or come back after the stated delay"})
 	}
 	route := table.Match(r.Host, r.Path)
+	if route != nil && r.BodyDiscarded {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostCatchingUp, Ran: refusals.RanNo, RetryAfter: catchUpRetryAfter, Revision: table.Version,
+			Detail: "the route of the request came into force while its body arrived", Remedy: "send the request again"})
+	}
 	if route == nil {
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RouteUnknown, Ran: refusals.RanNo, Revision: table.Version,
 			Detail: "no route of the configuration in force matches " + r.Host + r.Path, Remedy: "ask the operator for a route"})
@@ -92,7 +96,7 @@
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
-		Header: callerapi.EndToEndHeaders(r.Header, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
+		Header: callerapi.EndToEndHeaders(r.Header, nil), Body: r.Body, RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
 	res := g.forwarder.Run(ctx, call)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -53,7 +53,7 @@
 // newHopServer returns the server for the requests of other hosts' callers.
 func (g *Gateway) newHopServer() *ingress.Server {
 	return ingress.New(ingress.Config{Handler: hopHandler{g}, MaxConnections: max(minHops, int(g.settings.Cores*hopsPerCore)),
-		MaxTotalBodyBytes: int64(g.settings.MemoryMB * hopBodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		MaxTotalBodyBytes: int64(g.settings.MemoryMB * hopBodyFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered, Limits: func() routing.Limits {
 			l := g.limits()
 			l.MaxHeaderBytes += hop.MaxHeaderBytes
@@ -163,7 +163,7 @@
 	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.HeaderReadAt.Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
 		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late},
 		Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target, Header: callerapi.EndToEndHeaders(r.Header, hop.IsHeader), Body: r.Body,
-			Deadline: deadline, Host: r.Host}}
+			RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
 	res := g.forwarder.Run(ctx, call)
 	g.logRequest(ctx, r, id, table, call, res)
 	return h.respond(r, res)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
@@ -78,8 +79,9 @@
 	hops             *ingress.Server    // serves requests that other hosts got from their callers
 	checkWaysNow     chan struct{}      // has the ways checked that need it
 	forwarder        *forward.Forwarder
-	callers          *ingress.Server  // serves callers' requests
-	follower         *follow.Follower // keeps this host's copy of the store current
+	callers          *ingress.Server   // serves callers' requests
+	memory           *membudget.Budget // what callers may take of the memory
+	follower         *follow.Follower  // keeps this host's copy of the store current
 	peers            *peers.Table
 	link             *peerlink.Link // exchanges messages with peers; set by Run
 	draining         atomic.Bool
@@ -110,13 +112,6 @@
 	// upstreamConnectTimeout limits connection set-up, so that requests do not wait for an endpoint that does not accept connections
 	// at once.
 	upstreamConnectTimeout = 150 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the process's memory that request bodies may take, hopBodyMemoryFraction the one for those of requests
-	// that other hosts got, answerMemoryFraction the one for answers that are read before they are passed on, and heapFraction the memory limit of the Go
-	// runtime as a fraction of the process's memory.
-	bodyMemoryFraction    = 0.2
-	hopBodyMemoryFraction = 0.05
-	answerMemoryFraction  = 0.15
-	heapFraction          = 0.6
 	// callerDescriptorFraction is the fraction of the file descriptors that callers' connections may use. The rest is for upstreams, the
 	// store and peers.
 	callerDescriptorFraction = 0.6
@@ -144,6 +139,7 @@
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
 		rateLimits: ratelimits.NewTable(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+	g.memory = newMemoryBudget(s.MemoryMB)
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps, DetourAddress: s.advertisedDetour()}))
@@ -167,10 +163,10 @@
 		AnsweredSince: g.endpointStats.AnsweredSince, MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
+		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
 		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
-		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge:    func() time.Duration { return g.peers.MaxAge(time.Now()) },
@@ -314,7 +310,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: aux.handler, ReadTimeout: auxServerTimeout, WriteTimeout: aux.writeTimeout, IdleTimeout: auxIdleTimeout}
+		server, l := g.newAuxServer(aux, l)
 		servers = append(servers, server)
 		group.Go(func() error { return ignoreClosed(server.Serve(l)) })
 	}
--- /dev/null
+++ b/internal/gateway/memory.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
+	"github.com/arbutusspan/arbutusspan/internal/transport/ingress"
+)
+
+// Fractions of the process's memory. The heap is limited to heapFraction of it (the Go runtime keeps to that by collecting garbage more often), large
+// bodies are kept outside the heap, and the rest is for the program itself. On the smallest host, 184 MiB, one body of 64 MiB fits.
+const (
+	heapFraction = 0.55
+	// clientHeapFraction bounds what clients may take of the heap in all.
+	clientHeapFraction = 0.30
+	connectionFraction = 0.20
+	headFraction       = 0.08
+	smallBodyFraction  = 0.08
+	largeBodyFraction  = 0.36
+	responseFraction   = 0.15
+	// hopBodyFraction is for the bodies of requests that other hosts got, small and large ones each.
+	hopBodyFraction = 0.05
+)
+
+// pipelinedPerCore and minPipelined bound the requests that run while an earlier one of their connection is unanswered. Callers that send many without
+// reading the responses then get one answered at a time, and leave the endpoints to others.
+const (
+	pipelinedPerCore = 400
+	minPipelined     = 64
+)
+
+// newMemoryBudget returns the budget for what callers of a process with the given memory in MiB may take.
+func newMemoryBudget(memoryMB float64) *membudget.Budget {
+	part := func(fraction float64) int64 { return int64(memoryMB * fraction * mebibyte) }
+	return membudget.New(membudget.Limits{Heap: part(clientHeapFraction), Connections: part(connectionFraction), Heads: part(headFraction),
+		SmallBodies: part(smallBodyFraction), LargeBodies: part(largeBodyFraction), Responses: part(responseFraction)})
+}
+
+// reserveResponse reserves memory for n more bytes of responses that are read before they are passed on. It returns false if there is none left.
+func (g *Gateway) reserveResponse(n int64) bool {
+	return g.memory.Reserve(membudget.Responses, netip.Addr{}, g.memory.Limit(membudget.Responses), n)
+}
+
+// releaseResponse gives back memory that reserveResponse reserved.
+func (g *Gateway) releaseResponse(n int64) { g.memory.Release(membudget.Responses, netip.Addr{}, n) }
+
+// NeedsBody implements ingress.BodyFilter. The bodies of requests that are refused in any case are not kept.
+func (g *Gateway) NeedsBody(r *ingress.Request) bool {
+	t := g.routes.Load()
+	return t != nil && t.Match(r.Host, r.Path) != nil
+}
+
+// reportEvicted counts and logs a connection, or a request whose body is being read, that made room for others.
+func (g *Gateway) reportEvicted(caller net.Addr, e ingress.Eviction) {
+	g.metrics.Add("connections_evicted_"+string(e)+"_total", 1)
+	g.log.Info("evicted", "caller", caller.String(), "why", string(e), "connections", g.callers.Connections())
+}
+
+// registerMemoryGauges registers the metrics of the memory budget.
+func (g *Gateway) registerMemoryGauges() {
+	for _, k := range membudget.Kinds() {
+		g.metrics.Gauge("memory_"+k.String()+"_bytes", func() any { return g.memory.Used(k) })
+		g.metrics.Gauge("memory_"+k.String()+"_refused_total", func() any { return g.memory.Refused(k) })
+	}
+}
--- a/internal/state/membudget/membudget.go
+++ b/internal/state/membudget/membudget.go
@@ -85,6 +85,13 @@
 	return ofAddress <= held || float64(ofAddress+n) <= addressShare*float64(limit)
 }
 
+// Add reserves n bytes for the address without regard to the limits, for memory that is bounded otherwise.
+func (b *Budget) Add(k Kind, address netip.Addr, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addLocked(k, address, n)
+}
+
 // Release gives back n bytes that were reserved for the address.
 func (b *Budget) Release(k Kind, address netip.Addr, n int64) {
 	if n == 0 {
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -20,6 +20,8 @@
 	netConn    net.Conn
 	caller     netip.Addr
 	overloaded bool // the server has too many connections: respond with 503 and close
+	activity   activity
+	openedAt   time.Time
 
 	ctx    context.Context // canceled when the caller has disconnected or the connection is aborted
 	cancel context.CancelCauseFunc
@@ -40,10 +42,14 @@
 type exchange struct {
 	request  *Request
 	response chan *Response
+	release  func() // releases the memory of the head
+	reserved int64  // memory reserved for the response
+	conn     *conn
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, netConn: nc, queue: make(chan *exchange, maxPipelined)}
+	c := &conn{server: s, netConn: nc, queue: make(chan *exchange, maxPipelined), openedAt: time.Now()}
+	c.progress()
 	if address, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.caller = address.AddrPort().Addr().Unmap()
 	}
@@ -134,13 +140,18 @@
 func (c *conn) readRequest(br *bufio.Reader) bool {
 	limits := c.server.cfg.Limits()
 	c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	p := parser{br: br, limits: limits, server: c.server, sendContinue: c.sendContinue}
+	c.progress()
+	p := &parser{br: br, limits: limits, server: c.server, conn: c, sendContinue: c.sendContinue}
 	if c.overloaded {
 		p.refuse(http.StatusServiceUnavailable, "this host has too many connections")
 	} else {
-		p.parse(func() { c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout)) })
+		p.parse(func() {
+			c.progress()
+			p.arriving.beginPiece(c)
+		})
 	}
 	if p.disconnected {
+		p.release()
 		return false
 	}
 	keepAlive := p.keepAlive && p.refusal == nil
@@ -151,29 +162,31 @@
 	if p.request != nil {
 		p.request.Caller = c.caller
 	}
-	x := &exchange{request: p.request, response: make(chan *Response, 1)}
+	x := &exchange{request: p.request, response: make(chan *Response, 1), release: p.releaseHead}
 	if p.refusal != nil {
-		c.reportRefusal(&p)
+		c.reportRefusal(p)
 		x.response <- p.refusal
 		c.queue <- x
 		return false
 	}
 	concurrent, failure := c.server.mayRunConcurrently(x.request)
 	if failure != nil {
-		p.release()
+		p.releaseBody()
 		x.response <- failure
 		c.queue <- x
 		return false
 	}
-	if !concurrent && !c.waitForEarlier(br) {
+	if !(concurrent && c.mayPipeline(x)) && !c.waitForEarlier(br) {
 		p.release()
+		x.unreserve()
 		c.answered()
 		return false
 	}
 	c.queue <- x
 	go func() {
-		defer p.release()
-		x.response <- c.server.handle(c.ctx, x.request)
+		response := c.server.handle(c.ctx, x.request)
+		p.releaseBody() // before the caller can send the next one
+		x.response <- response
 	}()
 	return keepAlive
 }
@@ -198,7 +211,9 @@
 	c.netConn.SetReadDeadline(c.lingerUntil)
 	c.mu.Unlock()
 	// An error means only that there is nothing more to read.
-	_, _ = io.Copy(io.Discard, br)
+	if n, _ := io.CopyN(io.Discard, br, maxLingerBytes); n == maxLingerBytes {
+		<-c.ctx.Done() // the end of the time to read the response, or of the connection
+	}
 	c.cancel(ErrCallerLeft)
 }
 
@@ -214,6 +229,8 @@
 	}
 	c.lastRead = !keepAlive || c.stopping
 	c.pending++
+	c.activity.requests.Add(1)
+	c.progress()
 	c.server.unanswered.Add(1)
 	return true
 }
@@ -303,7 +320,7 @@
 
 // write sends the responses in the order of the requests. It returns when the reader has ended and all requests are answered.
 func (c *conn) write() {
-	bw := bufio.NewWriterSize(deadlineWriter{c.netConn}, 4<<10)
+	bw := bufio.NewWriterSize(deadlineWriter{c.netConn, c.wrote}, 4<<10)
 	for x := range c.queue {
 		resp := <-x.response
 		if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, ErrStopped) {
@@ -311,10 +328,13 @@
 				resp.Stream.Close()
 			}
 			c.reportUndelivered(x, resp, cause)
-		} else if err := writeResponse(bw, x.request, resp, c.decideLast(resp)); err != nil {
+		} else if err := c.writeResponse(bw, x.request, resp, c.decideLast(resp)); err != nil {
 			c.reportUndelivered(x, resp, err)
 			c.abort(err)
 		}
+		c.endWrite()
+		x.release()
+		x.unreserve()
 		c.answered()
 	}
 }
@@ -330,7 +350,10 @@
 const maxWriteBytes = 64 << 10
 
 // deadlineWriter writes to a connection. It fails if the caller does not read for writeTimeout, but not because a long response takes longer.
-type deadlineWriter struct{ conn net.Conn }
+type deadlineWriter struct {
+	conn  net.Conn
+	wrote func() // is called after each write
+}
 
 // Write implements io.Writer.
 func (w deadlineWriter) Write(b []byte) (written int, err error) {
@@ -339,6 +362,7 @@
 		var n int
 		n, err = w.conn.Write(b[written:min(len(b), written+maxWriteBytes)])
 		written += n
+		w.wrote()
 	}
 	return written, err
 }
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -16,6 +16,9 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
@@ -28,6 +31,11 @@
 	Header       http.Header
 	Body         []byte
 	HeaderReadAt time.Time // when the header was complete
+	// BodyDiscarded says that the body was read and discarded, because the handler did not need it.
+	BodyDiscarded bool
+	// RetainBody keeps the memory of Body until the function that it returns is called. Otherwise it may be freed once Serve has returned. Nil means
+	// that the memory is not freed while it is in use.
+	RetainBody func() (release func())
 	// Caller is the address of the caller, without a port. It is the zero value if the connection has no IP address.
 	Caller netip.Addr
 }
@@ -54,14 +62,27 @@
 	MayRunConcurrently(r *Request) bool
 }
 
+// BodyFilter may be implemented by a Handler that refuses some requests whatever their body is.
+type BodyFilter interface {
+	// NeedsBody reports whether Serve needs the body of the request, of which the header is known.
+	NeedsBody(r *Request) bool
+}
+
 // Config of a Server.
 type Config struct {
 	Handler Handler
 	Limits  func() routing.Limits
 	// MaxConnections limits the open connections. Requests on further connections are answered with 503.
 	MaxConnections int
-	// MaxTotalBodyBytes limits the memory for request bodies over all connections.
+	// MaxTotalBodyBytes limits the memory for the small and for the large request bodies, if Memory is nil.
 	MaxTotalBodyBytes int64
+	// MaxPipelined limits the requests, over all connections, that run while an earlier one of their connection is unanswered. Further ones wait for the
+	// earlier ones. 0 means no limit.
+	MaxPipelined int
+	// Memory is what the connections and requests may take.
+	Memory *membudget.Budget
+	// OnEvicted is called when a connection, or a request whose body is being read, makes room for others. Nil means no call.
+	OnEvicted func(caller net.Addr, e Eviction)
 	// OnRefused is called when the server refuses a request itself, which the handler never sees: the request is malformed, too large or too
 	// slow, or the server has too many connections or no memory for its body. header is nil if it was not read.
 	OnRefused func(caller net.Addr, header http.Header, status int, reason string)
@@ -98,13 +119,20 @@
 	// lingerTimeout is the time for which the server still reads from a connection after it has closed the write side. Unread bytes
 	// would make the kernel reset the connection, and the caller could lose the last response.
 	lingerTimeout = time.Second
+	// maxLingerBytes bounds what is read meanwhile. A caller that sends more than that after its last request costs no further processor time.
+	maxLingerBytes = 1 << 20
 )
 
 // Server accepts connections and answers their requests.
 type Server struct {
 	cfg            Config
 	draining       atomic.Bool
+	memory         *membudget.Budget
+	maxConns       int
+	heavyHeads     *rate.Limiter
+	arriving       arrivingBodies
 	totalBodyBytes atomic.Int64 // memory reserved for request bodies
+	pipelined      atomic.Int64 // requests that run while an earlier one of their connection is unanswered
 	unanswered     atomic.Int64 // requests that were read and not yet answered
 
 	mu        sync.Mutex
@@ -117,7 +145,16 @@
 
 // New returns a server that does not listen until Serve is called.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, conns: map[*conn]struct{}{}}
+	s := &Server{cfg: cfg, conns: map[*conn]struct{}{}, memory: cfg.Memory, arriving: arrivingBodies{set: map[*arrivingBody]struct{}{}},
+		heavyHeads: rate.NewLimiter(heavyHeadsPerS, heavyHeadsBurst)}
+	if s.memory == nil {
+		s.memory = membudget.New(membudget.Limits{SmallBodies: cfg.MaxTotalBodyBytes, LargeBodies: cfg.MaxTotalBodyBytes})
+	}
+	s.maxConns = cfg.MaxConnections
+	if limit := s.memory.Limit(membudget.Connections); limit > 0 {
+		s.maxConns = min(s.maxConns, int(limit/ConnectionBytes))
+	}
+	return s
 }
 
 // acceptBackoff is the delay after a failed accept, which usually means that the process has no file descriptors left.
@@ -176,17 +213,14 @@
 
 func (s *Server) serveConn(nc net.Conn) {
 	c := newConn(s, nc)
-	s.mu.Lock()
-	c.overloaded = len(s.conns) >= s.cfg.MaxConnections
-	s.conns[c] = struct{}{}
-	s.mu.Unlock()
-	s.openConns.Add(1)
+	if !s.admit(c) {
+		nc.Close()
+		return
+	}
 	go func() {
 		defer s.openConns.Done()
 		c.run()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
+		s.remove(c)
 	}()
 }
 
--- /dev/null
+++ b/internal/transport/ingress/overload.go
@@ -0,0 +1,221 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
+)
+
+const (
+	// ConnectionBytes is the memory of an open connection in bytes: its buffers, the stacks of its two goroutines, and a small head.
+	ConnectionBytes = 20 << 10
+	// sendBufferBytes is the size of a connection's send buffer in the kernel. The default grows to megabytes, in which hundreds of responses wait for a
+	// caller that does not read them. This one allows 1 MB/s over a round trip of 0.1 s.
+	sendBufferBytes = 128 << 10
+	// pipelinedBytes is the memory that is reserved for the response of a request that runs while an earlier one of its connection is unanswered.
+	pipelinedBytes = 16 << 10
+	// spareFraction of the maximum number of connections may be open beyond it, at least minSpare, so that callers are told that there are too many.
+	spareFraction = 0.125
+	minSpare      = 8
+	// victimSample is the number of random connections among which the one is sought that makes room for a new one.
+	victimSample = 16
+	// A connection may be closed in favour of a new one if for such a time no request was completed on a new connection, no byte of a response
+	// could be written, no piece of a request arrived, or it was idle.
+	newConnTime  = 500 * time.Millisecond
+	unreadTime   = 2 * time.Second
+	stuckTime    = 3 * time.Second
+	idleConnTime = time.Second
+	// blockedTime is the time after which a caller counts as one that does not read its responses. Its pipelined requests then run one at a time.
+	blockedTime = 100 * time.Millisecond
+)
+
+// Eviction says why a connection or request made room for others.
+type Eviction string
+
+// Evictions, in the order of preference. No request is lost by one: it was not complete, its response could not be written, or there was none.
+const (
+	EvictedNew    Eviction = "new"    // a new connection without a complete request
+	EvictedUnread Eviction = "unread" // the caller does not read its response
+	EvictedStuck  Eviction = "stuck"  // a request does not go on arriving
+	EvictedIdle   Eviction = "idle"   // no request for a while; closed as after the idle timeout
+	EvictedBody   Eviction = "body"   // a body arrives slowly; its request is refused
+	Rejected      Eviction = "rejected"
+	notEvicted    Eviction = ""
+)
+
+// ErrEvicted is the cause for which a connection is closed in favour of others.
+var ErrEvicted = errors.New("the connection made room for others")
+
+// rank is the order in which connections are closed; a higher one goes first.
+var rank = map[Eviction]int{EvictedNew: 4, EvictedUnread: 3, EvictedStuck: 2, EvictedIdle: 1, notEvicted: 0}
+
+// activity records when a connection last made progress.
+type activity struct {
+	progressAt atomic.Int64 // Unix time in nanoseconds at which a request, or a piece of one, arrived, or the latest response was written
+	writingAt  atomic.Int64 // when a write was begun or last made progress; 0 if no response is being written
+	requests   atomic.Int64 // complete requests
+}
+
+func (c *conn) progress() { c.activity.progressAt.Store(time.Now().UnixNano()) }
+
+// wrote records that a part of a response was written.
+func (c *conn) wrote() { c.activity.writingAt.Store(time.Now().UnixNano()) }
+
+// writeResponse writes a response and records for how long that makes no progress.
+func (c *conn) writeResponse(bw *bufio.Writer, r *Request, resp *Response, last bool) error {
+	c.wrote()
+	return writeResponse(bw, r, resp, last)
+}
+
+// endWrite records that no response is being written.
+func (c *conn) endWrite() {
+	c.activity.writingAt.Store(0)
+	c.progress()
+}
+
+// unwrittenFor returns for how long the response that is being written has made no progress.
+func (c *conn) unwrittenFor(now time.Time) time.Duration {
+	if at := c.activity.writingAt.Load(); at > 0 {
+		return now.Sub(time.Unix(0, at))
+	}
+	return 0
+}
+
+// mayPipeline reports whether a request may run although earlier ones of its connection are unanswered. It must wait for them if the caller does not read
+// its responses, or if there are too many such requests or no memory for more of them.
+func (c *conn) mayPipeline(x *exchange) bool {
+	c.mu.Lock()
+	pending := c.pending
+	c.mu.Unlock()
+	if pending <= 1 {
+		return true
+	}
+	if c.unwrittenFor(time.Now()) > blockedTime {
+		return false
+	}
+	x.conn = c
+	if most := int64(c.server.cfg.MaxPipelined); c.server.pipelined.Add(1) > most && most > 0 {
+		c.server.pipelined.Add(-1)
+		return false
+	}
+	if !c.server.memory.Reserve(membudget.Responses, c.caller, int64(pending)*pipelinedBytes, pipelinedBytes) {
+		c.server.pipelined.Add(-1)
+		return false
+	}
+	x.reserved = pipelinedBytes
+	return true
+}
+
+// unreserve gives back the memory that is reserved for the response.
+func (x *exchange) unreserve() {
+	if x.reserved > 0 {
+		x.conn.server.pipelined.Add(-1)
+		x.conn.server.memory.Release(membudget.Responses, x.conn.caller, x.reserved)
+		x.reserved = 0
+	}
+}
+
+// eviction says whether the connection may be closed in favour of a new one, and for how long it has made no progress.
+func (c *conn) eviction(now time.Time) (Eviction, time.Duration) {
+	c.mu.Lock()
+	pending, waiting, closing := c.pending, c.waiting, c.stopping || c.lastRead
+	c.mu.Unlock()
+	since := now.Sub(time.Unix(0, c.activity.progressAt.Load()))
+	unwritten := c.unwrittenFor(now)
+	switch {
+	case unwritten > unreadTime:
+		return EvictedUnread, unwritten
+	case closing || pending > 0:
+		return notEvicted, 0
+	case c.activity.requests.Load() == 0 && c.openFor(now) > newConnTime && (waiting || since > newConnTime):
+		return EvictedNew, since
+	case !waiting && since > stuckTime:
+		return EvictedStuck, since
+	case waiting && since > idleConnTime:
+		return EvictedIdle, since
+	}
+	return notEvicted, 0
+}
+
+func (c *conn) openFor(now time.Time) time.Duration { return now.Sub(c.openedAt) }
+
+// admit adds a connection. If there are too many, another one makes room for it, or its request is refused. It returns false if the connection must be
+// closed, since there are too many to tell their callers.
+func (s *Server) admit(c *conn) bool {
+	now := time.Now()
+	s.mu.Lock()
+	var victim *conn
+	why := notEvicted
+	if n := len(s.conns); n >= s.maxConns {
+		if n >= s.maxConns+max(minSpare, int(float64(s.maxConns)*spareFraction)) {
+			why = Rejected
+		}
+		if victim, _ = s.victimLocked(now); victim == nil && why == Rejected {
+			s.mu.Unlock()
+			s.reportEvicted(c, Rejected)
+			return false
+		}
+		c.overloaded = victim == nil
+	}
+	s.conns[c] = struct{}{}
+	s.openConns.Add(1)
+	s.mu.Unlock()
+	s.memory.Add(membudget.Connections, c.caller, ConnectionBytes)
+	if tcp, ok := c.netConn.(*net.TCPConn); ok {
+		// An error means that the connection has ended.
+		_ = tcp.SetWriteBuffer(sendBufferBytes)
+	}
+	if victim != nil {
+		s.evict(victim, now)
+	}
+	return true
+}
+
+// victimLocked returns the connection of a random sample that makes room for a new one, or nil.
+func (s *Server) victimLocked(now time.Time) (best *conn, why Eviction) {
+	var longest time.Duration
+	sampled := 0
+	for c := range s.conns { // in random order
+		e, since := c.eviction(now)
+		if rank[e] > rank[why] || e == why && e != notEvicted && since > longest {
+			best, why, longest = c, e, since
+		}
+		if sampled++; sampled == victimSample {
+			break
+		}
+	}
+	return best, why
+}
+
+// evict closes a connection. An idle one is closed as by a planned stop, so that a request that arrives at this moment is answered.
+func (s *Server) evict(c *conn, now time.Time) {
+	why, _ := c.eviction(now)
+	switch why {
+	case notEvicted:
+		return // it has made progress meanwhile
+	case EvictedIdle:
+		c.stop()
+	default:
+		c.abort(ErrEvicted)
+	}
+	s.reportEvicted(c, why)
+}
+
+// remove removes a connection that is closed.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	s.memory.Release(membudget.Connections, c.caller, ConnectionBytes)
+}
+
+// reportEvicted calls OnEvicted.
+func (s *Server) reportEvicted(c *conn, e Eviction) {
+	if s.cfg.OnEvicted != nil {
+		s.cfg.OnEvicted(c.netConn.RemoteAddr(), e)
+	}
+}
--- a/internal/transport/ingress/parse.go
+++ b/internal/transport/ingress/parse.go
@@ -4,13 +4,12 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"strings"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
@@ -19,6 +18,7 @@
 	br           *bufio.Reader
 	limits       routing.Limits
 	server       *Server
+	conn         *conn // nil in tests of the parser alone
 	sendContinue func()
 
 	extendBody   func()
@@ -27,7 +27,11 @@
 	refusal      *Response // response to a request that was refused; the connection cannot be read further
 	refusedFor   string    // reason of the refusal, as in the response's body
 	disconnected bool      // the caller disconnected before the request was complete
-	bodyBytes    int64     // memory reserved for the body, counted in server.totalBodyBytes too
+	body         *bodyBuffer
+	arriving     *arrivingBody  // nil unless the body may be evicted
+	bodyBytes    int64          // memory reserved for the body, counted in server.totalBodyBytes too
+	bodyKind     membudget.Kind // of bodyBytes
+	headBytes    int64          // memory reserved for the head
 }
 
 func (p *parser) refuse(status int, detail string) {
@@ -40,10 +44,11 @@
 
 var (
 	errHeaderTooLarge = errors.New("the header is too large")
+	errTooManyHeavy   = errors.New("too many requests with very many header fields arrive")
 	errBareLineFeed   = errors.New("a line of the header does not end with CR LF")
 )
 
-// parse reads a request. It calls extendBody before it reads each maxReadBytes of the body.
+// parse reads a request. It calls extendBody before it reads each maxReadBytes of the body. release must be called once the request is answered.
 func (p *parser) parse(extendBody func()) {
 	p.extendBody = extendBody
 	head, err := p.readHead()
@@ -54,6 +59,9 @@
 	case errors.Is(err, errBareLineFeed):
 		p.refuse(http.StatusBadRequest, err.Error())
 		return
+	case errors.Is(err, errTooManyHeavy):
+		p.refuse(http.StatusServiceUnavailable, err.Error())
+		return
 	case isTimeout(err):
 		p.refuse(http.StatusRequestTimeout, "the header did not arrive within the time that the configuration in force allows")
 		return
@@ -62,6 +70,9 @@
 		return
 	}
 	readAt := time.Now()
+	if !p.admitHead(head) {
+		return
+	}
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil {
 		p.refuse(http.StatusBadRequest, "the header cannot be parsed: "+err.Error())
@@ -83,7 +94,7 @@
 // readHead reads up to the empty line that ends the header. Empty lines before the request line are skipped (RFC 9112 section 2.2).
 func (p *parser) readHead() ([]byte, error) {
 	var head []byte
-	for {
+	for lines := 0; ; {
 		line, err := p.br.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
 			err = nil
@@ -98,6 +109,9 @@
 			continue
 		}
 		head = append(head, line...)
+		if lines++; lines == heavyHeadFields && !p.server.heavyHeads.Allow() {
+			return nil, errTooManyHeavy
+		}
 		if line[len(line)-1] == '\n' && !bytes.HasSuffix(head, []byte("\r\n")) {
 			return nil, errBareLineFeed
 		}
@@ -154,106 +168,6 @@
 	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c < 0x80 && strings.ContainsRune("-._~!$&'()*+,;=%:[]", c)
 }
 
-// chunkReadBytes is the number of bytes that are read at a time from a chunked body.
-const chunkReadBytes = 16 << 10
-
-func (p *parser) readBody(r *http.Request) {
-	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
-		return
-	}
-	if r.ContentLength > p.limits.MaxBodyBytes {
-		p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the limits of the configuration in force allow")
-		return
-	}
-	var err error
-	if r.ContentLength > 0 {
-		if !p.reserve(r.ContentLength) {
-			return
-		}
-		p.request.Body = make([]byte, r.ContentLength)
-		for rest := p.request.Body; len(rest) > 0 && err == nil; {
-			var n int
-			p.extendBody()
-			n, err = io.ReadFull(p.br, rest[:min(len(rest), maxReadBytes)])
-			rest = rest[n:]
-		}
-	} else {
-		err = p.readChunked()
-	}
-	switch {
-	case p.refusal != nil:
-	case isTimeout(err):
-		p.refuse(http.StatusRequestTimeout, "the body did not arrive in time")
-	case err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !isNetError(err):
-		p.refuse(http.StatusBadRequest, "the body cannot be parsed: "+err.Error())
-	case err != nil:
-		p.disconnected = true
-	}
-	if p.refusal != nil || p.disconnected {
-		p.release()
-	}
-}
-
-// release gives back the memory that is reserved for the body.
-func (p *parser) release() {
-	p.server.totalBodyBytes.Add(-p.bodyBytes)
-	p.bodyBytes = 0
-}
-
-// reserve reserves memory for n bytes of the body. It refuses the request if the limit for all bodies is exceeded.
-func (p *parser) reserve(n int64) bool {
-	if p.server.totalBodyBytes.Add(n) > p.server.cfg.MaxTotalBodyBytes {
-		p.server.totalBodyBytes.Add(-n)
-		p.refuse(http.StatusServiceUnavailable, "the bodies of other requests fill the memory of this host")
-		return false
-	}
-	p.bodyBytes += n
-	return true
-}
-
-func (p *parser) readChunked() error {
-	cr := httputil.NewChunkedReader(p.br)
-	buf := make([]byte, chunkReadBytes)
-	extended := 0 // length of the body when its deadline was extended
-	p.extendBody()
-	for {
-		if len(p.request.Body)-extended >= maxReadBytes {
-			p.extendBody()
-			extended = len(p.request.Body)
-		}
-		n, err := cr.Read(buf)
-		if n > 0 {
-			if int64(len(p.request.Body)+n) > p.limits.MaxBodyBytes {
-				p.refuse(http.StatusRequestEntityTooLarge, "the body is larger than the limits of the configuration in force allow")
-				return nil
-			}
-			if !p.reserve(int64(n)) {
-				return nil
-			}
-			p.request.Body = append(p.request.Body, buf[:n]...)
-		}
-		if err == io.EOF {
-			return p.skipTrailer()
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// skipTrailer reads up to the empty line that ends the trailer.
-func (p *parser) skipTrailer() error {
-	for {
-		line, err := p.br.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-}
-
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -1,7 +1,6 @@
 package upstreamconn
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -11,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,7 +84,12 @@
 
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
 // before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn meanwhile.
-func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (*conn, *http.Response, error) {
+func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (_ *conn, _ *http.Response, err error) {
+	defer func() {
+		if err != nil {
+			closeBody(req) // net/http does not close it in all cases
+		}
+	}()
 	if p.withdrawn(e.ID) {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
@@ -99,6 +102,7 @@
 		if cn.guarded.requestWritten() || ctx.Err() != nil {
 			return nil, nil, cn.sendError(err)
 		}
+		closeBody(req)
 		setBody(req, c)
 	}
 	cn, err := p.dial(ctx, e)
@@ -153,32 +157,6 @@
 	return req, nil
 }
 
-// setBody sets a request body that can be read once. It does not set GetBody, so net/http cannot send the body again.
-func setBody(req *http.Request, c *executor.Call) {
-	if len(c.Body) > 0 {
-		b := &requestBody{Reader: bytes.NewReader(c.Body)}
-		if c.RetainBody != nil {
-			b.release = c.RetainBody()
-		}
-		req.Body = b
-		req.ContentLength = int64(len(c.Body))
-	}
-}
-
-// requestBody calls release when net/http closes it, which net/http does once it no longer reads from it.
-type requestBody struct {
-	*bytes.Reader
-	once    sync.Once
-	release func()
-}
-
-func (b *requestBody) Close() error {
-	if b.release != nil {
-		b.once.Do(b.release)
-	}
-	return nil
-}
-
 // responseBody is the body of a response. If it is read up to io.EOF, its connection returns to the pool; otherwise Close closes the
 // connection.
 type responseBody struct {
