ingress: pipelined requests are read at a bounded rate

Cause: with all kinds of misbehaving clients at once, a host that found no processor for 0.15 s took the endpoints for silent and refused.

Change: requests that had arrived before the last one of their connection was handled are read at 1,500 a second and core, which is above what a host forwards. A stopping host does not wait.

New test: TestPipelinePace.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,7 +166,8 @@
 		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
 		OnCut: g.reportCut})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
-		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), PipelinedPerS: s.Cores * pipelinedPerCoreS,
+		OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge:    func() time.Duration { return g.peers.MaxAge(time.Now()) },
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -25,9 +25,14 @@
 
 // pipelinedPerCore and minPipelined bound the requests that run while an earlier one of their connection is unanswered. Callers that send many without
 // reading the responses then get one answered at a time, and leave the endpoints to others.
+//
+// pipelinedPerCoreS bounds the rate at which requests are read that were sent without waiting for the response before. A host forwards about 1,000 requests a
+// second with a core, so it binds only if they are refused at once, which costs callers that don't read nothing and would take all of the
+// processor.
 const (
-	pipelinedPerCore = 400
-	minPipelined     = 64
+	pipelinedPerCore  = 400
+	minPipelined      = 64
+	pipelinedPerCoreS = 1500
 )
 
 // newMemoryBudget returns the budget for what callers of a process with the given memory in MiB may take.
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -85,6 +85,7 @@
 func (c *conn) read() {
 	br := bufio.NewReader(c.netConn)
 	for c.awaitRequest(br) && c.readRequest(br) {
+		c.pacePipeline(br)
 	}
 	c.linger(br)
 }
--- a/internal/transport/ingress/hostile_test.go
+++ b/internal/transport/ingress/hostile_test.go
@@ -226,3 +226,26 @@
 	is.Equal(freed, 1)
 	is.True(b.pages == nil)
 }
+
+// TestPipelinePace guards against callers that take all of the processor with requests that are refused at once, and against a delay for callers that wait
+// for each response.
+func TestPipelinePace(t *testing.T) {
+	is := is.New(t)
+	const perS = 100
+	s, dial := memoryServer(t, &heldHandler{size: 1}, Config{MaxConnections: 100, PipelinedPerS: perS})
+	begin := time.Now()
+	c := dial()
+	go io.WriteString(c, strings.Repeat(get("/"), 100))
+	br := bufio.NewReader(c)
+	for range 100 {
+		resp, _ := answer(t, br)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	is.True(time.Since(begin) >= time.Second/2) // at least 50 of them came beyond the burst
+	is.True(s.pipelinePace.Tokens() < 1)
+	begin = time.Now()
+	for range 20 {
+		is.Equal(request(dial(), get("/")), http.StatusOK)
+	}
+	is.True(time.Since(begin) < time.Second)
+}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -79,6 +79,9 @@
 	// MaxPipelined limits the requests, over all connections, that run while an earlier one of their connection is unanswered. Further ones wait for the
 	// earlier ones. 0 means no limit.
 	MaxPipelined int
+	// PipelinedPerS limits the requests per second, over all connections, that have arrived before the last one of their connection was handled. 0 means
+	// no limit.
+	PipelinedPerS float64
 	// Memory is what the connections and requests may take.
 	Memory *membudget.Budget
 	// OnEvicted is called when a connection, or a request whose body is being read, makes room for others. Nil means no call.
@@ -104,6 +107,8 @@
 const (
 	// maxPipelined is the number of unanswered requests on one connection at which the server stops reading from it.
 	maxPipelined = 32
+	// pipelinedBurstS is the time in seconds for which pipelined requests may come at twice their rate.
+	pipelinedBurstS = 0.25
 	// writeTimeout is the time after which a connection is closed whose caller does not read its response.
 	writeTimeout = 10 * time.Second
 	// bodyTimeout is the time in which each maxReadBytes of the body of a request must arrive.
@@ -130,6 +135,7 @@
 	memory         *membudget.Budget
 	maxConns       int
 	heavyHeads     *rate.Limiter
+	pipelinePace   *rate.Limiter // nil without a limit
 	arriving       arrivingBodies
 	totalBodyBytes atomic.Int64 // memory reserved for request bodies
 	pipelined      atomic.Int64 // requests that run while an earlier one of their connection is unanswered
@@ -150,6 +156,9 @@
 	if s.memory == nil {
 		s.memory = membudget.New(membudget.Limits{SmallBodies: cfg.MaxTotalBodyBytes, LargeBodies: cfg.MaxTotalBodyBytes})
 	}
+	if cfg.PipelinedPerS > 0 {
+		s.pipelinePace = rate.NewLimiter(rate.Limit(cfg.PipelinedPerS), max(maxPipelined, int(cfg.PipelinedPerS*pipelinedBurstS)))
+	}
 	s.maxConns = cfg.MaxConnections
 	if limit := s.memory.Limit(membudget.Connections); limit > 0 {
 		s.maxConns = min(s.maxConns, int(limit/ConnectionBytes))
--- a/internal/transport/ingress/overload.go
+++ b/internal/transport/ingress/overload.go
@@ -110,6 +110,17 @@
 	return true
 }
 
+// pacePipeline delays the next request of a caller that has sent it without waiting for the response to the last one, if such requests come faster than
+// Config.PipelinedPerS. A stopping server reads what has arrived at once.
+func (c *conn) pacePipeline(br *bufio.Reader) {
+	limiter := c.server.pipelinePace
+	if limiter == nil || br.Buffered() == 0 || c.server.draining.Load() {
+		return
+	}
+	// An error means that the connection has ended.
+	_ = limiter.Wait(c.ctx)
+}
+
 // unreserve gives back the memory that is reserved for the response.
 func (x *exchange) unreserve() {
 	if x.reserved > 0 {
