--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -76,6 +76,10 @@
 			Detail: "this host has not learned the configuration in force yet", Remedy: "use another address, or come back after the stated delay"})
 	}
 	route := table.Match(r.Host, r.Path)
+	if route != nil && r.BodyDiscarded {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostCatchingUp, Ran: refusals.RanNo, RetryAfter: catchUpRetryAfter, Revision: table.Version,
+			Detail: "the route of the request came into force while its body arrived", Remedy: "send the request again"})
+	}
 	if route == nil {
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RouteUnknown, Ran: refusals.RanNo, Revision: table.Version,
 			Detail: "no route of the configuration in force matches " + r.Host + r.Path, Remedy: "ask the operator for a route"})
@@ -97,7 +101,7 @@
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
-		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
+		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
 	call.CallerDue = r.HeaderReadAt.Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
 	who.addTo(call)
 	res := g.forwarder.Run(ctx, call)
