quarantine: ends of processes under one id count each

Cause: an endpoint that comes back under its id and ends again before its entry is known ended under the incarnation of the first process, so that both ends counted as one.

Change: once an endpoint has answered this host over a connection that was opened after its end, the next end is recorded under an id of its own. Without an answer in between it is not, since a relay before an ended process breaks connections again and again.

Tests: TestEndsUnderOneID fails without the change. go test -race passes: quarantine, gateway.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,8 @@
 	Requests []Fingerprint // that ran there, as far as this host knows
 	At       time.Time
 	Alive    bool // the process answered later, so that it had not ended
+	// replaced is set when this host has got a response of the next process under the same id. The next end is that of another process then.
+	replaced bool
 }
 
 // Verdict says that the requests that match a pattern are quarantined.
@@ -168,7 +171,7 @@
 		if g.cfg.OthersAnswer != nil && !g.check(ctx, "others "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.OthersAnswer(ctx, e) }) {
 			return
 		}
-		g.addCrash(Crash{Endpoint: e.ID, Requests: []Fingerprint{f}, At: at}, SourceSelf)
+		g.addCrash(Crash{Endpoint: g.process(e.ID), Requests: []Fingerprint{f}, At: at}, SourceSelf)
 	}
 	if g.check(ctx, "refuses "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.RefusesConnections(ctx, e) }) {
 		evidence()
@@ -240,14 +243,35 @@
 			d.answered.Store(true)
 		}
 	}
+	id = g.processLocked(id)
 	c := g.crashes[id]
 	wrong := c != nil && !c.Alive && connectedAt.Before(c.At) && sentAt.After(c.At)
+	if c != nil && !c.Alive && connectedAt.After(c.At) {
+		c.replaced = true
+	}
 	g.mu.Unlock()
 	if wrong {
 		g.addCrash(Crash{Endpoint: id, At: time.Now(), Alive: true}, SourceSelf)
 	}
 }
 
+// process returns the id under which the end of the process is recorded that runs, or ran last, under an endpoint's id. It is not the endpoint's if an
+// earlier process under that id has ended and the entry of the next one is not known: the ends of both count.
+func (g *Guard) process(id endpoints.ID) endpoints.ID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.processLocked(id)
+}
+
+// processLocked is process with g.mu held.
+func (g *Guard) processLocked(id endpoints.ID) endpoints.ID {
+	process := id
+	for n := 1; g.crashes[process] != nil && g.crashes[process].replaced; n++ {
+		process.Incarnation = id.Incarnation + "+" + strconv.Itoa(n)
+	}
+	return process
+}
+
 // Succeeded records that an endpoint has answered a request: it is not the cause of the ends of endpoints beside which it ran before.
 func (g *Guard) Succeeded(f Fingerprint, now time.Time) {
 	if g.addAnswered(f, now, SourceSelf) {
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -209,6 +209,26 @@
 	})
 }
 
+// TestEndsUnderOneID guards against a request that goes on to end the processes of few endpoints, because these come back under their ids and their ends
+// count as one until the next entry is known, and against requests that are condemned since connections to one ended process break again and again.
+func TestEndsUnderOneID(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		faketime.Test(t, func(t *testing.T) {
+			g, peer := newGuard(), newGuard()
+			for range minEvidence {
+				g.broke("e1", "a")
+				peer.HandleUpdate(g.ZoneUpdate(time.Now()), "g", true, time.Now())
+				time.Sleep(time.Second)
+				if answers {
+					g.Answered(endpoint("e1"), time.Now(), time.Now())
+				}
+			}
+			is.New(t).Equal(g.quarantined("a") != nil, answers)
+			is.New(t).Equal(peer.quarantined("a") != nil, answers)
+		})
+	}
+}
+
 // TestAnsweredRequestIsInnocent guards against the quarantine of a request that endpoints answer, and against evidence from before the answer that arrives
 // late. Evidence from later counts.
 func TestAnsweredRequestIsInnocent(t *testing.T) {
