forward: requests that endpoints drop in silence go elsewhere in time

Cause: endpoints of some services never respond to what they cannot queue. Such a request held its host's count of the endpoint's slots, and its caller, until its deadline; requests that wait probed full endpoints over and over.

Change: once a request was unanswered at its deadline, requests of that service count as dropped after three times what the endpoint's own responses take. They occupy no slot then and go elsewhere if they may; what may not be repeated is not sent to an endpoint of unknown load.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -156,12 +156,18 @@
 		return r.chooseWithoutProbes(cfg, views, avoid)
 	}
 	var candidates []int
+	var known []endpoints.ID // endpoints of which a probe would show nothing new to a request that waits and searches again
 	for i := range views {
-		if !avoid(views[i].ID) && views[i].HasFreshLoad(cfg.MaxLoadAge) {
+		switch v := &views[i]; {
+		case avoid(v.ID):
+		case v.HasFreshLoad(cfg.MaxLoadAge):
 			candidates = append(candidates, i)
+		case waiting && v.KnowsLoad(cfg.MaxLoadAge, r.serviceTime):
+			candidates, known = append(candidates, i), append(known, v.ID)
 		}
 	}
-	rounds := cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random)
+	isKnown := func(id endpoints.ID) bool { return avoid(id) || slices.Contains(known, id) }
+	rounds := cfg.ProbeRounds(views, isKnown, r.forwarder.cfg.Random)
 	if waiting {
 		candidates, rounds = r.restrictToRoom(views, candidates, rounds, avoid, now)
 	}
@@ -192,6 +198,9 @@
 		candidates = append(candidates, r.probeRound(ctx, views, round[:allowed])...)
 		best, expected = cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
 	}
+	if best < 0 && r.result.ProbeRoundsSkipped > 0 && !r.call.Route.Idempotent && stats.DropsRequests(r.call.Service.Name, now) {
+		return nil, 0 // an endpoint of unknown load may drop the request, which must not be sent again then
+	}
 	if best < 0 && r.result.ProbeRoundsSkipped > 0 {
 		v, expected := r.chooseWithoutProbes(cfg, views, avoid)
 		if v == nil || !stats.LikelyRoom(v.Service, v.Local, now) {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -56,6 +56,8 @@
 	MaxBufferedBytes int64
 	// OnCut is called after an endpoint's answer has ended early or without progress, except if the request's log entry tells so. Nil means no call.
 	OnCut func(Cut)
+	// OnSilence is called when a request counts as dropped by its endpoint, or was unanswered at its deadline. Nil means no call.
+	OnSilence func(Silence)
 	// OnPanic is called after a panic that ended a send or a probe. Nil means that a panic ends the process.
 	OnPanic func(requestID string, value any, stack []byte)
 }
@@ -153,7 +155,9 @@
 	counted     bool           // it counts for the repeat budget
 	result      *Result
 	sendResults chan sendResult
-	inFlight    int // sends in flight
+	inFlight    int           // sends in flight
+	silences    chan struct{} // one element for each send that has come to count as dropped
+	silent      int           // the part of inFlight that counts as dropped
 	// allRejectingUntil is the time before which no endpoint of the service wants requests; zero if one does, as found by the last search.
 	allRejectingUntil time.Time
 	limits            limitedEndpoints  // found by the last search
@@ -184,6 +188,7 @@
 	progressAt time.Time
 	err        error
 	written    bool // a byte of the request may have reached the endpoint
+	silent     bool // the request counted as dropped before its end
 }
 
 // Run forwards the request and returns how it ended. The caller of Run must close Result.Stream if it is not nil. ctx ends when the caller
@@ -191,7 +196,7 @@
 func (f *Forwarder) Run(ctx context.Context, c *Call) *Result {
 	now := time.Now()
 	r := &activeRequest{forwarder: f, call: c, start: now, serviceTime: f.serviceTimes.estimate(c.Route), result: &Result{},
-		sendResults: make(chan sendResult, 8)}
+		sendResults: make(chan sendResult, 8), silences: make(chan struct{}, 8)}
 	if c.Handover != nil {
 		r.waitedFor = c.Handover.WaitedBefore
 	} else {
@@ -260,6 +265,13 @@
 				return
 			}
 			hedgeTimer.Reset(r.hedgeDelay())
+		case <-r.silences:
+			if r.silent++; r.inFlight > r.silent {
+				continue // another send is awaited
+			}
+			if delay := r.hedge(ctx); delay > 0 {
+				hedgeTimer.Reset(delay)
+			}
 		case <-hedgeTimer.C:
 			if delay := r.hedge(ctx); delay > 0 {
 				hedgeTimer.Reset(delay)
--- a/internal/coordination/forward/hedge.go
+++ b/internal/coordination/forward/hedge.go
@@ -29,7 +29,7 @@
 // hedge sends an idempotent request to a second endpoint while the first one is still running it (Dean and Barroso, The Tail at Scale,
 // 2013). It returns the time after which hedge should be called again, or 0 if the newest send is not to be hedged any more.
 func (r *activeRequest) hedge(ctx context.Context) time.Duration {
-	if !r.call.Route.Idempotent || r.inFlight != 1 || !r.canRepeat() || !r.checkQuarantine() {
+	if !r.call.Route.Idempotent || r.inFlight == 0 || r.inFlight-r.silent > 1 || !r.canRepeat() || !r.checkQuarantine() {
 		return 0
 	}
 	retryDelay := max(minHedgeDelay, time.Duration(float64(r.serviceTime)*hedgeRetryFactor))
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -27,6 +27,9 @@
 // more once ctx has ended.
 func (r *activeRequest) recordSendResult(ctx context.Context, got sendResult) bool {
 	r.inFlight--
+	if got.silent {
+		r.endSilence()
+	}
 	if got.stream != nil && ctx.Err() != nil {
 		r.forwarder.discard(&got)
 		got = sendResult{attempt: got.attempt, err: ctx.Err(), written: true}
@@ -154,6 +157,7 @@
 	queue, begin := r.forwarder.queue(r.call.Service.Name), time.Now()
 	request := r.overloadRequest()
 	queue.Started(&request, n == 0, begin)
+	awaited := r.await(&v, expected, begin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true} // stays so if the send panics
 		defer func() {
@@ -162,7 +166,7 @@
 			if errors.Is(got.err, errPanicked) {
 				r.forwarder.cfg.EndpointStats.RecordEnd(v.ID, true, time.Now())
 			}
-			got.attempt = n
+			got.attempt, got.silent = n, awaited.end(sendCtx, r.forwarder, &v, &got, time.Since(begin), expected, execCall.RequestID)
 			r.sendResults <- got
 		}()
 		defer r.forwarder.recoverPanic(execCall.RequestID)
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -24,6 +24,7 @@
 	rejections  sync.Map     // service name -> *serviceRejections
 	samplers    sync.Map     // service name -> *serviceSampler
 	rooms       sync.Map     // service name -> *serviceRoom
+	drops       sync.Map     // service name -> time.Time at which a request was last unanswered until its deadline
 	paces       sync.Map     // paceKey -> *meanPace
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
 
@@ -41,6 +42,7 @@
 	load           Load
 	loadReportedAt time.Time
 	inFlight       int // requests in flight that this host sent
+	silent         int // the part of inFlight that counts as dropped, see RecordSilent
 	sentSinceLoad  int // requests that this host sent since loadReportedAt, less those that ended since then
 	failureRate    float64
 	failureRateAt  time.Time
@@ -51,6 +53,7 @@
 	inFlightLimit  int           // bound of inFlight after a rejection; 0 if there is none
 	usedAt         time.Time     // of the last access, for EvictUnused
 	pace           pace
+	responseRatio  float64 // moving average of what responses take, as a multiple of what was expected; 0 before the first
 }
 
 // NewEndpointStats returns statistics without any endpoint.
@@ -112,7 +115,7 @@
 	}
 	v.ProbeInFlight = !s.probeStartedAt.IsZero()
 	v.Rejecting, v.InFlightLimit = s.rejecting(now), s.inFlightLimit
-	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
+	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight-s.silent, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
 }
 
 // ReserveSlot records that this host is about to send a request to the endpoint of a view. It returns false, and records nothing, if the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,7 +171,7 @@
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
 		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
-		OnCut: g.reportCut})
+		OnCut: g.reportCut, OnSilence: g.reportSilence})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered})
