--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -169,7 +169,7 @@
 			s.hosts[0].processes = append(s.hosts[0].processes, printing(t, lines))
 		}},
 		"more than an endpoint's limit": {limitsKept, func(s *soak) {
-			s.requests.endpointLimited("i-2", 1, time.Now().Add(-limitSettleTime))
+			s.requests.endpointLimited("i-2", 1, limitSettleTime, time.Now().Add(-limitSettleTime))
 			for range int(limitFactor*limitWindow.Seconds()) + limitAllowance + 1 {
 				s.record("2", "lookup", func(r *request, a *platformtest.Arrival) {
 					a.Endpoint = "i-2"
@@ -177,6 +177,16 @@
 				})
 			}
 		}},
+		"more than a limit that has fallen": {limitsKept, func(s *soak) {
+			s.requests.endpointLimited("i-2", highLimit, limitSettleTime, time.Now().Add(-time.Minute))
+			s.requests.endpointLimited("i-2", lowLimit, fallSettleTime, time.Now())
+			for range int(lowLimit*limitFactor*limitWindow.Seconds()) + limitAllowance + 1 {
+				s.record("2", "lookup", func(r *request, a *platformtest.Arrival) {
+					a.Endpoint = "i-2"
+					sentAfter(r, a, fallSettleTime+time.Millisecond)
+				})
+			}
+		}},
 		"not served after the loss of power": {servedAfterPowerLoss, func(s *soak) {
 			s.timeline.begin(scopeRecovered)
 			s.record("2", "lookup", func(r *request, _ *platformtest.Arrival) {
@@ -258,6 +268,11 @@
 			r.deadline, r.ended = gracePeriod, st.at().Add(gracePeriod-time.Millisecond)
 			s.requests.runCompleted(platformtest.Completion{Endpoint: a.Endpoint, ID: r.id, At: r.ended, Aborted: true})
 		}},
+		"the endpoint worked until the end on a request whose body ended late": {false, func(s *soak, st *stop, r *request, a *platformtest.Arrival) {
+			r.bodySent = st.at().Add(acceptTime + time.Millisecond)
+			r.deadline, r.ended = gracePeriod, st.at().Add(gracePeriod-time.Millisecond)
+			s.requests.runCompleted(platformtest.Completion{Endpoint: a.Endpoint, ID: r.id, At: r.ended, Aborted: true})
+		}},
 		"the endpoint was ready before": {false, func(s *soak, st *stop, r *request, a *platformtest.Arrival) {
 			r.deadline, r.ended = gracePeriod, st.at().Add(gracePeriod-time.Millisecond)
 			s.requests.runCompleted(platformtest.Completion{Endpoint: a.Endpoint, ID: r.id, At: st.at().Add(gracePeriod / 2)})
--- a/internal/soak/auditlosses.go
+++ b/internal/soak/auditlosses.go
@@ -45,7 +45,7 @@
 			s.ledger.Check(stoppedAnswersOwn, excused || !replaced, "the host answered while an endpoint worked on the request: %s", lazy(describe))
 		}
 	case st != nil && r.ahead == 0 && !r.unsent && (strings.Contains(log, r.id) || s.Timed && !s.timeline.overlaps(scopeStalls, r.sent, r.ended)):
-		s.ledger.Check(readAnswered, excused || r.outcome != connClosed || r.ended.Sub(r.sent) <= readSlack, "a request that was not forwarded got no response: %s", lazy(describe))
+		s.ledger.Check(readAnswered, excused || r.outcome != connClosed || r.ended.Sub(r.complete()) <= readSlack, "a request that was not forwarded got no response: %s", lazy(describe))
 	}
 }
 
@@ -81,7 +81,7 @@
 // was sent early enough for the host to accept it.
 func (s *soak) workedUntilLast(r *request, st *stop, arrivals []platformtest.Arrival) bool {
 	last := st.at().Add(time.Duration((1 - lastWorkShare) * float64(gracePeriod)))
-	if r.sent.After(st.at().Add(acceptTime)) {
+	if r.complete().After(st.at().Add(acceptTime)) {
 		return false
 	}
 	for _, a := range arrivals {
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -14,6 +14,8 @@
 const (
 	// crashPrefix begins the second part of the path of a request that ends the endpoint which runs it.
 	crashPrefix = "crash-"
+	// crashSameID follows crashPrefix if the endpoint comes back under the id that it had.
+	crashSameID = "same-id-"
 	// crashRestartTime is the time after which an endpoint that ended under a request is back.
 	crashRestartTime = time.Second
 	// crashingCaller is the number of the first caller that sends such requests.
@@ -37,8 +39,16 @@
 // sendCrashingRequest sends a request that ends the endpoints which run it again and again, with new ids and at any host. In half of the cases it
 // comes from several callers, with changing queries.
 func (s *soak) sendCrashingRequest(ctx context.Context, rng *rand.Rand) {
+	s.sendCrashing(ctx, rng, fmt.Sprint(crashPrefix, s.serial.next()))
+}
+
+// sendCrashingRequestToSameIDs is sendCrashingRequest with endpoints that come back under the ids that they had.
+func (s *soak) sendCrashingRequestToSameIDs(ctx context.Context, rng *rand.Rand) {
+	s.sendCrashing(ctx, rng, fmt.Sprint(crashPrefix, crashSameID, s.serial.next()))
+}
+
+func (s *soak) sendCrashing(ctx context.Context, rng *rand.Rand, name string) {
 	defer s.timeline.begin(scopeEndpoints)()
-	name := fmt.Sprint(crashPrefix, s.serial.next())
 	vary := rng.IntN(2) == 0
 	routes := s.configs.newestRoutes()
 	route := routes[rng.IntN(4)] // the first ones are never dropped
@@ -70,7 +80,11 @@
 	e.processMu.Lock()
 	defer e.processMu.Unlock()
 	if !e.Running() {
-		s.restartEndpoint(e, s.nextID(), 0)
+		id := a.Endpoint
+		if !strings.Contains(a.Target, crashPrefix+crashSameID) {
+			id = s.nextID()
+		}
+		s.restartEndpoint(e, id, 0)
 	}
 }
 
--- a/internal/soak/endpointfaults.go
+++ b/internal/soak/endpointfaults.go
@@ -86,6 +86,24 @@
 	e.SetFaults(platformtest.EndpointFaults{})
 }
 
+// copyHealthResponses makes some endpoints send responses to health checks a second time while the next request of the connection runs. In half of the
+// cases they reject all health checks.
+func (s *soak) copyHealthResponses(ctx context.Context, rng *rand.Rand) {
+	defer s.timeline.begin(scopeEndpoints)()
+	reject := rng.IntN(2) == 0
+	var chosen []*endpoint
+	for _, e := range s.endpoints {
+		if rng.IntN(2) == 0 {
+			chosen = append(chosen, e)
+			e.SetFaults(platformtest.EndpointFaults{LateHealth: 0.1 + 0.9*rng.Float64(), RejectHealth: reject})
+		}
+	}
+	pause(ctx, 2*randomDuration(rng))
+	for _, e := range chosen {
+		e.SetFaults(platformtest.EndpointFaults{})
+	}
+}
+
 func (s *soak) slowEndpoints(ctx context.Context, rng *rand.Rand) {
 	defer s.timeline.begin(scopeEndpoints)()
 	var slow []*endpoint
--- a/internal/soak/requests.go
+++ b/internal/soak/requests.go
@@ -26,6 +26,7 @@
 	deadline                   time.Duration // after sent
 	host                       *host
 	sent, ended                time.Time
+	bodySent                   time.Time // when the last byte of a slow body was sent; zero for other requests
 	outcome                    string
 	status                     int
 	signed                     bool   // the response comes from an endpoint
@@ -117,6 +118,14 @@
 	l.endpoints.killed[endpoint] = true
 }
 
+// complete returns when the request had been sent in full.
+func (r *request) complete() time.Time {
+	if r.bodySent.IsZero() {
+		return r.sent
+	}
+	return r.bodySent
+}
+
 // served reports whether the caller got a successful response of an endpoint.
 func (r *request) served() bool { return r.signed && r.status == http.StatusOK }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -247,6 +247,7 @@
 	relay     *testbed.Relay // listens on the address that hosts use
 	processMu sync.Mutex     // held by a fault while it stops and starts the process
 	service   string
+	address   string // IP:port that hosts use
 }
 
 func (s *soak) newEndpoint(service string, net, i int) (*endpoint, error) {
@@ -261,7 +262,7 @@
 	if i == 0 {
 		cfg.Idle = 700 * time.Millisecond // this endpoint closes idle connections earlier than hosts do
 	}
-	e := &endpoint{relay: r, service: service}
+	e := &endpoint{relay: r, service: service, address: advertised.String()}
 	cfg.Crashed = func(a platformtest.Arrival) { s.restartCrashed(e, a) }
 	e.Endpoint = platformtest.NewEndpoint(s.store, cfg)
 	return e, e.Start(s.nextID(), 0)
--- a/internal/soak/storefaults.go
+++ b/internal/soak/storefaults.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// writeEntriesOfEndpoints writes entries of another writer under the ids of endpoints: with fields missing or a service that is not configured, and high
+// sequence numbers. They must neither end nor hide the endpoints nor move them to another service.
+func (s *soak) writeEntriesOfEndpoints(ctx context.Context, rng *rand.Rand) {
+	for range 1 + rng.IntN(8) {
+		e := s.randomEndpoint(rng)
+		service := services[rng.IntN(len(services))]
+		born := time.Now().UnixMilli()
+		text := []string{
+			fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"zone":"a","maxConcurrency":2},"status":{"state":"ready","sequence":%d}}`, e.address, born, service, rng.Uint32()),
+			fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"nowhere","version":"v1","zone":"a","maxConcurrency":2},"status":{"state":"draining","sequence":%d,"warmupLeftMs":0}}`,
+				e.address, born, rng.Uint32()),
+			fmt.Sprintf(`{"status":{"state":"draining","sequence":%d}}`, rng.Uint32()), "gone",
+		}[rng.IntN(4)]
+		s.store.PutForeignEntry(e.ID(), []byte(text))
+		pause(ctx, randomDuration(rng)/8)
+	}
+}
+
 const (
 	// recordsPerS is the number of records that an endpoint writes to the store in a second, at least.
 	recordsPerS  = 1.6
