--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -111,7 +111,7 @@
 	if p.needsContact(e.ID, closed, c) {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
-	cn, err := p.dial(ctx, e)
+	cn, err = p.dial(ctx, e)
 	if err != nil {
 		return nil, nil, sendError(false, err)
 	}
