--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -16,8 +16,6 @@
 	PerSecond     float64      `cbor:"2,keyasint"` // infinite if the endpoint names no limit any more
 	SentAgoMS     int64        `cbor:"3,keyasint"` // since the request was sent
 	AnsweredAgoMS int64        `cbor:"4,keyasint"` // since the response arrived
-	// Cold is set in announcements if the sender knows the endpoint as cold. Hosts of earlier versions ignore it.
-	Cold *Cold `cbor:"5,keyasint,omitempty"`
 }
 
 // NewStatement returns the message of a statement.
@@ -38,7 +36,7 @@
 	case s.AnsweredAgoMS < 0 || s.AnsweredAgoMS > s.SentAgoMS || s.SentAgoMS > maxAgeMS:
 		return trace.BadParameter("the limit of %s is %d ms old, and was asked for %d ms ago", s.ID, s.AnsweredAgoMS, s.SentAgoMS)
 	}
-	return s.Cold.check(s.ID)
+	return nil
 }
 
 // unknownStatement returns the message about an endpoint that has named no limit. It is so old that it replaces none that its receiver knows.
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -29,12 +29,15 @@
 	}
 }
 
-// recordColdAnswer records how much longer an endpoint is cold according to its response to a health check.
-func (g *Gateway) recordColdAnswer(e endpoints.Endpoint, r *executor.Response) {
-	if !r.HasColdFor {
+// recordContact records that an endpoint whose service has a rate for cold endpoints has responded, and how much longer it is cold if the response is one
+// to a health check.
+func (g *Gateway) recordContact(e endpoints.Endpoint, r *executor.Response) {
+	perSecond := g.coldPerSecond(e.Service)
+	if perSecond == 0 {
 		return
 	}
-	if perSecond := g.coldPerSecond(e.Service); perSecond > 0 {
+	g.endpointStats.RecordContact(e.ID, r.ReadAt)
+	if r.HasColdFor {
 		g.rateLimiter.RecordColdAnswer(e.ID, perSecond, r.ColdFor, r.SentAt, r.ReadAt)
 	}
 }
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -9,25 +9,29 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/customers"
 )
 
 // Route is the rule for requests with one host name and path prefix.
 type Route struct {
 	Name          string
 	Host          string            // compared without case and port
-	Prefix        string            // path prefix; begins and ends with a slash
+	Prefix        string            // path prefix; begins and ends with a slash. It is compared with the path of requests as NormalizePath returns both
 	Idempotent    bool              // a request may run more than once
 	Timeout       time.Duration     // until the response to the caller; 0 means that only the caller's own deadline applies
 	TargetLatency time.Duration     // a response within this time has its full value to the caller; 0 if not stated
 	Priority      int               // 0 is the most urgent
 	MaxAttempts   int               // number of endpoints to which one request may be sent; at least 1
 	Split         []WeightedService // at least one service
+	Public        bool              // callers need no key
+	match         string            // normalised prefix
 }
 
 // WeightedService is the part of a route's requests that goes to one service.
 type WeightedService struct {
 	Service string
-	Weight  int // relative to the other services of the route
+	Weight  float64 // relative to the other services of the route
 }
 
 // Service is the configuration of a service.
@@ -57,25 +61,39 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Customers lists the customers. If there are any, requests on routes that are not public need a key of one of them.
+	Customers []customers.Entry
+	// Faults lists entries of the configuration that are left out because they cannot be read.
+	Faults []error `json:"-"`
 }
 
+// maxWeight bounds the weight of a service, so that sums of weights are finite.
+const maxWeight = 1e12
+
 // Table finds the route of a request in a validated Config.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	routes   map[string][]*Route // by host, longest prefix first
-	services map[string]*Service
+	Version uint64
+	Limits  Limits
+	// Customers finds customers by their keys. It is nil if the configuration has none.
+	Customers *customers.Table
+	routes    map[string][]*Route // by host, longest prefix first
+	services  map[string]*Service
 }
 
-// New validates a configuration and returns its table. The error lists the invalid services and routes. The table is returned also
+// New validates a configuration and returns its table. The error lists the invalid services, routes and customers. The table is returned also
 // with an error: it then contains the valid routes.
 func New(c Config) (*Table, error) {
 	t := &Table{Version: c.Version, Limits: c.Limits.withDefaults(), routes: map[string][]*Route{}, services: map[string]*Service{}}
-	var errs []error
+	errs := slices.Clone(c.Faults)
+	var err error
+	if t.Customers, err = customers.New(c.Customers); err != nil {
+		errs = append(errs, err)
+	}
 	for i := range c.Services {
 		s := &c.Services[i]
 		if s.Name == "" {
 			errs = append(errs, trace.BadParameter("services[%d]: the name is empty: name the service", i))
+			continue
 		}
 		t.services[s.Name] = s
 	}
@@ -85,11 +103,11 @@
 			errs = append(errs, trace.Wrap(err, "route %q", r.Name))
 			continue
 		}
-		r.Host = strings.ToLower(r.Host)
+		r.Host, r.match = strings.ToLower(r.Host), NormalizePath(r.Prefix)
 		t.routes[r.Host] = append(t.routes[r.Host], r)
 	}
 	for _, list := range t.routes {
-		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.match), len(a.match)) })
 	}
 	return t, trace.NewAggregate(errs...)
 }
@@ -112,13 +130,13 @@
 	case len(r.Split) == 0:
 		return trace.BadParameter("no service is named: name one, or a split with weights")
 	}
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		if services[s.Service] == nil {
 			return trace.BadParameter("service %q is not defined: add it to the services", s.Service)
 		}
-		if s.Weight < 0 {
-			return trace.BadParameter("the weight of service %q is %d: use 0 or more", s.Service, s.Weight)
+		if !(s.Weight >= 0 && s.Weight <= maxWeight) { // NaN compares false
+			return trace.BadParameter("the weight of service %q is %g: use 0 or more, at most %g", s.Service, s.Weight, float64(maxWeight))
 		}
 		total += s.Weight
 	}
@@ -128,14 +146,16 @@
 	return nil
 }
 
-// Match returns the route for a request, or nil.
+// Match returns the route for a request, or nil. path is the path as it was sent, in which only unreserved characters count as unescaped: an escaped
+// slash does not separate segments.
 func (t *Table) Match(host, path string) *Route {
 	host = strings.ToLower(host)
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
+	path = NormalizePath(path)
 	for _, r := range t.routes[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+		if strings.HasPrefix(path, r.match) {
 			return r
 		}
 	}
@@ -172,15 +192,19 @@
 
 // ServiceAt returns the service of the split that u selects. u is in [0, 1); the weights divide this range into one part per service.
 func (r *Route) ServiceAt(u float64) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		total += s.Weight
 	}
-	remaining := u * float64(total)
+	remaining, last := u*total, ""
 	for _, s := range r.Split {
-		if remaining -= float64(s.Weight); remaining < 0 {
+		if s.Weight == 0 {
+			continue
+		}
+		if remaining -= s.Weight; remaining < 0 {
 			return s.Service
 		}
+		last = s.Service
 	}
-	return r.Split[len(r.Split)-1].Service
+	return last // the sum of fractions may be less than the total by a rounding error
 }
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -108,12 +108,13 @@
 
 // conn is a connection that carries at most one request at a time.
 type conn struct {
-	http      *http.ClientConn
-	guarded   *guardedConn
-	openedAt  time.Time // when it was begun to be opened
-	idleSince time.Time
-	// unnamedSince is when the first health check was sent whose response carried no request id. It is zero while each response carried one.
-	unnamedSince time.Time
+	http        *http.ClientConn
+	guarded     *guardedConn
+	openedAt    time.Time // when it was begun to be opened
+	connectedAt time.Time // when it had been opened
+	idleSince   time.Time
+	// unnamed holds when the last maxLateCopies exchanges were sent whose responses carried no request id, oldest first.
+	unnamed []time.Time
 }
 
 func (c *conn) close() { c.http.Close() }
@@ -135,7 +136,7 @@
 		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
-		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && !cn.unnamedExpired(now) && cn.http.Err() == nil && cn.guarded.beginRequest() {
+		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && cn.http.Err() == nil && cn.guarded.beginRequest() {
 			return cn, closed
 		}
 		closed = closed || cn.http.Err() != nil
@@ -143,22 +144,6 @@
 	}
 }
 
-// closeOneIdle closes the connection to the endpoint that has been idle for longest. It returns false if none is idle.
-func (p *Pool) closeOneIdle(id endpoints.ID) bool {
-	sh := p.shard(id)
-	sh.mu.Lock()
-	list := sh.idle[id]
-	if len(list) == 0 {
-		sh.mu.Unlock()
-		return false
-	}
-	c := list[0]
-	sh.idle[id] = slices.Delete(list, 0, 1)
-	sh.mu.Unlock()
-	c.close()
-	return true
-}
-
 // closeAll closes connections. It must not be called under a shard's lock, because closing a connection calls release, which takes that
 // lock.
 func closeAll(list []*conn) {
@@ -200,8 +185,7 @@
 
 // dial opens a connection to the endpoint.
 func (p *Pool) dial(ctx context.Context, e endpoints.Endpoint) (*conn, error) {
-	// An idle connection that the request must not use makes room for one that it may use.
-	if !p.reserve(e) && (!p.closeOneIdle(e.ID) || !p.reserve(e)) {
+	if !p.reserve(e) {
 		return nil, executor.ErrConnectionLimit
 	}
 	openedAt := time.Now()
@@ -211,7 +195,7 @@
 		guarded.notifyClosed()
 		return nil, err
 	}
-	return &conn{http: hc, guarded: guarded, openedAt: openedAt}, nil
+	return &conn{http: hc, guarded: guarded, openedAt: openedAt, connectedAt: time.Now()}, nil
 }
 
 // reserve adds a connection to the endpoint's count. It returns false if the count has reached the maximum.
