--- a/internal/coordination/forward/cold_test.go
+++ b/internal/coordination/forward/cold_test.go
@@ -81,14 +81,14 @@
 		}
 		is.Equal(run(), Answered)
 		is.Equal(u.probes, 1) // the endpoint has not answered yet
-		stats.RecordAnswer(e.ID, time.Now())
+		stats.RecordContact(e.ID, time.Now())
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(run(), Answered)
 		is.Equal(u.probes, 1) // it has answered recently
 		stats.RecordContactLost(e.ID, time.Now())
 		is.Equal(run(), Answered)
 		is.Equal(u.probes, 2)
-		stats.RecordAnswer(e.ID, time.Now())
+		stats.RecordContact(e.ID, time.Now())
 		time.Sleep(6 * time.Second)
 		is.Equal(run(), Answered)
 		is.Equal(u.probes, 3) // the answer is too old
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -52,7 +52,7 @@
 	rejectingUntil time.Time     // until when the endpoint wants no requests
 	inFlightLimit  int           // bound of inFlight after a rejection; 0 if there is none
 	usedAt         time.Time     // of the last access, for EvictUnused
-	answeredAt     time.Time     // of the last response
+	answeredAt     time.Time     // of the last response, see RecordContact
 	contactLostAt  time.Time     // when a connection to it last failed or was ended by it
 	pace           pace
 	responseRatio  float64 // moving average of what responses take, as a multiple of what was expected; 0 before the first
@@ -120,7 +120,7 @@
 	}
 	v.ProbeInFlight = !s.probeStartedAt.IsZero()
 	v.Rejecting, v.InFlightLimit = s.rejecting(now), s.inFlightLimit
-	v.Unchecked, v.ContactLost = s.unchecked(now), s.contactLost()
+	v.Unchecked, v.ContactLost = s.unchecked(contactLifetime, now), s.contactLost()
 	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight-s.silent, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
 }
 
@@ -227,11 +227,6 @@
 	t.update(id, now, func(s *endpointEntry) { s.addOutcome(true, now) })
 }
 
-// RecordAnswer records that the endpoint has sent a response of any kind.
-func (t *EndpointStats) RecordAnswer(id endpoints.ID, now time.Time) {
-	t.update(id, now, func(s *endpointEntry) { s.answeredAt = now })
-}
-
 // addOutcome adds an outcome to the failure rate.
 func (s *endpointEntry) addOutcome(failed bool, now time.Time) {
 	sample := 0.0
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -103,7 +103,7 @@
 	Limited       bool          // it limits the requests of all hosts together
 	Permits       int           // requests that this host may send if it is limited
 	Cold          bool          // it takes few requests for some time after its start, which counts as a limit
-	Unchecked     bool          // it may have started again since its last response to this host, see EndpointStats.Unchecked
+	Unchecked     bool          // it may have started again since its last response to this host
 	ContactLost   bool          // a connection to it has failed or ended since that response
 	Pace          float64       // recent duration of requests as a multiple of the usual one; 0 if the endpoint has reported its load
 	WarmUpLeft    time.Duration // how much longer the endpoint is slow after its start
--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -53,14 +53,13 @@
 
 // recordMessage records a statement that another host has sent. What is new and comes from another zone is passed on to the hosts of this zone.
 func (l *Limiter) recordMessage(s Statement, from Sender, now time.Time) {
-	isCold := l.recordColdMessage(s.ID, s.Cold, from, now)
 	isNew, change := l.record(s.ID, s.At(now))
 	if change != nil {
 		l.cfg.OnChange(s.ID, *change, s.At(now), from.Name)
 	}
 	switch {
 	case from.OwnZone:
-	case change != nil, isCold:
+	case change != nil:
 		l.announcements.Forward(s.ID)
 		l.cfg.OnUrgent()
 	case isNew:
@@ -82,11 +81,8 @@
 func (l *Limiter) statements(ids []endpoints.ID, now time.Time) []Statement {
 	var list []Statement
 	for _, id := range ids {
-		cold := l.coldMessage(id, now)
-		if _, ok := l.cfg.Limits.Get(id); ok || cold != nil {
-			s := l.statement(id, now)
-			s.Cold = cold
-			list = append(list, s)
+		if s, ok := l.cfg.Limits.Get(id); ok {
+			list = append(list, NewStatement(id, s, now))
 		}
 	}
 	return list
--- a/internal/coordination/ratelimit/message_test.go
+++ b/internal/coordination/ratelimit/message_test.go
@@ -41,7 +41,7 @@
 	}
 	id := endpoints.ID{Address: "10.0.0.1:80", Incarnation: "i-1@5"}
 	cold := &Cold{PerSecond: 5, LeftMS: 800, Exact: true}
-	statement := Statement{ID: id, PerSecond: 40, SentAgoMS: 9, AnsweredAgoMS: 3, Cold: cold}
+	statement := Statement{ID: id, PerSecond: 40, SentAgoMS: 9, AnsweredAgoMS: 3}
 	var request earlierRequest
 	recode(Request{ID: id, Zone: "a", Number: 7, Statement: statement, MaxWaitMS: 4, Cold: cold}, &request)
 	is.Equal(request, earlierRequest{id, "a", 7, "", earlierStatement{id, 40, 9, 3}, 4})
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -275,11 +275,10 @@
 	if r.RejectedFor > 0 || r.MalformedDelay != "" {
 		g.recordRejection(e, r)
 	}
-	g.endpointStats.RecordAnswer(e.ID, r.ReadAt)
 	g.ways.Answered(e.Service, e.ID, r.ReadAt)
 	g.crashGuard.Answered(e.ID, r.ConnectedAt, r.SentAt)
 	g.recordRateLimit(e, r)
-	g.recordColdAnswer(e, r)
+	g.recordContact(e, r)
 	if !r.Leaving {
 		return
 	}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -115,6 +115,10 @@
 // endpoint sent it.
 const tombstoneLifetime = time.Minute
 
+// warmUpTolerance is the difference up to which the ends of the warm-up in two entries count as the same. Entries arrive with delays that differ
+// by about a second.
+const warmUpTolerance = 1500 * time.Millisecond
+
 const (
 	// maxLateEntries is how many entries of a process may reach the store before an earlier one does. An entry further behind was not late: the
 	// entry with the higher number was not written by the endpoint.
@@ -140,10 +144,6 @@
 	return true
 }
 
-// warmUpTolerance is the difference up to which the ends of the warm-up in two entries count as the same. Entries arrive with delays that differ
-// by about a second.
-const warmUpTolerance = 1500 * time.Millisecond
-
 // NewTable returns an empty table. If an entry lapses during or shortly after an outage of the store, its endpoint stays usable for
 // the grace period lapseGrace, because it may be alive and only unable to renew the entry.
 func NewTable(lapseGrace time.Duration) *Table {
