--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -30,10 +30,13 @@
 		}
 	}()
 	now := time.Now()
-	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) {
+	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) && len(r.usableEndpoints(now)) > 0 {
 		waiter = queue.Add(request, true, now)
-		if !queue.IsFirst(waiter, now) && !r.waitForTurn(ctx, queue, waiter, true) {
-			return placement.EndpointView{}, 0, false
+		if !queue.IsFirst(waiter, now) {
+			queue.WakeFirst()
+			if !r.waitForTurn(ctx, queue, waiter, true) {
+				return placement.EndpointView{}, 0, false
+			}
 		}
 	}
 	for {
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -26,6 +26,7 @@
 	rooms       sync.Map     // service name -> *serviceRoom
 	drops       sync.Map     // service name -> time.Time at which a request was last unanswered until its deadline
 	paces       sync.Map     // paceKey -> *meanPace
+	cold        sync.Map     // service name -> *coldRejections
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
 
 	rejectingCount atomic.Int64 // endpoints in rejections
@@ -109,6 +110,9 @@
 			v.Pace = s.pace.at(t.meanPace(e.Service, v.Local).get(), now)
 		}
 	})
+	if v.WarmUpLeft > 0 {
+		v.FailureRate = max(v.FailureRate, t.coldRejectionRate(e.Service, now))
+	}
 	return v
 }
 
