gateway: limits of customers, enforced over all hosts

A request of a customer with a limit takes a permit when it has been read, before any queue and at the first host only. Beyond the limit it is refused with 429 at once, with a Retry-After that spaces the callers at the customer's rate; without a coordinator with 503. The permit of a request that was not run is returned. After a restart of all hosts, a host coordinates as soon as it hears from half of the hosts that the store lists, not only after 2 s. Messages between hosts get fields 13 and 14, the settings quota_window_s, quota_over and quota_slack; without them, limits are not enforced and nothing changes. The metrics address serves /v1/customers.

--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -63,6 +63,9 @@
 	g.metrics.Gauge("store_age_ms", func() any { age, _ := g.follower.Age(time.Now()); return age.Milliseconds() })
 	g.metrics.Gauge("endpoints", func() any { return g.endpoints.Snapshot().Total })
 	g.metrics.Gauge("endpoints_limited", func() any { return len(g.rateLimits.Limited()) })
+	if g.quota != nil {
+		g.metrics.Gauge("quotas_coordinated", func() any { return g.quota.Coordinated() })
+	}
 	g.metrics.Gauge("hosts_known", func() any { return g.peers.HostCount() })
 	g.metrics.Gauge("hosts_live", func() any { return len(g.peers.LiveZonePeers(time.Now())) })
 	g.metrics.Gauge("caller_connections", func() any { return g.callers.Connections() })
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -98,7 +98,12 @@
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
 	who.addTo(call)
+	permit, refusal := g.takePermit(ctx, call, table)
+	if refusal != nil {
+		return g.refuse(r, id, refusal)
+	}
 	res := g.forwarder.Run(ctx, call)
+	g.refundPermit(permit, res)
 	checkRevoked(call, res)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
@@ -213,7 +218,7 @@
 		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning && refusal.Reason != refusals.HostDraining {
 		fields := []any{"id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision}
 		if refusal.Customer != "" || refusal.Reason == refusals.CredentialsWrong {
-			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail)
+			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail, "retry_after_ms", ms(refusal.RetryAfter))
 		}
 		g.log.Info("refused", fields...)
 	}
--- a/internal/gateway/customers_test.go
+++ b/internal/gateway/customers_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -155,3 +157,75 @@
 	status, _, _ = h.send(t, "/lots/1", "new", "secret-new")
 	is.Equal(status, http.StatusOK)
 }
+
+// TestQuotaOverHosts guards against a customer that gets its limit at each host, refusals without a time to come back, a limit that no host divides after
+// its coordinator has stopped, and permits that requests use up which were not run.
+func TestQuotaOverHosts(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	norte := customer("norte", "secret-n")
+	norte.RatePerSecond, norte.Burst = 20, 5
+	d.configureCustomers(t, 3, norte, customer("sur", "secret-s"))
+	d.quota = true
+	first := d.start(t)
+	hosts := []*testHost{first, d.start(t, first.settings.StateAddress), d.start(t, first.settings.StateAddress)}
+	waitFor(t, "hosts that know each other", func() bool {
+		return !slices.ContainsFunc(hosts, func(h *testHost) bool { return !h.ready() || len(h.gateway.peers.LiveZonePeers(time.Now())) < 2 })
+	})
+	served := func(h *testHost) bool {
+		status, _, _ := h.send(t, "/lots/1", "w", "secret-n")
+		return status == http.StatusOK
+	}
+	for _, h := range hosts {
+		waitFor(t, "a coordinator", func() bool { return served(h) })
+	}
+	begin, ran := time.Now(), 0
+	for time.Since(begin) < 2*time.Second { // about 100 per second at each of three hosts
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		for i, h := range hosts {
+			wg.Go(func() {
+				status, reason, header := h.send(t, "/lots/1", fmt.Sprint("q", i), "secret-n")
+				mu.Lock()
+				defer mu.Unlock()
+				switch status {
+				case http.StatusOK:
+					ran++
+				case http.StatusTooManyRequests:
+					is.Equal(reason, refusals.RateExceeded)
+					is.True(header.Get("Retry-After") != "")
+				default:
+					is.Equal(reason, refusals.QuotaUnavailable) // a lost message
+				}
+			})
+		}
+		wg.Wait()
+	}
+	took := time.Since(begin).Seconds()
+	t.Logf("%d requests ran in %.1f s", ran, took)
+	is.True(float64(ran) <= 20*(took+0.3)+5+10+2) // rate, burst, half of the slack, and what is held in advance
+	is.True(float64(ran) >= 20*took*0.8)
+	status, _, _ := first.send(t, "/lots/1", "s", "secret-s")
+	is.Equal(status, http.StatusOK) // without a limit
+
+	dumps := first.gateway.customerDumps(time.Now())
+	is.Equal(dumps[0].Keys, []string{customers.Fingerprint("secret-n")})
+	is.True(dumps[0].Refusals[refusals.RateExceeded] > 0)
+	i := slices.IndexFunc(hosts, func(h *testHost) bool { return h.settings.Host == dumps[0].Quota.Coordinator })
+	hosts[i].stop()
+	<-hosts[i].ended
+	close(hosts[i].ended)
+	stopped := time.Now()
+	other := hosts[(i+1)%len(hosts)]
+	waitFor(t, "another coordinator", func() bool { return served(other) })
+	t.Logf("served again %v after the stop", time.Since(stopped))
+
+	_, err := d.store.Append(t.Context(), "endpoints", "e-1", nil) // nothing runs from here on
+	is.NoErr(err)
+	waitFor(t, "no endpoint", func() bool { return other.gateway.endpoints.Snapshot().Total == 0 })
+	time.Sleep(time.Second) // the bucket fills
+	for range 60 {
+		_, reason, _ := other.send(t, "/lots/1", "n", "secret-n")
+		is.Equal(reason, refusals.NoUpstream) // and not that the limit is used up
+	}
+}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -17,6 +17,8 @@
 	RefusalsPath = "/v1/refusals/" // followed by the request id
 	RequestsPath = "/v1/requests/" // followed by the request id
 	HostsPath    = "/v1/hosts"
+	// CustomersPath lists the customers of the configuration in force.
+	CustomersPath = "/v1/customers"
 	// SummaryPath is the path of the dump without the list of endpoints, which is long on large deployments.
 	SummaryPath = DumpPath + "?endpoints=omit"
 )
@@ -131,6 +133,7 @@
 		writeJSON(w, g.dump(time.Now()))
 	})
 	mux.HandleFunc("GET "+HostsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.knownHosts()) })
+	mux.HandleFunc("GET "+CustomersPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, g.customerDumps(time.Now())) })
 	mux.HandleFunc("GET "+RequestsPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
 		record, ok := g.requestRecord(r.PathValue("id"))
 		if !ok {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -200,7 +200,7 @@
 	leaving := g.draining.Load()
 	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, HasStoreCopy: g.hasStoreCopy.Load(),
 		Rate: int(math.Round(g.requestRate())), StoreFailing: g.storeLost.Load(),
-		CutOff: g.ways.AnyCut(), Coordinates: !leaving && time.Since(g.started) > coordinatorSettleTime})
+		CutOff: g.ways.AnyCut(), Coordinates: !leaving && g.mayCoordinate(), Quotas: g.hearsZone()})
 }
 
 // coordinatorSettleTime is how long after its start a host does not coordinate. Until then it may not know the other hosts of its zone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quota"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -97,6 +98,7 @@
 	meter            rateMeter     // of received
 	started          time.Time
 
+	quota            *quota.Limiter // permits for customers' requests; nil if limits are not enforced
 	customerRefusals customerRefusals
 
 	splitMu        sync.Mutex
@@ -152,6 +154,7 @@
 	g.ways, g.hopPool, g.hops = g.newTracker(), g.newHopPool(), g.newHopServer()
 	g.rateLimiter = ratelimit.New(ratelimit.Config{Limits: g.rateLimits, Coordinator: g.limitCoordinator, Hosts: g.peers.HostCount,
 		OnChange: g.logRateLimit, OnUrgent: g.requestHeartbeat, SendRequest: g.sendPermitRequest, SendGrant: g.sendGrant})
+	g.quota = g.newQuota()
 	cfg := placement.DefaultConfig()
 	cfg.Zone, cfg.RateLimiter = s.Zone, g.rateLimiter
 	g.endpointStats = placement.NewEndpointStats(cfg)
@@ -330,6 +333,7 @@
 	group.Go(func() error { g.sweep(runCtx); return nil })
 	group.Go(func() error { g.checkWays(runCtx); return nil })
 	group.Go(func() error { g.maintainHostList(runCtx); return nil })
+	group.Go(func() error { g.maintainQuota(runCtx); return nil })
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
 	<-ctx.Done()
 	auxCtx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(g.settings.grace())*auxStopFraction))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -106,6 +106,7 @@
 	header   atomic.Pointer[http.Header] // of the last of them
 	logs     bytes.Buffer
 	logsMu   sync.Mutex
+	quota    bool // hosts enforce the limits of customers
 }
 
 // Write implements io.Writer for the hosts' log.
@@ -212,6 +213,9 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%256, n)
 	s := &Settings{Host: fmt.Sprintf("host-%d", n), Zone: "a", CallerAddress: ip + ":18080", ReadyAddress: ip + ":18081", DirectoryAddress: ip + ":18082",
 		PeerAddress: ip + ":18083", StateAddress: ip + ":18084", MetricsAddress: ip + ":18085", DetourAddress: ip + ":18086", StoreAddress: "127.0.0.1:1", Seeds: seeds, GraceS: 1}
+	if d.quota {
+		s.QuotaWindowS, s.QuotaOver, s.QuotaSlack = 5, 0.1, 20
+	}
 	if err := s.Validate(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -96,6 +96,7 @@
 	}
 	g.handleWayReport(m, now)
 	g.handleLimits(m, now)
+	g.handleQuota(m, now)
 	g.crashGuard.HandleUpdate(m.Crashes, m.From.Name, m.From.Zone == g.settings.Zone, now)
 	for _, h := range m.Hosts {
 		g.addHost(h, m.From.Name, now)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gravitational/trace"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quota"
 	"github.com/arbutusspan/arbutusspan/internal/state/jsonfile"
 )
 
@@ -49,6 +50,11 @@
 	RepeatWindowS float64 `json:"repeat_window_s"` // seconds
 	// ProbesPerS limits the load probes that all hosts together send to an endpoint, in probes per second.
 	ProbesPerS float64 `json:"asks_per_s"`
+	// QuotaWindowS, QuotaOver and QuotaSlack bound what runs beyond the limits of customers: of the requests of a customer that were sent within any
+	// QuotaWindowS, at most (rate x QuotaWindowS + burst) x (1 + QuotaOver) + QuotaSlack. A QuotaWindowS of 0 means that limits are not enforced.
+	QuotaWindowS float64 `json:"quota_window_s"` // seconds
+	QuotaOver    float64 `json:"quota_over"`     // fraction
+	QuotaSlack   float64 `json:"quota_slack"`    // requests
 	// GraceS is the time between the stop signal and the kill, in seconds.
 	GraceS float64 `json:"grace_s"`
 	// AddressLifetimeS limits how long callers may keep a host address, in seconds.
@@ -84,6 +90,7 @@
 	minMemoryMB    = 64       // MiB
 	maxMemoryMB    = 16 << 20 // MiB
 	minDescriptors = 256
+	maxQuotaSlack  = 1_000_000
 	maxRepeatRatio = 10 // a RepeatRatio above 10 repeats per request is taken for a mistake
 )
 
@@ -142,6 +149,9 @@
 	check(s.GraceS >= minGraceS && s.GraceS <= maxGraceS, "grace_s is %v: use %d to %d seconds", s.GraceS, minGraceS, maxGraceS)
 	check(s.AddressLifetimeS > 0 && s.AddressLifetimeS <= maxSettingS, "address_lifetime_s is %v: use more than 0 and up to %d seconds",
 		s.AddressLifetimeS, maxSettingS)
+	check(s.QuotaWindowS >= 0 && s.QuotaWindowS <= maxSettingS, "quota_window_s is %v: use 0 to %d seconds", s.QuotaWindowS, maxSettingS)
+	check(s.QuotaOver >= 0 && s.QuotaOver <= 1, "quota_over is %v: use 0 to 1", s.QuotaOver)
+	check(s.QuotaSlack >= 0 && s.QuotaSlack <= maxQuotaSlack, "quota_slack is %v: use 0 to %d requests", s.QuotaSlack, maxQuotaSlack)
 	check(s.Cores > 0, "cores is %v: use more than 0", s.Cores)
 	check(s.LinkMbps >= 0, "link_mbps is %v: use more than 0 Mbit/s, or leave it out", s.LinkMbps)
 	check(s.MaxDescriptors >= minDescriptors, "max_descriptors is %d: use at least %d", s.MaxDescriptors, minDescriptors)
@@ -177,5 +187,10 @@
 	return s.advertised(s.DetourAddress)
 }
 
+// quotaTolerance returns by how much what runs may exceed the limits of customers.
+func (s *Settings) quotaTolerance() quota.Tolerance {
+	return quota.Tolerance{Window: time.Duration(s.QuotaWindowS * float64(time.Second)), Over: s.QuotaOver, Slack: s.QuotaSlack}
+}
+
 // grace returns GraceS as a duration.
 func (s *Settings) grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -164,6 +164,13 @@
 	l.hosts, l.epoch = nil, epoch
 }
 
+// known reports whether a list was read from the store, or written to it.
+func (l *storedHostList) known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.hosts) > 0
+}
+
 func (l *storedHostList) currentEpoch() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/protocol/problem/problem.go
+++ b/internal/protocol/problem/problem.go
@@ -58,6 +58,7 @@
 	refusals.DeadlineExpired:        {http.StatusGatewayTimeout, "Deadline expired"},
 	refusals.DeadlineUnreachable:    {http.StatusServiceUnavailable, "Deadline unreachable"},
 	refusals.RateExceeded:           {http.StatusTooManyRequests, "Rate exceeded"},
+	refusals.QuotaUnavailable:       {http.StatusServiceUnavailable, "Quota unavailable"},
 	refusals.ConcurrencyExceeded:    {http.StatusTooManyRequests, "Concurrency exceeded"},
 	refusals.QueueFull:              {http.StatusServiceUnavailable, "Queue full"},
 	refusals.Displaced:              {http.StatusServiceUnavailable, "Displaced by more urgent work"},
--- a/internal/state/customers/customers.go
+++ b/internal/state/customers/customers.go
@@ -42,6 +42,7 @@
 	byDigest map[digestIndex]holder
 	byName   map[string]*Customer
 	keys     map[string][]string // fingerprints of a customer's keys, by its name
+	limited  []string            // names of the customers with a limit
 }
 
 type digest [sha256.Size]byte
@@ -107,6 +108,9 @@
 	}
 	c := e.Customer
 	t.byName[c.Name] = &c
+	if c.Limited() {
+		t.limited = append(t.limited, c.Name)
+	}
 	var errs []error
 	for _, key := range e.Keys {
 		d := keyDigest(key)
@@ -169,5 +173,13 @@
 	return names
 }
 
+// Limited returns the names of the customers with a limit. The result must not be modified.
+func (t *Table) Limited() []string {
+	if t == nil {
+		return nil
+	}
+	return t.limited
+}
+
 // Fingerprints returns the fingerprints of a customer's keys. A key that another customer holds too may be among them.
 func (t *Table) Fingerprints(name string) []string { return t.keys[name] }
--- a/internal/state/customers/customers_test.go
+++ b/internal/state/customers/customers_test.go
@@ -31,6 +31,7 @@
 	}
 	is.Equal(*table.Get("norte"), Customer{Name: "norte", Priority: 1, HasPriority: true, RatePerSecond: 12.5, Burst: 4})
 	is.Equal(table.Names(), []string{"este", "norte", "sur"})
+	is.Equal(table.Limited(), []string{"norte"})
 	is.Equal(len(table.Fingerprints("norte")), 2)
 	is.Equal(len(Fingerprint("key-n1")), 8)
 }
--- a/internal/state/refusals/refusals.go
+++ b/internal/state/refusals/refusals.go
@@ -24,6 +24,7 @@
 	DeadlineExpired        Reason = "deadline_expired"
 	DeadlineUnreachable    Reason = "deadline_unreachable"
 	RateExceeded           Reason = "rate_exceeded"
+	QuotaUnavailable       Reason = "quota_unavailable"
 	ConcurrencyExceeded    Reason = "concurrency_exceeded"
 	QueueFull              Reason = "queue_full"
 	Displaced              Reason = "displaced"
--- a/internal/transport/peerlink/peerlink.go
+++ b/internal/transport/peerlink/peerlink.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quota"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
@@ -45,6 +46,9 @@
 	Crashes *quarantine.Update `cbor:"11,keyasint,omitempty"`
 	// Ways says which services the sender reaches.
 	Ways *detour.Report `cbor:"12,keyasint,omitempty"`
+	// QuotaRequests asks for permits for the requests of customers, and QuotaGrants are the responses to such requests; at most quota.MaxRequests each.
+	QuotaRequests []quota.Request `cbor:"13,keyasint,omitempty"`
+	QuotaGrants   []quota.Grant   `cbor:"14,keyasint,omitempty"`
 }
 
 // MaxLeaving is the maximum length of Message.Leaving. An endpoint's ID takes about 50 bytes.
@@ -215,6 +219,9 @@
 	if err := m.Ways.Check(); err != nil {
 		return err
 	}
+	if err := m.checkQuotas(); err != nil {
+		return err
+	}
 	if m.Status.Rate < 0 {
 		return trace.BadParameter("the rate is %d: negative", m.Status.Rate)
 	}
@@ -242,5 +249,23 @@
 	return nil
 }
 
+// checkQuotas returns an error if the message states requests for permits, or grants, that no host sends.
+func (m *Message) checkQuotas() error {
+	if len(m.QuotaRequests) > quota.MaxRequests || len(m.QuotaGrants) > quota.MaxRequests {
+		return trace.BadParameter("the message has %d requests for permits and %d grants: not 0 to %d", len(m.QuotaRequests), len(m.QuotaGrants), quota.MaxRequests)
+	}
+	for i := range m.QuotaRequests {
+		if err := m.QuotaRequests[i].Check(); err != nil {
+			return err
+		}
+	}
+	for i := range m.QuotaGrants {
+		if err := m.QuotaGrants[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close closes the socket, which makes Receive return.
 func (l *Link) Close() error { return l.conn.Close() }
