ctl: arbutusctl gateway customers

Shows each customer of the configuration in force over all hosts: keys by fingerprint, limit, the host that coordinates it, permits that hosts hold, and refusals by reason.

--- a/internal/ctl/gateway.go
+++ b/internal/ctl/gateway.go
@@ -20,6 +20,8 @@
 		{Name: "status", Usage: "show the configuration in force, its age, the endpoints and the load of each host", Flags: gatewayTargets(), Action: gatewayStatus},
 		{Name: "compare", Usage: "show the hosts that differ in configuration, age of the endpoints or health of their store connection", Flags: compareFlags, Action: gatewayCompare},
 		{Name: "endpoints", Usage: "show the endpoints and their load as known to each host", Flags: gatewayTargets(), Action: gatewayEndpoints},
+		{Name: "customers", Usage: "show customers: keys by fingerprint, limit, who coordinates it and who holds permits, refusals by reason", ArgsUsage: "[NAME]",
+			Flags: gatewayTargets(), Action: gatewayCustomers},
 		{Name: "find", Usage: "show which host received a request and how it ended", ArgsUsage: "REQUEST-ID", Flags: gatewayTargets(), Action: gatewayFind},
 		{Name: "explain", Usage: "explain why a request was refused", ArgsUsage: "REQUEST-ID", Flags: gatewayTargets(), Action: gatewayExplain},
 	}}
--- a/internal/ctl/gateway_test.go
+++ b/internal/ctl/gateway_test.go
@@ -17,8 +17,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quota"
 	"github.com/arbutusspan/arbutusspan/internal/gateway"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
+	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 )
 
 // gatewayHost starts a stand-in of a host that returns the dump, and the records of requests by id. Its address is returned.
@@ -168,7 +170,7 @@
 	}
 	hosts := addressesFile(t, addresses...)
 	const hostTimeout = 500 * time.Millisecond
-	for _, args := range [][]string{{"compare"}, {"status"}, {"find", "r-1"}, {"explain", "r-1"}} {
+	for _, args := range [][]string{{"customers"}, {"compare"}, {"status"}, {"find", "r-1"}, {"explain", "r-1"}} {
 		start := time.Now()
 		runGateway(t, append([]string{"gateway", args[0], "--host-timeout", hostTimeout.String(), "--at-file", hosts}, args[1:]...)...)
 		is.True(time.Since(start) < silent/2*hostTimeout)
@@ -207,10 +209,41 @@
 	is.True(strings.Contains(out, "no endpoint in time"))
 }
 
+// TestGatewayCustomers guards against a customer's figures that are those of one host, a key that is shown, and a customer that is not found and reported as
+// one without refusals.
+func TestGatewayCustomers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	host := func(tokens *float64, held int, refused int64) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			json.NewEncoder(w).Encode([]gateway.CustomerDump{
+				{Name: "norte", PerSecond: 12.5, Burst: 4, Keys: []string{"1a2b3c4d"}, Refusals: map[refusals.Reason]int64{refusals.RateExceeded: refused},
+					Quota: &quota.State{Held: held, Tokens: tokens}},
+				{Name: "sur", Keys: []string{"99887766"}}})
+		}))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	tokens := 7.5
+	hosts := addressesFile(t, host(&tokens, 0, 2), host(nil, 3, 40))
+	out, code, err := runGateway(t, append(patient, "customers", "--host-timeout", "1m", "--at-file", hosts)...)
+	is.NoErr(err)
+	is.Equal(code, ExitOK)
+	for _, text := range []string{"12.5", "1a2b3c4d", "7.5", ":3", "rate_exceeded:42"} {
+		is.True(strings.Contains(lineWith(out, "norte"), text))
+	}
+	is.True(strings.Contains(lineWith(out, "sur"), "99887766"))
+	out, code, _ = runGateway(t, append(patient, "customers", "--host-timeout", "1m", "--at-file", hosts, "--at", stoppedHost, "sur")...)
+	is.Equal(code, ExitUnavailable) // a host is missing in the figures
+	is.True(!strings.Contains(out, "norte"))
+	_, code, _ = runGateway(t, append(patient, "customers", "--host-timeout", "1m", "--at-file", hosts, "este")...)
+	is.Equal(code, ExitNotFound)
+}
+
 // TestGatewayHostsAreRequired guards against a command without hosts that reports success.
 func TestGatewayHostsAreRequired(t *testing.T) {
 	is := is.New(t)
-	for _, args := range [][]string{{"compare"}, {"status"}, {"endpoints"}, {"find", "r-1"}, {"explain", "r-1"}} {
+	for _, args := range [][]string{{"customers"}, {"compare"}, {"status"}, {"endpoints"}, {"find", "r-1"}, {"explain", "r-1"}} {
 		_, code, err := runGateway(t, append([]string{"gateway"}, args...)...)
 		is.Equal(code, ExitUsage)
 		is.True(strings.Contains(err.Error(), "--from"))
