--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -96,6 +96,9 @@
 	g.metrics.Gauge("endpoints_limited", func() any { return len(g.rateLimits.Limited()) })
 	g.metrics.Gauge("endpoints_cold", func() any { return g.rateLimits.CountCold(time.Now()) })
 	g.metrics.Gauge("zones_evacuated", func() any { return g.evacuations.count.Load() })
+	if g.quota != nil {
+		g.metrics.Gauge("quotas_coordinated", func() any { return g.quota.Coordinated() })
+	}
 	g.metrics.Gauge("hosts_known", func() any { return g.peers.HostCount() })
 	g.metrics.Gauge("hosts_live", func() any { return len(g.peers.LiveZonePeers(time.Now())) })
 	g.metrics.Gauge("caller_connections", func() any { return g.callers.Connections() })
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -104,7 +104,12 @@
 		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
 	call.CallerDue = r.HeaderReadAt.Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
 	who.addTo(call)
+	permit, refusal := g.takePermit(ctx, call, table)
+	if refusal != nil {
+		return g.refuse(r, id, refusal)
+	}
 	res := g.forwarder.Run(ctx, call)
+	g.refundPermit(permit, res)
 	checkRevoked(call, res)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
@@ -234,7 +239,7 @@
 		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning && refusal.Reason != refusals.HostDraining {
 		fields := []any{"id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision}
 		if refusal.Customer != "" || refusal.Reason == refusals.CredentialsWrong {
-			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail)
+			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail, "retry_after_ms", ms(refusal.RetryAfter))
 		}
 		g.log.Info("refused", fields...)
 	}
