--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -45,6 +45,30 @@
 	// Queues are the requests that wait on this host, by service.
 	Queues    []overload.State `json:"queues,omitempty"`
 	Endpoints []EndpointDump   `json:"endpoints"`
+	// Zones are the availability zones of the endpoints, and those that are evacuated.
+	Zones []ZoneDump `json:"zones"`
+}
+
+// ZoneDump is what this host knows about an availability zone.
+type ZoneDump struct {
+	Zone      string `json:"zone"`
+	Endpoints int    `json:"endpoints"` // usable according to their entries
+	Evacuated bool   `json:"evacuated"` // nothing is sent to its endpoints
+	// EvacuatedMS is the time since this host learned of the evacuation, in milliseconds; -1 if the zone is not evacuated.
+	EvacuatedMS int64 `json:"evacuated_ms"`
+}
+
+// zones returns the state of the zones.
+func (g *Gateway) zones(now time.Time) []ZoneDump {
+	list := []ZoneDump{}
+	for _, z := range g.endpoints.Zones() {
+		d := ZoneDump{Zone: z.Zone, Endpoints: z.Endpoints, Evacuated: !z.EvacuatedSince.IsZero(), EvacuatedMS: -1}
+		if d.Evacuated {
+			d.EvacuatedMS = ms(now.Sub(z.EvacuatedSince))
+		}
+		list = append(list, d)
+	}
+	return list
 }
 
 // EndpointDump is what this host knows about an endpoint.
@@ -64,6 +88,10 @@
 	Suspect     bool    `json:"suspect"`     // this host could not reach the endpoint recently
 	// RateLimit is the number of requests per second that the endpoint takes from all hosts together; absent if it names no limit.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// ColdMS is how much longer the endpoint takes only ColdPerSecond requests per second from all hosts together after its start, in
+	// milliseconds. Both are absent if it is not cold, or takes as many as later.
+	ColdMS        int64   `json:"cold_ms,omitempty"`
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
 }
 
 // HostAddress tells operators where a host of the deployment is reached.
@@ -93,6 +121,7 @@
 			if s, _ := g.rateLimits.Get(v.ID); s.PerSecond != ratelimits.Unlimited {
 				e.RateLimit = &s.PerSecond
 			}
+			g.coldDump(&e, v.ID, now)
 			if v.LoadAge >= 0 {
 				e.Running, e.Waiting, e.Slowness, e.LoadAgeMS = v.Load.Running, v.Load.Waiting, v.Load.Slowness, ms(v.LoadAge)
 			}
@@ -107,7 +136,7 @@
 	d := Dump{Host: g.settings.Host, Zone: g.settings.Zone, Ready: g.ready(), Draining: g.draining.Load(), UptimeSeconds: int64(now.Sub(g.started).Seconds()),
 		StoreAgeMS: -1, StoreFailingMS: ms(g.follower.FailingFor(now)), ActiveRequests: g.callers.Unanswered(),
 		CallerConnections: g.callers.Connections(), AdvertisedAddresses: g.peers.Addresses(now, maxDirectoryAddresses),
-		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total, Ways: g.ways.States(now), Queues: g.forwarder.QueueStates(now)}
+		LiveHosts: g.peers.LiveZonePeers(now), EndpointCount: g.endpoints.Snapshot().Total, Ways: g.ways.States(now), Queues: g.forwarder.QueueStates(now), Zones: g.zones(now)}
 	if t := g.routes.Load(); t != nil {
 		d.ConfigurationVersion = t.Version
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -32,13 +32,16 @@
 }
 
 // contractHandler implements follow.Handler for the contract topic. It puts each configuration in force that is newer than the current one
-// and ignores older versions.
+// and ignores older versions. It also applies the records that evacuate zones.
 type contractHandler struct{ g *Gateway }
 
 // Apply puts the configuration of a record in force if it is newer than the current one. A configuration with faulty routes is used
 // without them unless no route is left.
-func (h contractHandler) Apply(r follow.Record, _ bool, _ time.Time) bool {
+func (h contractHandler) Apply(r follow.Record, _ bool, now time.Time) bool {
 	g := h.g
+	if zone, ok := g.evacuatedZone(r.Key); ok {
+		return g.setEvacuation(zone, r, now)
+	}
 	if r.Value == nil {
 		return false
 	}
@@ -101,8 +104,10 @@
 	return current == nil || cfg.Version > current.Version
 }
 
-// RetainKeys does nothing: a configuration stays in force when its record is removed.
-func (h contractHandler) RetainKeys(map[string]bool, bool, time.Time) {}
+// RetainKeys ends the evacuations whose records were removed. A configuration stays in force when its record is removed.
+func (h contractHandler) RetainKeys(keys map[string]bool, _ bool, now time.Time) {
+	h.g.retainEvacuations(keys, now)
+}
 
 // Compare orders configurations by their versions. An unreadable one is older than a readable one.
 func (h contractHandler) Compare(a, b follow.Record) (order int, renewal bool) {
@@ -149,7 +154,11 @@
 		return false
 	}
 	renews := g.endpoints.Renews(e)
-	return g.logEndpointChange(g.endpoints.Put(e, now), sourceStore) || !renews
+	change := g.endpoints.Put(e, now)
+	if e.WarmUp > 0 {
+		g.recordColdEntry(e.Name, now)
+	}
+	return g.logEndpointChange(change, sourceStore) || !renews
 }
 
 // RetainKeys removes the endpoints whose keys are missing after a full read of the topic.
@@ -266,9 +275,11 @@
 	if r.RejectedFor > 0 || r.MalformedDelay != "" {
 		g.recordRejection(e, r)
 	}
+	g.endpointStats.RecordAnswer(e.ID, r.ReadAt)
 	g.ways.Answered(e.Service, e.ID, r.ReadAt)
 	g.crashGuard.Answered(e.ID, r.ConnectedAt, r.SentAt)
 	g.recordRateLimit(e, r)
+	g.recordColdAnswer(e, r)
 	if !r.Leaving {
 		return
 	}
