--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -30,10 +30,13 @@
 		}
 	}()
 	now := time.Now()
-	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) {
+	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) && len(r.usableEndpoints(now)) > 0 {
 		waiter = queue.Add(request, true, now)
-		if !queue.IsFirst(waiter, now) && !r.waitForTurn(ctx, queue, waiter, true) {
-			return placement.EndpointView{}, 0, false
+		if !queue.IsFirst(waiter, now) {
+			queue.WakeFirst()
+			if !r.waitForTurn(ctx, queue, waiter, true) {
+				return placement.EndpointView{}, 0, false
+			}
 		}
 	}
 	for {
@@ -161,12 +164,18 @@
 		return r.chooseWithContact(ctx, cfg, views, avoid)
 	}
 	var candidates []int
+	var known []endpoints.ID // endpoints of which a probe would show nothing new to a request that waits and searches again
 	for i := range views {
-		if !avoid(views[i].ID) && views[i].HasFreshLoad(cfg.MaxLoadAge) {
+		switch v := &views[i]; {
+		case avoid(v.ID):
+		case v.HasFreshLoad(cfg.MaxLoadAge):
 			candidates = append(candidates, i)
+		case waiting && v.KnowsLoad(cfg.MaxLoadAge, r.serviceTime):
+			candidates, known = append(candidates, i), append(known, v.ID)
 		}
 	}
-	rounds := cfg.ProbeRounds(views, avoid, r.forwarder.cfg.Random)
+	isKnown := func(id endpoints.ID) bool { return avoid(id) || slices.Contains(known, id) }
+	rounds := cfg.ProbeRounds(views, isKnown, r.forwarder.cfg.Random)
 	if waiting {
 		candidates, rounds = r.restrictToRoom(views, candidates, rounds, avoid, now)
 	}
@@ -197,6 +206,9 @@
 		candidates = append(candidates, r.probeRound(ctx, views, round[:allowed])...)
 		best, expected = cfg.Best(views, candidates, r.serviceTime, r.call.Route.Idempotent)
 	}
+	if best < 0 && r.result.ProbeRoundsSkipped > 0 && !r.call.Route.Idempotent && stats.DropsRequests(r.call.Service.Name, now) {
+		return nil, 0 // an endpoint of unknown load may drop the request, which must not be sent again then
+	}
 	if best < 0 && r.result.ProbeRoundsSkipped > 0 {
 		v, expected := r.chooseWithoutProbes(cfg, views, r.withContact(views, avoid))
 		if v == nil || !stats.LikelyRoom(v.Service, v.Local, now) {
--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -158,10 +158,12 @@
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
 	execCall.Deadline = r.call.Due.Add(-hopMargin)
+	release := retainBody(&execCall)
 	go func() {
 		got := sendResult{err: errPanicked, written: true}
 		defer func() {
 			got.attempt, got.through, got.allowed = n, h.Name, allowed
+			release()
 			r.sendResults <- got
 		}()
 		defer f.recoverPanic(execCall.RequestID)
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -18,9 +18,11 @@
 
 	customers customers
 
-	running   int     // requests of this host at endpoints
-	completed meter   // work of the requests that endpoints answered
-	stretch   float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
+	running   int   // requests of this host at endpoints
+	completed meter // work of the requests that endpoints answered
+	// completions are these requests.
+	completions meter
+	stretch     float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
 }
 
 // orderWork is the work by which the waiting requests of one route are ordered. It stays the same while any of them waits, so that they keep the
@@ -277,6 +279,15 @@
 	q.lanes(func(l *lane) bool { return !l.wakeNext() })
 }
 
+// WakeFirst wakes the first request, because one that arrives leaves the search for an endpoint to it.
+func (q *Queue) WakeFirst() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.first != nil {
+		q.first.wake()
+	}
+}
+
 // WakeAll wakes all requests.
 func (q *Queue) WakeAll() {
 	q.mu.Lock()
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -24,7 +24,9 @@
 	rejections  sync.Map     // service name -> *serviceRejections
 	samplers    sync.Map     // service name -> *serviceSampler
 	rooms       sync.Map     // service name -> *serviceRoom
+	drops       sync.Map     // service name -> time.Time at which a request was last unanswered until its deadline
 	paces       sync.Map     // paceKey -> *meanPace
+	cold        sync.Map     // service name -> *coldRejections
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
 
 	rejectingCount atomic.Int64 // endpoints in rejections
@@ -41,6 +43,7 @@
 	load           Load
 	loadReportedAt time.Time
 	inFlight       int // requests in flight that this host sent
+	silent         int // the part of inFlight that counts as dropped, see RecordSilent
 	sentSinceLoad  int // requests that this host sent since loadReportedAt, less those that ended since then
 	failureRate    float64
 	failureRateAt  time.Time
@@ -53,6 +56,7 @@
 	answeredAt     time.Time     // of the last response, see RecordContact
 	contactLostAt  time.Time     // when a connection to it last failed or was ended by it
 	pace           pace
+	responseRatio  float64 // moving average of what responses take, as a multiple of what was expected; 0 before the first
 }
 
 // NewEndpointStats returns statistics without any endpoint.
@@ -106,6 +110,9 @@
 			v.Pace = s.pace.at(t.meanPace(e.Service, v.Local).get(), now)
 		}
 	})
+	if v.WarmUpLeft > 0 {
+		v.FailureRate = max(v.FailureRate, t.coldRejectionRate(e.Service, now))
+	}
 	return v
 }
 
@@ -118,7 +125,7 @@
 	v.ProbeInFlight = !s.probeStartedAt.IsZero()
 	v.Rejecting, v.InFlightLimit = s.rejecting(now), s.inFlightLimit
 	v.Unchecked, v.ContactLost = s.unchecked(contactLifetime, now), s.contactLost()
-	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
+	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight-s.silent, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
 }
 
 // ReserveSlot records that this host is about to send a request to the endpoint of a view. It returns false, and records nothing, if the
