--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -166,11 +166,11 @@
 	return Endpoint{}, false
 }
 
-// Named returns the usable endpoint with a name.
+// Named returns the endpoint with a name that is usable according to its entry, also if its zone is evacuated.
 func (t *Table) Named(name string) (Endpoint, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[name]; r != nil && t.listed(r) {
+	if r := t.records[name]; r != nil && r.usable {
 		return *r.endpoint, true
 	}
 	return Endpoint{}, false
