--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 )
 
@@ -27,6 +28,9 @@
 // more once ctx has ended.
 func (r *activeRequest) recordSendResult(ctx context.Context, got sendResult) bool {
 	r.inFlight--
+	if got.silent {
+		r.endSilence()
+	}
 	if got.stream != nil && ctx.Err() != nil {
 		r.forwarder.discard(&got)
 		got = sendResult{attempt: got.attempt, err: ctx.Err(), written: true}
@@ -154,6 +158,8 @@
 	queue, begin := r.forwarder.queue(r.call.Service.Name), time.Now()
 	request := r.overloadRequest()
 	queue.Started(&request, n == 0, begin)
+	release := retainBody(&execCall)
+	awaited := r.await(&v, expected, begin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true} // stays so if the send panics
 		defer func() {
@@ -162,7 +168,8 @@
 			if errors.Is(got.err, errPanicked) {
 				r.forwarder.cfg.EndpointStats.RecordEnd(v.ID, true, time.Now())
 			}
-			got.attempt = n
+			got.attempt, got.silent = n, awaited.end(sendCtx, r.forwarder, &v, &got, time.Since(begin), expected, execCall.RequestID)
+			release()
 			r.sendResults <- got
 		}()
 		defer r.forwarder.recoverPanic(execCall.RequestID)
@@ -170,6 +177,14 @@
 	}()
 }
 
+// retainBody keeps the memory of a request's body while a send may read it, which may be after the request has ended.
+func retainBody(c *executor.Call) (release func()) {
+	if c.RetainBody == nil {
+		return func() {}
+	}
+	return c.RetainBody()
+}
+
 // cancelSends cancels the sends whose answers are not used.
 func (r *activeRequest) cancelSends() {
 	for _, cancel := range r.cancels {
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -24,6 +24,7 @@
 	rejections  sync.Map     // service name -> *serviceRejections
 	samplers    sync.Map     // service name -> *serviceSampler
 	rooms       sync.Map     // service name -> *serviceRoom
+	drops       sync.Map     // service name -> time.Time at which a request was last unanswered until its deadline
 	paces       sync.Map     // paceKey -> *meanPace
 	cold        sync.Map     // service name -> *coldRejections
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
@@ -42,6 +43,7 @@
 	load           Load
 	loadReportedAt time.Time
 	inFlight       int // requests in flight that this host sent
+	silent         int // the part of inFlight that counts as dropped, see RecordSilent
 	sentSinceLoad  int // requests that this host sent since loadReportedAt, less those that ended since then
 	failureRate    float64
 	failureRateAt  time.Time
@@ -51,9 +53,10 @@
 	rejectingUntil time.Time     // until when the endpoint wants no requests
 	inFlightLimit  int           // bound of inFlight after a rejection; 0 if there is none
 	usedAt         time.Time     // of the last access, for EvictUnused
-	answeredAt     time.Time     // of the last response
+	answeredAt     time.Time     // of the last response, see RecordContact
 	contactLostAt  time.Time     // when a connection to it last failed or was ended by it
 	pace           pace
+	responseRatio  float64 // moving average of what responses take, as a multiple of what was expected; 0 before the first
 }
 
 // NewEndpointStats returns statistics without any endpoint.
@@ -121,8 +124,8 @@
 	}
 	v.ProbeInFlight = !s.probeStartedAt.IsZero()
 	v.Rejecting, v.InFlightLimit = s.rejecting(now), s.inFlightLimit
-	v.Unchecked, v.ContactLost = s.unchecked(now), s.contactLost()
-	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
+	v.Unchecked, v.ContactLost = s.unchecked(contactLifetime, now), s.contactLost()
+	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight-s.silent, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
 }
 
 // ReserveSlot records that this host is about to send a request to the endpoint of a view. It returns false, and records nothing, if the
@@ -228,11 +231,6 @@
 	t.update(id, now, func(s *endpointEntry) { s.addOutcome(true, now) })
 }
 
-// RecordAnswer records that the endpoint has sent a response of any kind.
-func (t *EndpointStats) RecordAnswer(id endpoints.ID, now time.Time) {
-	t.update(id, now, func(s *endpointEntry) { s.answeredAt = now })
-}
-
 // addOutcome adds an outcome to the failure rate.
 func (s *endpointEntry) addOutcome(failed bool, now time.Time) {
 	sample := 0.0
--- a/internal/coordination/ratelimit/cold.go
+++ b/internal/coordination/ratelimit/cold.go
@@ -71,24 +71,19 @@
 	l.recordCold(id, ratelimits.Cold{PerSecond: perSecond, Until: until, KnownAt: now}, SourceEntry, now)
 }
 
-// RecordColdAnswer records how much longer an endpoint is cold according to its response to a health check of this host that was sent at sentAt. Other
-// hosts are told at once if that is new: they may not have heard yet that the endpoint has started again.
+// RecordColdAnswer records how much longer an endpoint is cold according to its response to a health check of this host that was sent at sentAt.
 func (l *Limiter) RecordColdAnswer(id endpoints.ID, perSecond float64, left time.Duration, sentAt, now time.Time) {
 	c := ratelimits.Cold{PerSecond: perSecond, Until: now.Add(left), KnownAt: now, Exact: true}
 	if isNew := l.cfg.Limits.RecordColdAnswer(id, c, sentAt, now); isNew {
 		l.begin(id, c, SourceHealthCheck, now)
-		l.announcements.Announce(id)
-		l.cfg.OnUrgent()
 	}
 }
 
-// recordCold records that an endpoint is cold, and reports whether that is new.
-func (l *Limiter) recordCold(id endpoints.ID, c ratelimits.Cold, source string, now time.Time) (isNew bool) {
-	isNew = l.cfg.Limits.RecordCold(id, c, now)
-	if isNew {
+// recordCold records that an endpoint is cold.
+func (l *Limiter) recordCold(id endpoints.ID, c ratelimits.Cold, source string, now time.Time) {
+	if isNew := l.cfg.Limits.RecordCold(id, c, now); isNew {
 		l.begin(id, c, source, now)
 	}
-	return isNew
 }
 
 // begin makes void the permits that were granted at a higher rate than an endpoint takes now.
@@ -99,10 +94,9 @@
 
 // recordColdMessage records what another host knows of an endpoint that is cold; c may be nil. It is no statement of the endpoint: it holds only for the
 // time that the host has named.
-func (l *Limiter) recordColdMessage(id endpoints.ID, c *Cold, from Sender, now time.Time) (isNew bool) {
-	if c == nil {
-		return false
+func (l *Limiter) recordColdMessage(id endpoints.ID, c *Cold, from Sender, now time.Time) {
+	if c != nil {
+		l.recordCold(id, ratelimits.Cold{PerSecond: c.PerSecond, Until: now.Add(time.Duration(c.LeftMS) * time.Millisecond), KnownAt: now,
+			Exact: c.Exact}, from.Name, now)
 	}
-	return l.recordCold(id, ratelimits.Cold{PerSecond: c.PerSecond, Until: now.Add(time.Duration(c.LeftMS) * time.Millisecond), KnownAt: now,
-		Exact: c.Exact}, from.Name, now)
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -76,6 +76,10 @@
 			Detail: "this host has not learned the configuration in force yet", Remedy: "use another address, or come back after the stated delay"})
 	}
 	route := table.Match(r.Host, r.Path)
+	if route != nil && r.BodyDiscarded {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostCatchingUp, Ran: refusals.RanNo, RetryAfter: catchUpRetryAfter, Revision: table.Version,
+			Detail: "the route of the request came into force while its body arrived", Remedy: "send the request again"})
+	}
 	if route == nil {
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RouteUnknown, Ran: refusals.RanNo, Revision: table.Version,
 			Detail: "no route of the configuration in force matches " + r.Host + r.Path, Remedy: "ask the operator for a route"})
@@ -97,10 +101,15 @@
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
-		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
+		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
 	call.CallerDue = r.HeaderReadAt.Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
 	who.addTo(call)
+	permit, refusal := g.takePermit(ctx, call, table)
+	if refusal != nil {
+		return g.refuse(r, id, refusal)
+	}
 	res := g.forwarder.Run(ctx, call)
+	g.refundPermit(permit, res)
 	checkRevoked(call, res)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
@@ -230,7 +239,7 @@
 		refusal.Reason != refusals.UpstreamLost && refusal.Reason != refusals.DeadlinePassedRunning && refusal.Reason != refusals.HostDraining {
 		fields := []any{"id", id, "reason", refusal.Reason, "path", r.Path, "version", refusal.Revision}
 		if refusal.Customer != "" || refusal.Reason == refusals.CredentialsWrong {
-			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail)
+			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail, "retry_after_ms", ms(refusal.RetryAfter))
 		}
 		g.log.Info("refused", fields...)
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -109,8 +109,12 @@
 	h.g.retainEvacuations(keys, now)
 }
 
-// Compare orders configurations by their versions. An unreadable one is older than a readable one.
+// Compare orders configurations by their versions. An unreadable one is older than a readable one. All records that evacuate a zone have the same
+// content, and only their place in the store tells which is newer: none is older than another, so that a zone can be evacuated again.
 func (h contractHandler) Compare(a, b follow.Record) (order int, renewal bool) {
+	if _, ok := h.g.evacuatedZone(a.Key); ok {
+		return 1, false
+	}
 	version := func(r follow.Record) uint64 {
 		if cfg, err := h.g.adapter.DecodeContract(r.Key, r.Value); err == nil && cfg != nil {
 			return cfg.Version
@@ -227,7 +231,7 @@
 	leaving := g.draining.Load()
 	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, HasStoreCopy: g.hasStoreCopy.Load(),
 		Rate: int(math.Round(g.requestRate())), StoreFailing: g.storeLost.Load(),
-		CutOff: g.ways.AnyCut(), Coordinates: !leaving && time.Since(g.started) > coordinatorSettleTime})
+		CutOff: g.ways.AnyCut(), Coordinates: !leaving && g.mayCoordinate(), Quotas: g.hearsZone()})
 }
 
 // coordinatorSettleTime is how long after its start a host does not coordinate. Until then it may not know the other hosts of its zone.
@@ -275,11 +279,10 @@
 	if r.RejectedFor > 0 || r.MalformedDelay != "" {
 		g.recordRejection(e, r)
 	}
-	g.endpointStats.RecordAnswer(e.ID, r.ReadAt)
 	g.ways.Answered(e.Service, e.ID, r.ReadAt)
 	g.crashGuard.Answered(e.ID, r.ConnectedAt, r.SentAt)
 	g.recordRateLimit(e, r)
-	g.recordColdAnswer(e, r)
+	g.recordContact(e, r)
 	if !r.Leaving {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,9 +20,11 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/quota"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
@@ -80,8 +82,9 @@
 	hops             *ingress.Server    // serves requests that other hosts got from their callers
 	checkWaysNow     chan struct{}      // has the ways checked that need it
 	forwarder        *forward.Forwarder
-	callers          *ingress.Server  // serves callers' requests
-	follower         *follow.Follower // keeps this host's copy of the store current
+	callers          *ingress.Server   // serves callers' requests
+	memory           *membudget.Budget // what callers may take of the memory
+	follower         *follow.Follower  // keeps this host's copy of the store current
 	peers            *peers.Table
 	link             *peerlink.Link // exchanges messages with peers; set by Run
 	draining         atomic.Bool
@@ -101,6 +104,7 @@
 	meter            rateMeter     // of received
 	started          time.Time
 
+	quota            *quota.Limiter // permits for customers' requests; nil if limits are not enforced
 	customerRefusals customerRefusals
 
 	splitMu        sync.Mutex
@@ -116,13 +120,6 @@
 	// upstreamConnectTimeout limits connection set-up, so that requests do not wait for an endpoint that does not accept connections
 	// at once.
 	upstreamConnectTimeout = 150 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the process's memory that request bodies may take, hopBodyMemoryFraction the one for those of requests
-	// that other hosts got, answerMemoryFraction the one for answers that are read before they are passed on, and heapFraction the memory limit of the Go
-	// runtime as a fraction of the process's memory.
-	bodyMemoryFraction    = 0.2
-	hopBodyMemoryFraction = 0.05
-	answerMemoryFraction  = 0.15
-	heapFraction          = 0.6
 	// callerDescriptorFraction is the fraction of the file descriptors that callers' connections may use. The rest is for upstreams, the
 	// store and peers.
 	callerDescriptorFraction = 0.6
@@ -150,6 +147,7 @@
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
 		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+	g.memory = newMemoryBudget(s.MemoryMB)
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps, DetourAddress: s.advertisedDetour()}))
@@ -157,6 +155,7 @@
 	g.rateLimiter = ratelimit.New(ratelimit.Config{Limits: g.rateLimits, Coordinator: g.limitCoordinator, Hosts: g.peers.HostCount,
 		OnChange: g.logRateLimit, OnCold: g.logCold,
 		ColdTolerance: ratelimit.ColdTolerance{Over: s.ColdOver, Slack: s.ColdSlack}, OnUrgent: g.requestHeartbeat, SendRequest: g.sendPermitRequest, SendGrant: g.sendGrant})
+	g.quota = g.newQuota()
 	cfg := placement.DefaultConfig()
 	cfg.Zone, cfg.RateLimiter = s.Zone, g.rateLimiter
 	g.endpointStats = placement.NewEndpointStats(cfg)
@@ -175,10 +174,11 @@
 		MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
-		OnCut: g.reportCut})
+		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
+		OnCut: g.reportCut, OnSilence: g.reportSilence})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
-		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), PipelinedPerS: s.Cores * pipelinedPerCoreS,
+		OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge:    func() time.Duration { return g.peers.MaxAge(time.Now()) },
@@ -302,7 +302,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: aux.handler, ReadTimeout: auxServerTimeout, WriteTimeout: aux.writeTimeout, IdleTimeout: auxIdleTimeout}
+		server, l := g.newAuxServer(aux, l)
 		servers = append(servers, server)
 		group.Go(func() error { return ignoreClosed(server.Serve(l)) })
 	}
@@ -315,6 +315,7 @@
 	group.Go(func() error { g.sweep(runCtx); return nil })
 	group.Go(func() error { g.checkWays(runCtx); return nil })
 	group.Go(func() error { g.maintainHostList(runCtx); return nil })
+	group.Go(func() error { g.maintainQuota(runCtx); return nil })
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
 	<-ctx.Done()
 	auxCtx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(g.settings.grace())*auxStopFraction))
