gateway: regular heartbeats keep a random phase of their own

Cause: hosts that started together sent their heartbeats together, each 0.66 s in a zone of 46, and an urgent one moved the phase of all. Change: heartbeatSchedule begins at a random phase, and heartbeats at once do not move it.

--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -15,21 +16,43 @@
 
 // sendHeartbeats sends heartbeats to the other hosts of this zone until the context ends.
 func (g *Gateway) sendHeartbeats(ctx context.Context) {
+	schedule := heartbeatSchedule{random: rand.Float64}
 	for ctx.Err() == nil {
 		g.storeLost.Store(g.follower.StoreLost())
 		g.updateStatus()
 		g.sendHeartbeat()
 		sleep(ctx, minHeartbeatInterval)
-		interval := time.NewTimer(g.peers.HeartbeatInterval() - minHeartbeatInterval)
+		due := time.NewTimer(schedule.untilNext(g.peers.HeartbeatInterval(), time.Now()))
 		select {
-		case <-interval.C:
+		case <-due.C:
 		case <-g.heartbeatNow:
 		case <-ctx.Done():
 		}
-		interval.Stop()
+		due.Stop()
 	}
 }
 
+// heartbeatSchedule holds the times of a host's regular heartbeats. They begin at a random time, and heartbeats that are sent at once do not move them:
+// else hosts that start together, or learn of something at the same moment, would send theirs together, and a host would hear from nobody in between.
+// Quorum would take that for a cut.
+type heartbeatSchedule struct {
+	random func() float64 // returns a number in [0, 1)
+	next   time.Time      // zero before the first call of untilNext
+}
+
+// untilNext returns the time until the next regular heartbeat.
+func (s *heartbeatSchedule) untilNext(interval time.Duration, now time.Time) time.Duration {
+	switch {
+	case s.next.IsZero():
+		s.next = now.Add(time.Duration(s.random() * float64(interval)))
+	case now.Sub(s.next) > interval: // the process was suspended
+		s.next = now
+	case !now.Before(s.next):
+		s.next = s.next.Add(interval)
+	}
+	return s.next.Sub(now)
+}
+
 // requestHeartbeat makes sendHeartbeats send a heartbeat soon.
 func (g *Gateway) requestHeartbeat() {
 	select {
