peers, quota: a host counts as heard from for longer than a heartbeat interval

Change: messages count for 1.3 intervals; heartbeats vary by a quarter of the interval; the place of a silent coordinator is taken 0.1 s after that time, when one that is cut off grants nothing any more, so that the two do not overlap. Result: TestHeartbeatSchedule, TestBoundAndService (12 and 50 hosts) pass.

--- a/internal/coordination/peers/quorum.go
+++ b/internal/coordination/peers/quorum.go
@@ -47,15 +47,28 @@
 }
 
 const (
-	// minQuorumWindow is the least time in which a host must have sent a message to count as heard from. On large zones, whose hosts send
-	// heartbeats less often, the time is quorumIntervals heartbeat intervals: about four fifths of the hosts send one within it.
+	// minQuorumWindow is the least time in which a host must have sent a message to count as heard from. In large zones, whose hosts send
+	// heartbeats less often, the time is quorumIntervals heartbeat intervals, in which each host sends one. With less than one interval, hosts that
+	// started together would hear from nobody in between.
 	minQuorumWindow = 500 * time.Millisecond
-	quorumIntervals = 0.8
+	quorumIntervals = 1.3
 	// quorumMemory is how long a host counts the hosts that it knew when it last heard from half of them. A host that is cut off forgets silent
 	// hosts much sooner, and would else take itself for the whole zone.
 	quorumMemory = 5 * time.Minute
 )
 
+// QuorumWindow returns the time in which a host must have sent a message to count as heard from in Quorum.
+func (t *Table) QuorumWindow() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.quorumWindow()
+}
+
+// quorumWindow does the work of QuorumWindow. t.mu must be held.
+func (t *Table) quorumWindow() time.Duration {
+	return max(minQuorumWindow, time.Duration(quorumIntervals*float64(t.heartbeatIntervalLocked())))
+}
+
 // quorumBase is the number of hosts of the zone that the table knew when this host last heard from half of them.
 type quorumBase struct {
 	known int
@@ -68,7 +81,7 @@
 func (t *Table) Quorum(now time.Time) (heard, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	window := max(minQuorumWindow, time.Duration(quorumIntervals*float64(t.heartbeatIntervalLocked())))
+	window := t.quorumWindow()
 	addresses := map[string]bool{t.cfg.Self.PeerAddress: true} // whether the host was heard from
 	for _, p := range t.hosts {
 		if p.Zone != t.cfg.Self.Zone || p.Leaving {
--- a/internal/coordination/quota/coordinator.go
+++ b/internal/coordination/quota/coordinator.go
@@ -65,10 +65,10 @@
 	return list
 }
 
-// silent reports whether a host has sent nothing since it was asked, for takeoverTime. l.mu must be held.
+// silent reports whether a host has sent nothing since it was asked, for longer than a host that is cut off goes on. l.mu must be held.
 func (l *Limiter) silent(host string, now time.Time) bool {
 	a := l.awaited[host]
-	return a != nil && now.Sub(a.since) >= takeoverTime && !l.cfg.LastMessage(host).After(a.since)
+	return a != nil && now.Sub(a.since) >= l.cfg.QuorumWindow()+takeoverMargin && !l.cfg.LastMessage(host).After(a.since)
 }
 
 // await notes that a host of this zone is asked. l.mu must be held.
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -60,7 +60,7 @@
 // full plays all cases at all sizes, which takes minutes.
 var full = flag.Bool("full", false, "play all cases of large deployments")
 
-// maxOutage is the time after a fault until customers have a coordinator again: takeoverTime, the time until a host asks it, and repeated messages.
+// maxOutage is the time after a fault until customers have a coordinator again: the time until a silent host is replaced, the time until a host asks it, and repeated messages.
 const maxOutage = 1200 * time.Millisecond
 
 // TestBoundAndService guards against more requests of a customer in any window than its limit and the tolerance allow, summed over all hosts, whatever
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// heartbeatSchedule holds the times of a host's regular heartbeats. They begin at a random time, and heartbeats that are sent at once do not move them:
+// heartbeatSchedule holds the times of a host's regular heartbeats. They vary by heartbeatJitter, and heartbeats that are sent at once do not move them:
 // else hosts that start together, or learn of something at the same moment, would send theirs together, and a host would hear from nobody in between.
 // Quorum would take that for a cut.
 type heartbeatSchedule struct {
@@ -40,15 +40,16 @@
 	next   time.Time      // zero before the first call of untilNext
 }
 
+// heartbeatJitter is the part of the interval by which the time between two regular heartbeats is longer or shorter at random.
+const heartbeatJitter = 0.25
+
 // untilNext returns the time until the next regular heartbeat.
 func (s *heartbeatSchedule) untilNext(interval time.Duration, now time.Time) time.Duration {
-	switch {
-	case s.next.IsZero():
-		s.next = now.Add(time.Duration(s.random() * float64(interval)))
-	case now.Sub(s.next) > interval: // the process was suspended
+	if now.Sub(s.next) > interval { // the first call, or the process was suspended
 		s.next = now
-	case !now.Before(s.next):
-		s.next = s.next.Add(interval)
+	}
+	if !now.Before(s.next) {
+		s.next = s.next.Add(time.Duration((1 - heartbeatJitter + 2*heartbeatJitter*s.random()) * float64(interval)))
 	}
 	return s.next.Sub(now)
 }
