overload: arrivals wake the first request at most each 2 ms

Cause: under overload every arrival had the first request search again, whether or not a search could have ended. Change: an interval of 2 ms, as long as a search with a probe takes.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -33,7 +33,7 @@
 	if request := r.overloadRequest(); waits && queue.MustWait(&request, now) && len(r.usableEndpoints(now)) > 0 {
 		waiter = queue.Add(request, true, now)
 		if !queue.IsFirst(waiter, now) {
-			queue.WakeFirst()
+			queue.WakeFirst(now)
 			if !r.waitForTurn(ctx, queue, waiter, true) {
 				return placement.EndpointView{}, 0, false
 			}
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -16,7 +16,8 @@
 	count int
 	works map[string]*orderWork // by route, of those with waiting requests
 
-	customers customers
+	customers  customers
+	searchedAt time.Time // when an arrival last woke the first request
 
 	running   int   // requests of this host at endpoints
 	completed meter // work of the requests that endpoints answered
@@ -282,12 +283,15 @@
 	q.lanes(func(l *lane) bool { return !l.wakeNext() })
 }
 
+// searchInterval is the least interval at which arrivals wake the first request. A search takes about as long.
+const searchInterval = 2 * time.Millisecond
+
 // WakeFirst wakes the first request, because one that arrives leaves the search for an endpoint to it.
-func (q *Queue) WakeFirst() {
+func (q *Queue) WakeFirst(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.first != nil {
-		q.first.wake()
+	if q.first != nil && now.Sub(q.searchedAt) >= searchInterval && q.first.wake() {
+		q.searchedAt = now
 	}
 }
 
--- a/internal/coordination/overload/queue_test.go
+++ b/internal/coordination/overload/queue_test.go
@@ -55,6 +55,14 @@
 	is.Equal(len(second.Wake), 1)
 	q.Remove(second, false, start)
 	is.Equal(len(third.Wake), 1)
+	for n, want := range []int{1, 0, 1} { // arrivals wake the first request, at an interval
+		<-third.Wake
+		q.WakeFirst(start.Add(time.Duration(n) * searchInterval / 2))
+		is.Equal(len(third.Wake), want)
+		if want == 0 {
+			q.WakeNext()
+		}
+	}
 }
 
 // TestLearningKeepsOrder guards against requests that overtake earlier ones of their route because the estimate of their work has fallen.
