--- a/internal/coordination/forward/detour.go
+++ b/internal/coordination/forward/detour.go
@@ -38,6 +38,8 @@
 	Tried    []endpoints.ID // endpoints to which it is not sent again
 	Counted  bool           // that host has counted it for its repeat budget
 	Late     bool           // an answer after the target latency is better than none
+	// WaitedBefore is how long the caller had waited before this attempt, by the times that it states.
+	WaitedBefore time.Duration
 }
 
 const (
@@ -81,9 +83,12 @@
 	return state == detour.Cut || state == detour.Silent && r.call.Handover != nil
 }
 
-// refuseNoEndpoint refuses the request because no endpoint of the service answers.
+// refuseNoEndpoint refuses the request because no endpoint of the service answers, or because all of them are in evacuated zones.
 func (r *activeRequest) refuseNoEndpoint() {
 	r.result.Outcome, r.result.RetryAfter = RefusedNoEndpoint, defaultRetryAfter
+	if n := r.forwarder.cfg.Endpoints().Evacuated[r.call.Service.Name]; n > 0 && r.result.Candidates == 0 {
+		r.result.Detail = "all endpoints of the service are in evacuated zones"
+	}
 }
 
 // takeDetour sends the request through another host, or refuses it, if this host has lost its way to the service. decided is false if this host is to look for
@@ -127,7 +132,7 @@
 // sendThroughHost starts to send the request through another host that reaches the service. It returns false if there is none.
 func (r *activeRequest) sendThroughHost(ctx context.Context, hedge bool) bool {
 	f := r.forwarder
-	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || r.stopped() || !r.checkQuarantine() {
+	if f.cfg.Detour == nil || r.call.Handover != nil || len(r.through) >= maxHops || ctx.Err() != nil || r.stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		return false
 	}
 	now := time.Now()
@@ -140,7 +145,7 @@
 		allowed-- // one is left in case that the connection to the host breaks
 	}
 	request := &detour.HopRequest{Service: r.call.Service.Name, Version: r.call.Version, Waited: now.Sub(r.call.Arrived).Milliseconds(), Attempts: allowed, Caller: r.call.Caller,
-		Tried: r.tried, Counted: r.counted, Late: r.sends > 0}
+		Tried: r.tried, Counted: r.counted, Late: r.sends > 0, WaitedBefore: r.waitedFor.Milliseconds()}
 	r.counted = true
 	r.result.Outcome, r.result.RetryAfter = "", 0
 	expected := hopDurationFactor * r.serviceTime
@@ -152,7 +157,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline, execCall.Idempotent = r.call.Due.Add(-hopMargin), r.call.Route.Idempotent
+	execCall.Deadline = r.call.Due.Add(-hopMargin)
 	release := retainBody(&execCall)
 	go func() {
 		got := sendResult{err: errPanicked, written: true}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -59,6 +60,8 @@
 	ReleaseMemory func(bytes int64)
 	// OnCut is called after an endpoint's answer has ended early or without progress, except if the request's log entry tells so. Nil means no call.
 	OnCut func(Cut)
+	// OnSilence is called when a request counts as dropped by its endpoint, or was unanswered at its deadline. Nil means no call.
+	OnSilence func(Silence)
 	// OnPanic is called after a panic that ended a send or a probe. Nil means that a panic ends the process.
 	OnPanic func(requestID string, value any, stack []byte)
 }
@@ -67,7 +70,8 @@
 type Forwarder struct {
 	cfg          Config
 	serviceTimes serviceTimeEstimator
-	queues       sync.Map // service name -> *placement.Queue
+	queues       sync.Map // service name -> *overload.Queue
+	waits        overload.Waits
 
 	bufferedBytes atomic.Int64 // memory that is reserved for the bodies of answers
 }
@@ -99,12 +103,19 @@
 	Service *routing.Service
 	// Due is the deadline of the caller or of the route, whichever is earlier.
 	Due time.Time
+	// CallerDue is until when the caller waits, as it states. It is later than Due if the route's timeout is shorter, and zero if it is not known.
+	CallerDue time.Time
 	// Arrived is when the host had read the request.
 	Arrived time.Time
 	// Caller is the address of the caller, without a port.
 	Caller netip.Addr
 	// Version is the version of the configuration that has the route.
 	Version uint64
+	// Customer is the name of the customer whose key the caller has sent; empty if it is not known.
+	Customer string
+	// CustomerPriority is the priority of the customer's requests; 0 is the most urgent. It is that of the route if the customer is not known or
+	// states none.
+	CustomerPriority int
 	// Handover is set if the request came through another host.
 	Handover *Handover
 
@@ -112,6 +123,14 @@
 	fingerprintMemo quarantine.Fingerprint
 }
 
+// callerDue returns CallerDue, or Due if it is not known.
+func (c *Call) callerDue() time.Time {
+	if c.CallerDue.After(c.Due) {
+		return c.CallerDue
+	}
+	return c.Due
+}
+
 const (
 	// probeTimeout bounds a probe, including the set-up of a connection to a busy endpoint.
 	probeTimeout = 150 * time.Millisecond
@@ -142,18 +161,23 @@
 	call        *Call
 	start       time.Time
 	serviceTime time.Duration  // usual duration of the route's requests
-	lateAt      time.Time      // when the answer is late: at the target latency or the deadline, whichever is earlier
+	lateAt      time.Time      // when the answer is late: at the target latency or the deadline, whichever is earlier; at the deadline for a repeat
+	waitedFor   time.Duration  // how long the caller had waited before this attempt, by the times that it states
+	targetAt    time.Time      // when the target latency is exceeded, counted from the caller's first attempt; at most the deadline
 	tried       []endpoints.ID // endpoints to which the request was sent, also by another host
 	through     []string       // hosts through which it was sent
 	counted     bool           // it counts for the repeat budget
 	result      *Result
 	sendResults chan sendResult
-	inFlight    int // sends in flight
+	inFlight    int           // sends in flight
+	silences    chan struct{} // one element for each send that has come to count as dropped
+	silent      int           // the part of inFlight that counts as dropped
 	// allRejectingUntil is the time before which no endpoint of the service wants requests; zero if one does, as found by the last search.
 	allRejectingUntil time.Time
-	limits            limitedEndpoints // found by the last search
-	onTrial           bool             // the request is quarantined and is sent once
-	direct            bool             // the request looks for an endpoint although this host has lost its way
+	limits            limitedEndpoints  // found by the last search
+	onTrial           bool              // the request is quarantined and is sent once
+	overload          overload.Estimate // the last one while the request waited
+	direct            bool              // the request looks for an endpoint although this host has lost its way
 	// mayHaveRun says that an endpoint may have run the request.
 	mayHaveRun  bool
 	sends       int                  // sends that count as attempts: all but those that failed before a byte was written
@@ -178,6 +202,7 @@
 	progressAt time.Time
 	err        error
 	written    bool // a byte of the request may have reached the endpoint
+	silent     bool // the request counted as dropped before its end
 }
 
 // Run forwards the request and returns how it ended. The caller of Run must close Result.Stream if it is not nil. ctx ends when the caller
@@ -185,11 +210,18 @@
 func (f *Forwarder) Run(ctx context.Context, c *Call) *Result {
 	now := time.Now()
 	r := &activeRequest{forwarder: f, call: c, start: now, serviceTime: f.serviceTimes.estimate(c.Route), result: &Result{},
-		sendResults: make(chan sendResult, 8)}
-	r.lateAt = c.Due
-	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip); c.Route.TargetLatency > 0 && late.Before(c.Due) {
-		r.lateAt = late
+		sendResults: make(chan sendResult, 8), silences: make(chan struct{}, 8)}
+	if c.Handover != nil {
+		r.waitedFor = c.Handover.WaitedBefore
+	} else {
+		r.waitedFor = f.waits.Estimate(c.Route.Name, c.callerDue().Sub(c.Arrived), now)
+	}
+	r.result.WaitedBefore = r.waitedFor
+	r.targetAt = c.Due
+	if late := c.Arrived.Add(c.Route.TargetLatency - callerRoundTrip - r.waitedFor); c.Route.TargetLatency > 0 && late.Before(c.Due) {
+		r.targetAt = late
 	}
+	r.lateAt = r.targetAt
 	if c.Handover != nil {
 		r.tried, r.counted = slices.Clone(c.Handover.Tried), c.Handover.Counted
 		if c.Handover.Late {
@@ -199,6 +231,8 @@
 	if !r.checkQuarantine() {
 		return r.result
 	}
+	request := r.overloadRequest()
+	f.queue(c.Service.Name).Arrived(&request, now)
 	ctx, cancel := context.WithDeadline(ctx, c.Due)
 	r.serve(ctx)
 	if r.result.Stream == nil {
@@ -245,6 +279,13 @@
 				return
 			}
 			hedgeTimer.Reset(r.hedgeDelay())
+		case <-r.silences:
+			if r.silent++; r.inFlight > r.silent {
+				continue // another send is awaited
+			}
+			if delay := r.hedge(ctx); delay > 0 {
+				hedgeTimer.Reset(delay)
+			}
 		case <-hedgeTimer.C:
 			if delay := r.hedge(ctx); delay > 0 {
 				hedgeTimer.Reset(delay)
@@ -268,7 +309,7 @@
 	if !ok {
 		return r.mayDetour() && r.sendThroughHost(ctx, hedge)
 	}
-	if ctx.Err() != nil || r.stopped() || !r.checkQuarantine() {
+	if ctx.Err() != nil || r.stopped() || r.call.IsRevoked() || !r.checkQuarantine() {
 		r.forwarder.cfg.EndpointStats.RecordEndWithoutOutcome(view.ID, time.Now())
 		r.forwarder.queue(r.call.Service.Name).WakeNext()
 		if r.lastFailure == nil && !hedge && r.result.Outcome != RefusedQuarantined {
@@ -279,15 +320,3 @@
 	r.send(ctx, view, expected, hedge)
 	return true
 }
-
-// queue returns the queue of a service.
-func (f *Forwarder) queue(service string) *placement.Queue {
-	if q, ok := f.queues.Load(service); ok {
-		return q.(*placement.Queue)
-	}
-	q, _ := f.queues.LoadOrStore(service, &placement.Queue{})
-	return q.(*placement.Queue)
-}
-
-// WakeAll has all waiting requests of a service look for an endpoint anew, because this host's way to them has changed.
-func (f *Forwarder) WakeAll(service string) { f.queue(service).WakeAll() }
--- a/internal/coordination/forward/result.go
+++ b/internal/coordination/forward/result.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
@@ -24,17 +25,19 @@
 	RefusedAllLimited Outcome = "refused_all_limited"
 	// RefusedQuarantined means that endpoints have ended while they ran this request, in this or an earlier attempt.
 	RefusedQuarantined Outcome = "refused_quarantined"
-	RefusedUpstream    Outcome = "refused_upstream" // every endpoint that the request reached refused it without running it
-	RefusedUnsent      Outcome = "refused_unsent"   // the deadline passed, or the caller left, before the request was sent
-	RefusedConnect     Outcome = "refused_connect"  // no connection to an endpoint could be opened
-	LostAnswer         Outcome = "lost_answer"      // the request was sent, and the connection ended before the answer was whole
-	TimedOut           Outcome = "timed_out"        // the request was sent, and the deadline passed or the caller left before an answer
+	// RefusedRevoked means that the caller's key was removed before the request was sent.
+	RefusedRevoked  Outcome = "refused_revoked"
+	RefusedUpstream Outcome = "refused_upstream" // every endpoint that the request reached refused it without running it
+	RefusedUnsent   Outcome = "refused_unsent"   // the deadline passed, or the caller left, before the request was sent
+	RefusedConnect  Outcome = "refused_connect"  // no connection to an endpoint could be opened
+	LostAnswer      Outcome = "lost_answer"      // the request was sent, and the connection ended before the answer was whole
+	TimedOut        Outcome = "timed_out"        // the request was sent, and the deadline passed or the caller left before an answer
 )
 
 // GuaranteesNotRun reports whether the outcome guarantees that no endpoint has run the request or will run it.
 func (o Outcome) GuaranteesNotRun() bool {
 	switch o {
-	case RefusedNoEndpoint, RefusedTooLate, RefusedAllRejecting, RefusedAllLimited, RefusedQuarantined, RefusedUpstream, RefusedUnsent, RefusedConnect:
+	case RefusedNoEndpoint, RefusedTooLate, RefusedAllRejecting, RefusedAllLimited, RefusedQuarantined, RefusedRevoked, RefusedUpstream, RefusedUnsent, RefusedConnect:
 		return true
 	}
 	return false
@@ -83,5 +86,9 @@
 	QueueWaits         int          // times that the request waited for an endpoint
 	Candidates         int          // usable endpoints of the service
 	ID                 endpoints.ID // endpoint that answered
-	Detail             string       // cause of a failure, for the caller; empty if there is none to add
+	// Overload is the estimate that decided last whether the request waited or was refused; nil if it did not wait for a free slot.
+	Overload *overload.Estimate
+	// WaitedBefore is how long the caller had waited before this attempt, by the times that it states.
+	WaitedBefore time.Duration
+	Detail       string // cause of a failure, for the caller; empty if there is none to add
 }
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -28,6 +28,9 @@
 // more once ctx has ended.
 func (r *activeRequest) recordSendResult(ctx context.Context, got sendResult) bool {
 	r.inFlight--
+	if got.silent {
+		r.endSilence()
+	}
 	if got.stream != nil && ctx.Err() != nil {
 		r.forwarder.discard(&got)
 		got = sendResult{attempt: got.attempt, err: ctx.Err(), written: true}
@@ -87,7 +90,7 @@
 // repeat sends the request again after all sends have failed, if that is safe and the repeat budget allows it. It reports whether a send
 // was started.
 func (r *activeRequest) repeat(ctx context.Context) bool {
-	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || !r.checkQuarantine() {
+	if ctx.Err() != nil || (r.mayHaveRun && !r.call.Route.Idempotent) || !r.canRepeat() || r.call.IsRevoked() || !r.checkQuarantine() {
 		return false
 	}
 	r.lateAt = r.call.Due // a late answer is better than the failure
@@ -151,15 +154,21 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline, execCall.Idempotent = r.call.Due, r.call.Route.Idempotent
+	execCall.Deadline, execCall.RecentContact = r.call.Due, r.call.needsContact() && !v.Cold
+	queue, begin := r.forwarder.queue(r.call.Service.Name), time.Now()
+	request := r.overloadRequest()
+	queue.Started(&request, n == 0, begin)
 	release := retainBody(&execCall)
+	awaited := r.await(&v, expected, begin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true} // stays so if the send panics
 		defer func() {
+			completed := got.err == nil && got.resp != nil && !got.resp.NotRun && got.resp.Status < http.StatusInternalServerError
+			queue.Ended(r.serviceTime, time.Since(begin), completed, time.Now())
 			if errors.Is(got.err, errPanicked) {
 				r.forwarder.cfg.EndpointStats.RecordEnd(v.ID, true, time.Now())
 			}
-			got.attempt = n
+			got.attempt, got.silent = n, awaited.end(sendCtx, r.forwarder, &v, &got, time.Since(begin), expected, execCall.RequestID)
 			release()
 			r.sendResults <- got
 		}()
--- a/internal/ctl/gateway.go
+++ b/internal/ctl/gateway.go
@@ -20,6 +20,9 @@
 		{Name: "status", Usage: "show the configuration in force, its age, the endpoints and the load of each host", Flags: gatewayTargets(), Action: gatewayStatus},
 		{Name: "compare", Usage: "show the hosts that differ in configuration, age of the endpoints or health of their store connection", Flags: compareFlags, Action: gatewayCompare},
 		{Name: "endpoints", Usage: "show the endpoints and their load as known to each host", Flags: gatewayTargets(), Action: gatewayEndpoints},
+		{Name: "zones", Usage: "show the availability zones of the endpoints, and which are evacuated, as known to each host", Flags: gatewayTargets(), Action: gatewayZones},
+		{Name: "customers", Usage: "show customers: keys by fingerprint, limit, who coordinates it and who holds permits, refusals by reason", ArgsUsage: "[NAME]",
+			Flags: gatewayTargets(), Action: gatewayCustomers},
 		{Name: "find", Usage: "show which host received a request and how it ended", ArgsUsage: "REQUEST-ID", Flags: gatewayTargets(), Action: gatewayFind},
 		{Name: "explain", Usage: "explain why a request was refused", ArgsUsage: "REQUEST-ID", Flags: gatewayTargets(), Action: gatewayExplain},
 	}}
@@ -86,14 +89,37 @@
 	if err != nil {
 		return err
 	}
-	t := &table{header: []string{"HOST", "SERVICE", "ENDPOINT", "ADDRESS", "ZONE", "SLOTS", "RUNNING", "WAITING", "SLOWNESS", "LOAD AGE MS", "FAILING", "SUSPECT"}}
+	t := &table{header: []string{"HOST", "SERVICE", "ENDPOINT", "ADDRESS", "ZONE", "SLOTS", "RUNNING", "WAITING", "SLOWNESS", "LOAD AGE MS", "FAILING", "SUSPECT",
+		"COLD MS", "COLD PER S"}}
 	for _, d := range list {
 		if d.Dump == nil {
 			continue
 		}
 		for _, e := range d.Dump.Endpoints {
 			t.add(d.Dump.Host, e.Service, e.Name, e.Address, e.Zone, e.Slots, e.Running, e.Waiting, e.Slowness, e.LoadAgeMS,
-				e.FailureRate, e.Suspect)
+				e.FailureRate, e.Suspect, e.ColdMS, e.ColdPerSecond)
+		}
+	}
+	return errors.Join(newPrinter(cmd).print(list, t), checkAnyResponded(list))
+}
+
+func gatewayZones(ctx context.Context, cmd *cli.Command) error {
+	list, err := fetchDumps(ctx, cmd, gateway.SummaryPath)
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"HOST", "ZONE", "ENDPOINTS", "EVACUATED", "FOR", "ERROR"}}
+	for _, d := range list {
+		if d.Dump == nil {
+			t.add(d.Name, "", "", "", "", d.Error)
+			continue
+		}
+		for _, z := range d.Dump.Zones {
+			since := ""
+			if z.Evacuated {
+				since = (time.Duration(z.EvacuatedMS) * time.Millisecond).String()
+			}
+			t.add(d.Dump.Host, z.Zone, z.Endpoints, z.Evacuated, since, "")
 		}
 	}
 	return errors.Join(newPrinter(cmd).print(list, t), checkAnyResponded(list))
--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -94,10 +94,16 @@
 	g.metrics.Gauge("store_age_ms", func() any { age, _ := g.follower.Age(time.Now()); return age.Milliseconds() })
 	g.metrics.Gauge("endpoints", func() any { return g.endpoints.Snapshot().Total })
 	g.metrics.Gauge("endpoints_limited", func() any { return len(g.rateLimits.Limited()) })
+	g.metrics.Gauge("endpoints_cold", func() any { return g.rateLimits.CountCold(time.Now()) })
+	g.metrics.Gauge("zones_evacuated", func() any { return g.evacuations.count.Load() })
+	if g.quota != nil {
+		g.metrics.Gauge("quotas_coordinated", func() any { return g.quota.Coordinated() })
+	}
 	g.metrics.Gauge("hosts_known", func() any { return g.peers.HostCount() })
 	g.metrics.Gauge("hosts_live", func() any { return len(g.peers.LiveZonePeers(time.Now())) })
 	g.metrics.Gauge("caller_connections", func() any { return g.callers.Connections() })
 	g.metrics.Gauge("active_requests", func() any { return g.callers.Unanswered() })
+	g.metrics.Gauge("waiting_requests", func() any { return g.waitingRequests() })
 	g.metrics.Gauge("buffered_answer_bytes", func() any { return g.forwarder.BufferedBytes() })
 	g.registerMemoryGauges()
 	g.metrics.Gauge("log_lines_left_out_total", func() any { return g.log.Dropped() })
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
@@ -22,7 +24,7 @@
 // AllowGaps set, so that missed records are no reason to read the store: hosts also learn of each other by messages.
 func (g *Gateway) feeds() []follow.Feed {
 	return []follow.Feed{
-		{Topic: g.adapter.EndpointTopic, Handler: endpointHandler{g}, RefreshesPerRead: 1},
+		{Topic: g.adapter.EndpointTopic, Handler: endpointHandler{g}, Validate: endpointHandler{g}.validate, RefreshesPerRead: 1},
 		{Topic: g.adapter.ContractTopic, Handler: contractHandler{g}, Prepare: contractHandler{g}.prepare, RefreshesPerRead: 1, Watch: true,
 			KeepMissing: true},
 		{Topic: g.adapter.HostTopic, Handler: hostListHandler{g}, RefreshesPerRead: hostRefreshesPerRead, AllowGaps: true},
@@ -30,13 +32,16 @@
 }
 
 // contractHandler implements follow.Handler for the contract topic. It puts each configuration in force that is newer than the current one
-// and ignores older versions.
+// and ignores older versions. It also applies the records that evacuate zones.
 type contractHandler struct{ g *Gateway }
 
 // Apply puts the configuration of a record in force if it is newer than the current one. A configuration with faulty routes is used
 // without them unless no route is left.
-func (h contractHandler) Apply(r follow.Record, _ bool, _ time.Time) bool {
+func (h contractHandler) Apply(r follow.Record, _ bool, now time.Time) bool {
 	g := h.g
+	if zone, ok := g.evacuatedZone(r.Key); ok {
+		return g.setEvacuation(zone, r, now)
+	}
 	if r.Value == nil {
 		return false
 	}
@@ -99,8 +104,10 @@
 	return current == nil || cfg.Version > current.Version
 }
 
-// RetainKeys does nothing: a configuration stays in force when its record is removed.
-func (h contractHandler) RetainKeys(map[string]bool, bool, time.Time) {}
+// RetainKeys ends the evacuations whose records were removed. A configuration stays in force when its record is removed.
+func (h contractHandler) RetainKeys(keys map[string]bool, _ bool, now time.Time) {
+	h.g.retainEvacuations(keys, now)
+}
 
 // Compare orders configurations by their versions. An unreadable one is older than a readable one.
 func (h contractHandler) Compare(a, b follow.Record) (order int, renewal bool) {
@@ -116,7 +123,24 @@
 // endpointHandler implements follow.Handler for the endpoint topic. It applies the entries to the registry of endpoints.
 type endpointHandler struct{ g *Gateway }
 
-// Apply adds, updates or removes the endpoint of a record. An entry that cannot be decoded removes the endpoint at once.
+// validate says whether an entry counts: programs other than endpoints may write entries too. One whose service no configuration in force names
+// counts from the configuration on that names it.
+func (h endpointHandler) validate(r follow.Record) follow.Validity {
+	e, err := h.g.adapter.DecodeEndpoint(r.Key, r.Value)
+	if err != nil {
+		h.g.invalidEntries.report(h.g, r, err)
+		return follow.Invalid
+	}
+	if t := h.g.routes.Load(); t == nil {
+		return follow.Unconfirmed
+	} else if t.Service(e.Service) == nil {
+		h.g.invalidEntries.report(h.g, r, trace.NotFound("endpoint %s: no service %q in configuration %d", r.Key, e.Service, t.Version))
+		return follow.Unconfirmed
+	}
+	return follow.Valid
+}
+
+// Apply adds, updates or removes the endpoint of a valid record.
 // recentOutage says that the store was unavailable so recently that the endpoint may have been unable to renew its entry.
 // An entry by which an endpoint leaves changes nothing on a host that learned this from a response, but on its peers.
 func (h endpointHandler) Apply(r follow.Record, recentOutage bool, now time.Time) bool {
@@ -126,12 +150,15 @@
 	}
 	e, err := g.adapter.DecodeEndpoint(r.Key, r.Value)
 	if err != nil {
-		g.log.Warn("entry_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
-		g.logEndpointChange(g.endpoints.Remove(r.Key, false, now), sourceStore)
-		return true
+		g.invalidEntries.report(g, r, err)
+		return false
 	}
 	renews := g.endpoints.Renews(e)
-	return g.logEndpointChange(g.endpoints.Put(e, now), sourceStore) || !renews
+	change := g.endpoints.Put(e, now)
+	if e.WarmUp > 0 {
+		g.recordColdEntry(e.Name, now)
+	}
+	return g.logEndpointChange(change, sourceStore) || !renews
 }
 
 // RetainKeys removes the endpoints whose keys are missing after a full read of the topic.
@@ -200,7 +227,7 @@
 	leaving := g.draining.Load()
 	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, HasStoreCopy: g.hasStoreCopy.Load(),
 		Rate: int(math.Round(g.requestRate())), StoreFailing: g.storeLost.Load(),
-		CutOff: g.ways.AnyCut(), Coordinates: !leaving && time.Since(g.started) > coordinatorSettleTime})
+		CutOff: g.ways.AnyCut(), Coordinates: !leaving && g.mayCoordinate(), Quotas: g.hearsZone()})
 }
 
 // coordinatorSettleTime is how long after its start a host does not coordinate. Until then it may not know the other hosts of its zone.
@@ -248,10 +275,10 @@
 	if r.RejectedFor > 0 || r.MalformedDelay != "" {
 		g.recordRejection(e, r)
 	}
-	g.endpointStats.RecordAnswer(e.ID, r.ReadAt)
 	g.ways.Answered(e.Service, e.ID, r.ReadAt)
-	g.crashGuard.Answered(e.ID, r.SentAt)
+	g.crashGuard.Answered(e.ID, r.ConnectedAt, r.SentAt)
 	g.recordRateLimit(e, r)
+	g.recordContact(e, r)
 	if !r.Leaving {
 		return
 	}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -48,7 +48,7 @@
 		err = errTooLarge
 	}
 	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: origin.sentAt, ReadAt: time.Now(),
-		HealthCheck: c.HealthCheck}
+		HealthCheck: c.HealthCheck, ConnectedAt: cn.connectedAt}
 	p.cfg.Dialect.Interpret(e, out)
 	if err != nil {
 		// What the endpoint says of itself counts, but not what it says of a request: that may be another one.
@@ -83,17 +83,19 @@
 }
 
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
-// before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn meanwhile.
+// before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn
+// or the caller's key removed meanwhile.
 func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (_ *conn, _ *http.Response, err error) {
 	defer func() {
 		if err != nil {
 			closeBody(req) // net/http does not close it in all cases
 		}
 	}()
-	if p.withdrawn(e.ID) {
+	if p.withdrawn(e.ID) || c.IsRevoked() {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
-	if cn := p.get(e.ID, time.Now(), c); cn != nil {
+	cn, closed := p.get(e.ID, time.Now(), c)
+	if cn != nil {
 		resp, err := cn.http.RoundTrip(req)
 		if err == nil {
 			return cn, resp, nil
@@ -102,14 +104,18 @@
 		if cn.guarded.requestWritten() || ctx.Err() != nil {
 			return nil, nil, cn.sendError(err)
 		}
+		closed = true
 		closeBody(req)
 		setBody(req, c)
 	}
-	cn, err := p.dial(ctx, e)
+	if p.needsContact(e.ID, closed, c) {
+		return nil, nil, sendError(false, executor.ErrWithdrawn)
+	}
+	cn, err = p.dial(ctx, e)
 	if err != nil {
 		return nil, nil, sendError(false, err)
 	}
-	if p.withdrawn(e.ID) {
+	if p.withdrawn(e.ID) || c.IsRevoked() {
 		cn.close()
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
@@ -121,6 +127,18 @@
 	return cn, resp, nil
 }
 
+// needsContact reports whether a request may not be sent on a new connection to an endpoint before a health check, because the endpoint may have
+// started again. closed says that the endpoint had closed an idle connection.
+func (p *Pool) needsContact(id endpoints.ID, closed bool, c *executor.Call) bool {
+	if !c.RecentContact || p.cfg.Unchecked == nil {
+		return false
+	}
+	if closed && p.cfg.OnContactLost != nil {
+		p.cfg.OnContactLost(id)
+	}
+	return p.cfg.Unchecked(id)
+}
+
 func (p *Pool) newRequest(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*http.Request, error) {
 	target, err := url.ParseRequestURI(c.Path)
 	if err != nil {
