gateway: bodies of requests without a known key are not kept

NeedsBody asks for the key as well as for the route, so that clients without one cannot fill the memory. A key that becomes known while a body arrives gets 503 with a short delay. TestBodyWithoutKeyIsNotKept.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -76,10 +76,6 @@
 			Detail: "this host has not learned the configuration in force yet", Remedy: "use another address, or come back after the stated delay"})
 	}
 	route := table.Match(r.Host, r.Path)
-	if route != nil && r.BodyDiscarded {
-		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostCatchingUp, Ran: refusals.RanNo, RetryAfter: catchUpRetryAfter, Revision: table.Version,
-			Detail: "the route of the request came into force while its body arrived", Remedy: "send the request again"})
-	}
 	if route == nil {
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RouteUnknown, Ran: refusals.RanNo, Revision: table.Version,
 			Detail: "no route of the configuration in force matches " + r.Host + r.Path, Remedy: "ask the operator for a route"})
@@ -88,6 +84,10 @@
 	if who.refusal != nil {
 		return g.refuse(r, id, who.refusal)
 	}
+	if r.BodyDiscarded {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostCatchingUp, Ran: refusals.RanNo, RetryAfter: catchUpRetryAfter, Revision: table.Version,
+			Detail: "the route or the key of the request came into force while its body arrived", Remedy: "send the request again"})
+	}
 	timeout, stated := g.requestTimeout(r.Header.Get(g.adapter.Dialect.DeadlineMS), route)
 	if stated && timeout <= 0 {
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RequestMalformed, Ran: refusals.RanNo, Revision: table.Version,
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -52,8 +52,12 @@
 
 // NeedsBody implements ingress.BodyFilter. The bodies of requests that are refused in any case are not kept.
 func (g *Gateway) NeedsBody(r *ingress.Request) bool {
-	t := g.routes.Load()
-	return t != nil && t.Match(r.Host, r.Path) != nil
+	table := g.routes.Load()
+	if table == nil {
+		return false
+	}
+	route := table.Match(r.Host, r.Path)
+	return route != nil && g.identify(table, route, r.Header[g.adapter.Dialect.CustomerKey]).refusal == nil
 }
 
 // reportEvicted counts and logs a connection, or a request whose body is being read, that made room for others.
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -110,3 +110,18 @@
 	}
 	waitFor(t, "the log line", func() bool { return strings.Contains(d.logged(), "aux_connection_closed") })
 }
+
+// TestBodyWithoutKeyIsNotKept guards against memory for the bodies of requests that need a key and have none.
+func TestBodyWithoutKeyIsNotKept(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configureCustomers(t, 1, customer("norte", "secret-n"))
+	h := d.start(t)
+	waitFor(t, "readiness", h.ready)
+	h.gateway.memory.Add(membudget.LargeBodies, netip.Addr{}, h.gateway.memory.Limit(membudget.LargeBodies))
+	status, _, err := h.post("/lots/1", "r1", bytes.Repeat([]byte("x"), 3<<20))
+	is.NoErr(err)
+	is.Equal(status, http.StatusUnauthorized)
+	status, _, err = h.post("/public/1", "r2", bytes.Repeat([]byte("x"), 3<<20))
+	is.True(err != nil || status == http.StatusServiceUnavailable) // its body is kept
+}
