--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -53,7 +53,7 @@
 // newHopServer returns the server for the requests of other hosts' callers.
 func (g *Gateway) newHopServer() *ingress.Server {
 	return ingress.New(ingress.Config{Handler: hopHandler{g}, MaxConnections: max(minHops, int(g.settings.Cores*hopsPerCore)),
-		MaxTotalBodyBytes: int64(g.settings.MemoryMB * hopBodyFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		Memory: newHopBudget(g.settings.MemoryMB), OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered, Limits: func() routing.Limits {
 			l := g.limits()
 			l.MaxHeaderBytes += hop.MaxHeaderBytes
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -19,8 +19,9 @@
 	smallBodyFraction  = 0.08
 	largeBodyFraction  = 0.36
 	responseFraction   = 0.15
-	// hopBodyFraction is for the bodies of requests that other hosts got, small and large ones each.
+	// hopBodyFraction is for the bodies of requests that other hosts got, small and large ones each, and hopHeadFraction for their heads.
 	hopBodyFraction = 0.05
+	hopHeadFraction = 0.02
 )
 
 // pipelinedPerCore and minPipelined bound the requests that run while an earlier one of their connection is unanswered. Callers that send many without
@@ -42,6 +43,13 @@
 		SmallBodies: part(smallBodyFraction), LargeBodies: part(largeBodyFraction), Responses: part(responseFraction)})
 }
 
+// newHopBudget returns the budget for the requests that other hosts got. Callers that fill their part of the memory leave this to other hosts.
+func newHopBudget(memoryMB float64) *membudget.Budget {
+	part := func(fraction float64) int64 { return int64(memoryMB * fraction * mebibyte) }
+	return membudget.New(membudget.Limits{Heads: part(hopHeadFraction), SmallBodies: part(hopBodyFraction), LargeBodies: part(hopBodyFraction),
+		NoShares: true})
+}
+
 // reserveResponse reserves memory for n more bytes of responses that are read before they are passed on. It returns false if there is none left.
 func (g *Gateway) reserveResponse(n int64) bool {
 	return g.memory.Reserve(membudget.Responses, netip.Addr{}, g.memory.Limit(membudget.Responses), n)
--- a/internal/state/membudget/membudget.go
+++ b/internal/state/membudget/membudget.go
@@ -34,6 +34,8 @@
 	Connections, Heads, SmallBodies, LargeBodies, Responses int64
 	// Heap bounds all kinds together except LargeBodies.
 	Heap int64
+	// NoShares lets one address hold all memory, where addresses are those of trusted hosts.
+	NoShares bool
 }
 
 // addressShare is the part of a kind's limit that the holdings of one address may take together. A single holding may take all that is free.
@@ -41,8 +43,9 @@
 
 // Budget counts the memory that is reserved. It is safe for concurrent use.
 type Budget struct {
-	limits [kinds]int64
-	heap   int64
+	limits   [kinds]int64
+	heap     int64
+	noShares bool
 
 	mu        sync.Mutex
 	used      [kinds]int64
@@ -54,7 +57,7 @@
 // New returns a budget with the given limits.
 func New(l Limits) *Budget {
 	return &Budget{limits: [kinds]int64{l.Connections, l.Heads, l.SmallBodies, l.LargeBodies, l.Responses}, heap: l.Heap,
-		byAddress: map[netip.Addr]*[kinds]int64{}}
+		noShares: l.NoShares, byAddress: map[netip.Addr]*[kinds]int64{}}
 }
 
 // Reserve reserves n more bytes for a holding of the address that has held bytes of the kind already. It returns false, and reserves nothing, if
@@ -75,7 +78,7 @@
 	if limit > 0 && b.used[k]+n > limit || k != LargeBodies && b.heap > 0 && b.usedHeap+n > b.heap {
 		return false
 	}
-	if limit == 0 {
+	if limit == 0 || b.noShares {
 		return true
 	}
 	var ofAddress int64
