--- a/internal/coordination/quota/coordinator.go
+++ b/internal/coordination/quota/coordinator.go
@@ -127,7 +127,7 @@
 	t := l.cfg.Tolerance.terms(limit, l.share)
 	switch {
 	case c.bucket == nil:
-		c.bucket = newBucket(t, initialSlack*l.cfg.Tolerance.Slack+t.rate*now.Sub(c.since).Seconds(), now)
+		c.bucket = newBucket(t, l.share*l.cfg.Tolerance.initial(limit)+t.rate*now.Sub(c.since).Seconds(), now)
 	case c.bucket.terms != t:
 		c.bucket.setTerms(t, now)
 	}
--- a/internal/coordination/quota/terms.go
+++ b/internal/coordination/quota/terms.go
@@ -27,8 +27,9 @@
 	lifetimeOver  = 0.2
 	lifetimeSlack = 0.125
 	depthSlack    = 0.5
-	// initialSlack is the part of Slack that a new coordinator grants at once, so that customers with low rates do not wait for their first
-	// permit. Another host may have granted the rest until now.
+	// initialOver and initialSlack are the parts that a new coordinator grants at once, so that few requests are refused while its bucket fills. Another
+	// host may have granted the rest until now. The tolerance allows two changes of the coordinator in a window.
+	initialOver  = 0.3
 	initialSlack = 0.1
 	// minLifetime allows a grant to arrive before it expires.
 	minLifetime = 20 * time.Millisecond
@@ -52,6 +53,11 @@
 		depth: share * (l.Burst + depthSlack*t.Slack + l.PerSecond*ahead.Seconds())}
 }
 
+// initial returns the tokens of a new coordinator's bucket.
+func (t Tolerance) initial(l Limit) float64 {
+	return initialOver*t.Over*(l.PerSecond*t.Window.Seconds()+l.Burst) + initialSlack*t.Slack
+}
+
 // until returns the time until a number of permits are added at the rate.
 func (t *terms) until(permits float64) time.Duration {
 	return time.Duration(min(math.MaxInt64/2, max(0, permits)/t.rate*float64(time.Second)))
