quota: rankings of hosts are kept for 100 ms

Ranking 46 hosts takes 45 us on the busy machine (84 us before: hosts were copied), too long for each message and request.

--- a/internal/coordination/peers/quorum.go
+++ b/internal/coordination/peers/quorum.go
@@ -24,16 +24,20 @@
 			}
 		}
 	}
-	list := make([]Host, 0, len(names))
+	ranked := make([]*Host, 0, len(names))
 	for _, name := range rendezvous.Rank(coordinatorKey+key, names) {
 		if name == t.cfg.Self.Name {
-			list = append(list, t.cfg.Self)
+			ranked = append(ranked, &t.cfg.Self)
 			continue
 		}
-		list = append(list, t.hosts[name].Host)
+		ranked = append(ranked, &t.hosts[name].Host)
 	}
-	slices.SortStableFunc(list, func(a, b Host) int { return cmp.Compare(b.Cores, a.Cores) })
-	return list[:min(limit, len(list))]
+	slices.SortStableFunc(ranked, func(a, b *Host) int { return cmp.Compare(b.Cores, a.Cores) })
+	list := make([]Host, 0, min(limit, len(ranked)))
+	for _, h := range ranked[:cap(list)] {
+		list = append(list, *h)
+	}
+	return list
 }
 
 // LastMessage returns when the last message of a host arrived; zero if none has.
--- a/internal/coordination/quota/coordinator.go
+++ b/internal/coordination/quota/coordinator.go
@@ -46,23 +46,46 @@
 	return min(maxAfter, first.Sub(now))
 }
 
-// candidates returns the hosts of a customer's home zone that may coordinate it, the best first. Of this zone, those that are silent although they
-// were asked are left out. l.mu must be held.
-func (l *Limiter) candidates(h *holding, now time.Time) []peers.Host {
-	if now.Sub(h.viewedAt) < viewTime && h.candidates != nil {
-		return h.candidates
+// view is what this host found out about the coordinators of a customer. Ranking the hosts takes long compared with the handling of a message.
+type view struct {
+	zone       string // home zone
+	candidates []peers.Host
+	at         time.Time
+}
+
+// view returns the view of a customer. l.mu must be held.
+func (l *Limiter) view(customer string, now time.Time) *view {
+	v := l.views[customer]
+	if v == nil || now.Sub(v.at) >= viewTime {
+		zone := l.cfg.HomeZone(customer)
+		v = &view{zone, l.cfg.Candidates(zone, customer, maxCandidates, now), now}
+		l.views[customer] = v
 	}
-	h.candidates, h.viewedAt = l.find(h.customer, now), now
-	return h.candidates
+	return v
+}
+
+// ForgetViews has the hosts ranked anew. It is to be called when this host begins to coordinate: a host that has just started may have learned of the
+// other zones a moment ago, and would else take itself for the coordinator of their customers.
+func (l *Limiter) ForgetViews() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.views)
+}
+
+// isHome reports whether the hosts of this host's zone coordinate a customer. l.mu must be held.
+func (l *Limiter) isHome(customer string, now time.Time) bool {
+	return l.view(customer, now).zone == l.cfg.Zone
 }
 
+// find returns the hosts of a customer's home zone that may coordinate it, the best first. Of this zone, those that are silent although they were asked
+// are left out. The result must not be modified. l.mu must be held.
 func (l *Limiter) find(customer string, now time.Time) []peers.Host {
-	zone := l.cfg.HomeZone(customer)
-	list := l.cfg.Candidates(zone, customer, maxCandidates, now)
-	if zone == l.cfg.Zone {
-		list = slices.DeleteFunc(list, func(h peers.Host) bool { return l.silent(h.Name, now) })
+	v := l.view(customer, now)
+	isSilent := func(h peers.Host) bool { return v.zone == l.cfg.Zone && l.silent(h.Name, now) }
+	if len(l.awaited) > 0 && slices.ContainsFunc(v.candidates, isSilent) {
+		return slices.DeleteFunc(slices.Clone(v.candidates), isSilent)
 	}
-	return list
+	return v.candidates
 }
 
 // silent reports whether a host has sent nothing since it was asked, for takeoverTime. l.mu must be held.
@@ -83,14 +106,14 @@
 
 // coordinates reports whether this host takes itself for the coordinator of a customer. l.mu must be held.
 func (l *Limiter) coordinates(h *holding, now time.Time) bool {
-	list := l.candidates(h, now)
+	list := l.find(h.customer, now)
 	return len(list) > 0 && list[0].Name == l.cfg.Host
 }
 
 // mayGrant reports whether this host may grant permits now: it hears from at least half of its zone. l.mu must be held.
 func (l *Limiter) mayGrant(now time.Time) bool {
-	if now.Sub(l.viewAt) >= viewTime {
-		l.viewAt = now
+	if now.Sub(l.quorumAt) >= quorumViewTime {
+		l.quorumAt = now
 		heard, known := l.cfg.Quorum(now)
 		was := l.share
 		switch {
@@ -174,7 +197,7 @@
 	}
 	list := l.find(r.Customer, now)
 	switch {
-	case len(list) == 0 || l.cfg.HomeZone(r.Customer) != l.cfg.Zone:
+	case len(list) == 0 || !l.isHome(r.Customer, now):
 	case list[0].Name != l.cfg.Host:
 		l.forward(r, list[0], replyTo, now)
 	case !limited: // removed by a newer configuration
@@ -230,7 +253,7 @@
 	limited := map[string]bool{}
 	for _, customer := range l.cfg.Limited() {
 		c := l.coordinated[customer]
-		if c == nil && l.cfg.HomeZone(customer) != l.cfg.Zone {
+		if c == nil && !l.isHome(customer, now) {
 			continue
 		}
 		limited[customer] = true
--- a/internal/coordination/quota/exchange.go
+++ b/internal/coordination/quota/exchange.go
@@ -34,6 +34,7 @@
 		l.attend(h, now)
 		if now.Sub(h.usedAt) > unusedLifetime && len(h.waiters) == 0 && len(h.returns) == 0 {
 			delete(l.holdings, customer)
+			delete(l.views, customer)
 		}
 	}
 	for _, address := range slices.Sorted(maps.Keys(l.outbox)) {
@@ -130,7 +131,7 @@
 // askedHosts returns the hosts that are asked for permits: the one that granted last, or else the best candidate, and after failures another one in turn.
 // l.mu must be held.
 func (l *Limiter) askedHosts(h *holding, now time.Time) []peers.Host {
-	list := slices.DeleteFunc(slices.Clone(l.candidates(h, now)), func(c peers.Host) bool { return c.Name == l.cfg.Host })
+	list := slices.DeleteFunc(slices.Clone(l.find(h.customer, now)), func(c peers.Host) bool { return c.Name == l.cfg.Host })
 	if i := slices.IndexFunc(list, func(c peers.Host) bool { return c.PeerAddress == h.granter }); i > 0 {
 		granter := list[i]
 		list = slices.Insert(slices.Delete(list, i, i+1), 0, granter)
--- a/internal/coordination/quota/holding.go
+++ b/internal/coordination/quota/holding.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 )
 
 // holding is what this host holds and awaits for one customer.
@@ -24,9 +22,6 @@
 	nextReturn   time.Time // when the last refused caller was told to come back
 	returns      []pendingReturn
 	usedAt       time.Time
-
-	candidates []peers.Host // of viewedAt
-	viewedAt   time.Time
 }
 
 // lot is a number of permits that were granted together.
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -29,8 +29,10 @@
 	pauseLimit = 500 * time.Millisecond
 	// resumeTime is how long after that requests get no permits. They may have been sent long before, when others used up the quota of that time.
 	resumeTime = 250 * time.Millisecond
-	// viewTime is how long a host uses what it found out about coordinators and its zone.
-	viewTime = 50 * time.Millisecond
+	// viewTime is how long a host uses a ranking of the hosts that may coordinate a customer, and quorumViewTime how long it uses the number of hosts that it
+	// hears from.
+	viewTime       = 100 * time.Millisecond
+	quorumViewTime = 50 * time.Millisecond
 	// maxCandidates is the number of hosts of a zone that are asked in turn.
 	maxCandidates = 4
 	// unavailableDelay is the delay stated if there is no coordinator. Up to as much is added at random.
@@ -77,11 +79,12 @@
 	mu           sync.Mutex
 	holdings     map[string]*holding     // by customer
 	coordinated  map[string]*coordinated // by customer; those that this host coordinates
+	views        map[string]*view        // by customer
 	awaited      map[string]*awaited     // by host name; hosts of this zone that were asked
 	outbox       map[string][]Request    // by address; requests that wait for the next message there
 	lastNumber   uint64
 	share        float64 // of limits that this host may grant: 0 if it may be cut off, 0.5 with exactly half of the zone, else 1
-	viewAt       time.Time
+	quorumAt     time.Time
 	maintainedAt time.Time
 	lastTick     time.Time
 	resumedAt    time.Time
@@ -97,7 +100,7 @@
 
 // New returns a limiter.
 func New(cfg Config, now time.Time) *Limiter {
-	return &Limiter{cfg: cfg, holdings: map[string]*holding{}, coordinated: map[string]*coordinated{}, awaited: map[string]*awaited{},
+	return &Limiter{cfg: cfg, holdings: map[string]*holding{}, coordinated: map[string]*coordinated{}, awaited: map[string]*awaited{}, views: map[string]*view{},
 		outbox: map[string][]Request{}, lastNumber: uint64(now.UnixMicro()) << 10, lastTick: now}
 }
 
--- a/internal/coordination/quota/sim_test.go
+++ b/internal/coordination/quota/sim_test.go
@@ -332,6 +332,7 @@
 		h.table.SetStatus(status)
 		if status.Coordinates != h.coordinates {
 			h.coordinates = status.Coordinates
+			h.limiter.ForgetViews()
 			h.heartbeat()
 		}
 		next := h.limiter.Tick(h.sim.now)
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -198,9 +198,14 @@
 // updateStatus sets the status that this host's messages to other hosts carry.
 func (g *Gateway) updateStatus() {
 	leaving := g.draining.Load()
+	_, old := g.peers.Self()
+	coordinates := !leaving && g.mayCoordinate()
 	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, HasStoreCopy: g.hasStoreCopy.Load(),
 		Rate: int(math.Round(g.requestRate())), StoreFailing: g.storeLost.Load(),
-		CutOff: g.ways.AnyCut(), Coordinates: !leaving && g.mayCoordinate(), Quotas: g.hearsZone()})
+		CutOff: g.ways.AnyCut(), Coordinates: coordinates, Quotas: g.hearsZone()})
+	if coordinates && !old.Coordinates && g.quota != nil {
+		g.quota.ForgetViews()
+	}
 }
 
 // coordinatorSettleTime is how long after its start a host does not coordinate. Until then it may not know the other hosts of its zone.
