overload: order and refusals by value only where a deployment asks for them

Cause: the order of waiting requests and the refusals by estimate applied to all deployments, while earlier ones are to be served as before. Change: setting overload_control (customers, always, never; customers if it is missing); Request.Plain keeps the earlier order, without estimates, early refusals and shares.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -47,6 +47,9 @@
 	// first time; one that was sent may be repeated. Nil means that none is cut.
 	MayBeCut func(due time.Time) bool
 	Random   func(n int) int // nil means placement.Random
+	// OrderByValue reports whether requests that find no free slot are ordered and refused by what their callers lose, see package overload. If it
+	// returns false, they wait by priority and lateness until they can only be late. Nil means that they are.
+	OrderByValue func() bool
 	// CrashGuard knows the requests that end the endpoints which run them. Nil means that none is known.
 	CrashGuard CrashGuard
 	// Detour knows whether this host has lost its way to a service, and sends requests through other hosts. Nil means that there are no other hosts.
@@ -90,6 +93,9 @@
 	if cfg.MayBeCut == nil {
 		cfg.MayBeCut = func(time.Time) bool { return false }
 	}
+	if cfg.OrderByValue == nil {
+		cfg.OrderByValue = func() bool { return true }
+	}
 	if cfg.OnPanic == nil {
 		cfg.OnPanic = func(_ string, value any, _ []byte) { panic(value) }
 	}
@@ -162,6 +168,7 @@
 	start       time.Time
 	serviceTime time.Duration  // usual duration of the route's requests
 	lateAt      time.Time      // when the answer is late: at the target latency or the deadline, whichever is earlier; at the deadline for a repeat
+	plain       bool           // it waits by priority and lateness alone, see Config.OrderByValue
 	waitedFor   time.Duration  // how long the caller had waited before this attempt, by the times that it states
 	targetAt    time.Time      // when the target latency is exceeded, counted from the caller's first attempt; at most the deadline
 	tried       []endpoints.ID // endpoints to which the request was sent, also by another host
@@ -210,11 +217,13 @@
 // of the request has left.
 func (f *Forwarder) Run(ctx context.Context, c *Call) *Result {
 	now := time.Now()
-	r := &activeRequest{forwarder: f, call: c, start: now, serviceTime: f.serviceTimes.estimate(c.Route), result: &Result{},
+	r := &activeRequest{forwarder: f, call: c, start: now, serviceTime: f.serviceTimes.estimate(c.Route), result: &Result{}, plain: !f.cfg.OrderByValue(),
 		sendResults: make(chan sendResult, 8), silences: make(chan struct{}, 8)}
-	if c.Handover != nil {
+	switch {
+	case r.plain:
+	case c.Handover != nil:
 		r.waitedFor = c.Handover.WaitedBefore
-	} else {
+	default:
 		r.waitedFor = f.waits.Estimate(c.Route.Name, c.callerDue().Sub(c.Arrived), now)
 	}
 	r.result.WaitedBefore = r.waitedFor
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -35,8 +35,12 @@
 // overloadRequest returns what the queue of the service has to know of the request.
 func (r *activeRequest) overloadRequest() overload.Request {
 	c := r.call
-	return overload.Request{CustomerPriority: c.CustomerPriority, RoutePriority: c.Route.Priority, Route: c.Route.Name, Guest: c.Handover != nil, Customer: c.Customer,
-		Work: r.serviceTime, FirstSent: c.Arrived.Add(-r.waitedFor), LateAt: r.targetAt, Due: c.Due, CallerDue: c.callerDue()}
+	customer := c.Customer
+	if r.plain {
+		customer = "" // customers have no shares then
+	}
+	return overload.Request{CustomerPriority: c.CustomerPriority, RoutePriority: c.Route.Priority, Route: c.Route.Name, Guest: c.Handover != nil, Customer: customer,
+		Work: r.serviceTime, FirstSent: c.Arrived.Add(-r.waitedFor), LateAt: r.targetAt, Due: c.Due, CallerDue: c.callerDue(), Plain: r.plain}
 }
 
 const (
@@ -55,7 +59,7 @@
 // mayWaitLate reports whether a request that Admit refuses may wait for capacity that no request which can be in time needs: the endpoint that was
 // found, if any, has no free slot, and nothing but load keeps the request from the service.
 func (r *activeRequest) mayWaitLate(best *placement.EndpointView) bool {
-	return (best == nil || !best.HasFreeSlot()) && r.result.Candidates > 0 && r.allRejectingUntil.IsZero() && !r.limits.all && !r.mayBeLate() &&
+	return !r.plain && (best == nil || !best.HasFreeSlot()) && r.result.Candidates > 0 && r.allRejectingUntil.IsZero() && !r.limits.all && !r.mayBeLate() &&
 		time.Until(r.call.Due) > r.serviceTime
 }
 
@@ -63,6 +67,10 @@
 // when it can no longer be answered before lateAt or its deadline, and when ctx ends. It returns false if the request is refused because too many
 // requests are served before it, which is decided at once and while it waits. starved says that it has found no free slot.
 func (r *activeRequest) waitForTurn(ctx context.Context, queue *overload.Queue, w *overload.Waiter, starved bool) bool {
+	if r.plain {
+		r.waitPlainly(ctx, queue, w)
+		return true
+	}
 	r.woken = false
 	for first := true; ; first = false {
 		now := time.Now()
@@ -100,6 +108,26 @@
 	}
 }
 
+// waitPlainly returns when the request should look for an endpoint again: after a wake-up, or at a multiple of recheckInterval at which it is the first
+// of the queue or no more than its usual duration is left until lateAt. It also returns when ctx ends.
+func (r *activeRequest) waitPlainly(ctx context.Context, queue *overload.Queue, w *overload.Waiter) {
+	r.result.QueueWaits++
+	ticker := time.NewTicker(recheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.Wake:
+			return
+		case now := <-ticker.C:
+			if queue.IsFirst(w, now) || r.lateAt.Sub(now) <= r.serviceTime {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // nextCheck returns how long a waiting request waits for a wake-up, and whether it is the first of the queue, which looks for an endpoint then. One
 // that becomes the first is woken.
 func (r *activeRequest) nextCheck(queue *overload.Queue, w *overload.Waiter, now time.Time) (wait time.Duration, first bool) {
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -20,6 +20,8 @@
 	LateAt           time.Time     // when the target latency is exceeded, counted from FirstSent
 	Due              time.Time     // deadline of this attempt
 	CallerDue        time.Time     // until when the caller waits, with further attempts; Due if that is later
+	// Plain orders the request by the route's priority and LateAt alone, and has nothing decided about it: for deployments that do not ask for more.
+	Plain bool
 }
 
 // rank is the part of the order that time does not change. A lower rank is served first.
@@ -28,7 +30,12 @@
 	guest           bool
 }
 
-func (r *Request) rank() rank { return rank{r.CustomerPriority, r.RoutePriority, r.Guest} }
+func (r *Request) rank() rank {
+	if r.Plain {
+		return rank{route: r.RoutePriority, guest: r.Guest}
+	}
+	return rank{r.CustomerPriority, r.RoutePriority, r.Guest}
+}
 
 // compare orders ranks by the customer's priority, then the route's, then this host's own requests before those of other hosts.
 func (a rank) compare(b rank) int {
@@ -48,7 +55,12 @@
 const agingFactor = 4
 
 // urgency returns the time by which requests of one rank are ordered, with the given work.
-func (r *Request) urgency(work time.Duration) time.Time { return r.FirstSent.Add(agingFactor * work) }
+func (r *Request) urgency(work time.Duration) time.Time {
+	if r.Plain {
+		return r.LateAt
+	}
+	return r.FirstSent.Add(agingFactor * work)
+}
 
 // callerDue returns until when the caller waits.
 func (r *Request) callerDue() time.Time {
@@ -61,7 +73,13 @@
 // leastWork is the least duration of a request that still counts as likely, as a fraction of its usual one.
 const leastWork = 0.8
 
+// neverLate is longer than any request waits: plain requests keep their place when they can only be late.
+const neverLate = 24 * time.Hour
+
 // lateFrom returns the time from which the request can only be late.
 func (r *Request) lateFrom() time.Time {
+	if r.Plain {
+		return r.LateAt.Add(neverLate)
+	}
 	return r.LateAt.Add(-time.Duration(leastWork * float64(r.Work)))
 }
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -239,6 +239,12 @@
 	isLate := !now.Before(r.lateFrom())
 	for _, b := range q.bands {
 		order := b.rank.compare(r.rank())
+		if r.Plain {
+			if order < 0 && b.inTime.count > 0 {
+				return true
+			}
+			continue
+		}
 		if b.inTime.blocks(order) || isLate && (b.inTime.starved > 0 || b.late.blocks(order)) {
 			return true
 		}
--- a/internal/coordination/overload/queue_test.go
+++ b/internal/coordination/overload/queue_test.go
@@ -186,3 +186,23 @@
 		}
 	})
 }
+
+// TestPlainOrder guards against deployments that do not ask for the order by value and get another order than before: by the route's priority and lateness,
+// also of requests that can only be late, and arrivals wait only behind more urgent ones.
+func TestPlainOrder(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	plain := func(customer, route int, left time.Duration) Request {
+		return Request{Plain: true, CustomerPriority: customer, RoutePriority: route, Work: 100 * time.Millisecond, FirstSent: start, LateAt: start.Add(left), Due: start.Add(10 * time.Second)}
+	}
+	late := q.Add(plain(0, 1, 10*time.Millisecond), true, start)
+	soon := q.Add(plain(5, 1, time.Second), true, start)
+	urgent := q.Add(plain(9, 0, 2*time.Second), true, start)
+	same, more := plain(0, 0, time.Second), plain(0, 1, 0)
+	is.True(!q.MustWait(&same, start)) // only one of the same priority waits
+	is.True(q.MustWait(&more, start))
+	for _, w := range []*Waiter{urgent, late, soon} {
+		is.True(q.IsFirst(w, start.Add(500*time.Millisecond)))
+		q.Remove(w, true, start)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,7 +174,7 @@
 		MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
+		Withdrawn: g.endpoints.Withdrawn, OrderByValue: g.ordersByValue, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
 		OnCut: g.reportCut, OnSilence: g.reportSilence})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), PipelinedPerS: s.Cores * pipelinedPerCoreS,
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -8,6 +8,18 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 )
 
+// ordersByValue reports whether requests that find no free slot are ordered and refused by what their callers lose.
+func (g *Gateway) ordersByValue() bool {
+	switch g.settings.OverloadControl {
+	case overloadAlways:
+		return true
+	case overloadNever:
+		return false
+	}
+	t := g.routes.Load()
+	return t != nil && t.Customers != nil
+}
+
 // reportOverload counts a request that waited, or was refused for the load of its service, and returns the fields of its log line that name the
 // estimate which decided. There are none for requests that did neither, and none but the time waited before for callers that have returned.
 func (g *Gateway) reportOverload(res *forward.Result) (fields []any) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -59,6 +60,9 @@
 	QuotaWindowS float64 `json:"quota_window_s"` // seconds
 	QuotaOver    float64 `json:"quota_over"`     // fraction
 	QuotaSlack   float64 `json:"quota_slack"`    // requests
+	// OverloadControl says where requests that find no free slot are ordered and refused by what their callers lose: "customers", where the configuration has
+	// customers, "always" or "never". Empty means "customers".
+	OverloadControl string `json:"overload_control"`
 	// GraceS is the time between the stop signal and the kill, in seconds.
 	GraceS float64 `json:"grace_s"`
 	// AddressLifetimeS limits how long callers may keep a host address, in seconds.
@@ -79,6 +83,13 @@
 	upstreamSourceIP netip.Addr
 }
 
+// Values of Settings.OverloadControl.
+const (
+	overloadCustomers = "customers"
+	overloadAlways    = "always"
+	overloadNever     = "never"
+)
+
 // Defaults and limits of optional settings.
 const (
 	defaultRepeatWindowS    = 10 // seconds
@@ -163,6 +174,9 @@
 	check(s.LinkMbps >= 0, "link_mbps is %v: use more than 0 Mbit/s, or leave it out", s.LinkMbps)
 	check(s.MaxDescriptors >= minDescriptors, "max_descriptors is %d: use at least %d", s.MaxDescriptors, minDescriptors)
 	check(s.MemoryMB >= minMemoryMB && s.MemoryMB <= maxMemoryMB, "memory_mb is %v: use %d to %d", s.MemoryMB, minMemoryMB, maxMemoryMB)
+	s.OverloadControl = cmp.Or(s.OverloadControl, overloadCustomers)
+	check(slices.Contains([]string{overloadCustomers, overloadAlways, overloadNever}, s.OverloadControl), "overload_control is %q: use %s, %s or %s", s.OverloadControl,
+		overloadCustomers, overloadAlways, overloadNever)
 	level, err := log.ParseLevel(s.LogLevel)
 	check(s.LogLevel == "" || err == nil, "log_level is %q: use debug, info, warn or error", s.LogLevel)
 	if s.LogLevel != "" {
