--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -41,6 +41,7 @@
 		f.recordUnanswered(v.Endpoint.Endpoint, got.err, now)
 	case got.err != nil:
 		f.cfg.EndpointStats.RecordEnd(v.ID, true, now)
+		f.cfg.EndpointStats.RecordContactLost(v.ID, now)
 		f.recordUnanswered(v.Endpoint.Endpoint, got.err, now)
 		if f.cfg.CrashGuard != nil && (sendErr == nil || sendErr.Broken) && !f.cfg.Withdrawn(v.ID) {
 			f.cfg.CrashGuard.ConnectionBroke(ctx, v.Endpoint.Endpoint, call.fingerprint())
@@ -49,6 +50,9 @@
 		f.cfg.EndpointStats.RecordEndWithoutOutcome(v.ID, now)
 	default:
 		f.cfg.EndpointStats.RecordEnd(v.ID, got.resp.NotRun || got.resp.Status >= http.StatusInternalServerError, now)
+		if v.WarmUpLeft > 0 {
+			f.cfg.EndpointStats.RecordColdOutcome(v.Service, got.resp.NotRun, now)
+		}
 		if got.resp.Slots > 0 {
 			f.cfg.EndpointStats.RecordLoad(v.Endpoint.Endpoint, LoadFromResponse(got.resp), now)
 		}
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 )
 
@@ -27,6 +28,9 @@
 // more once ctx has ended.
 func (r *activeRequest) recordSendResult(ctx context.Context, got sendResult) bool {
 	r.inFlight--
+	if got.silent {
+		r.endSilence()
+	}
 	if got.stream != nil && ctx.Err() != nil {
 		r.forwarder.discard(&got)
 		got = sendResult{attempt: got.attempt, err: ctx.Err(), written: true}
@@ -134,6 +138,11 @@
 	}
 }
 
+// stopped reports whether the request is not sent because this host stops.
+func (r *activeRequest) stopped() bool {
+	return r.forwarder.cfg.Stopped() || r.sends == 0 && r.forwarder.cfg.MayBeCut(r.call.Due)
+}
+
 // send starts to send the request to an endpoint. The result arrives on r.sendResults.
 func (r *activeRequest) send(ctx context.Context, v placement.EndpointView, expected time.Duration, hedge bool) {
 	n := len(r.result.Attempts)
@@ -145,14 +154,22 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	execCall := *r.call.Call
-	execCall.Deadline = r.call.Due
+	execCall.Deadline, execCall.RecentContact = r.call.Due, r.call.needsContact() && !v.Cold
+	queue, begin := r.forwarder.queue(r.call.Service.Name), time.Now()
+	request := r.overloadRequest()
+	queue.Started(&request, n == 0, begin)
+	release := retainBody(&execCall)
+	awaited := r.await(&v, expected, begin)
 	go func() {
 		got := sendResult{err: errPanicked, written: true} // stays so if the send panics
 		defer func() {
+			completed := got.err == nil && got.resp != nil && !got.resp.NotRun && got.resp.Status < http.StatusInternalServerError
+			queue.Ended(r.serviceTime, time.Since(begin), completed, time.Now())
 			if errors.Is(got.err, errPanicked) {
 				r.forwarder.cfg.EndpointStats.RecordEnd(v.ID, true, time.Now())
 			}
-			got.attempt = n
+			got.attempt, got.silent = n, awaited.end(sendCtx, r.forwarder, &v, &got, time.Since(begin), expected, execCall.RequestID)
+			release()
 			r.sendResults <- got
 		}()
 		defer r.forwarder.recoverPanic(execCall.RequestID)
@@ -160,6 +177,14 @@
 	}()
 }
 
+// retainBody keeps the memory of a request's body while a send may read it, which may be after the request has ended.
+func retainBody(c *executor.Call) (release func()) {
+	if c.RetainBody == nil {
+		return func() {}
+	}
+	return c.RetainBody()
+}
+
 // cancelSends cancels the sends whose answers are not used.
 func (r *activeRequest) cancelSends() {
 	for _, cancel := range r.cancels {
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -24,7 +24,9 @@
 	rejections  sync.Map     // service name -> *serviceRejections
 	samplers    sync.Map     // service name -> *serviceSampler
 	rooms       sync.Map     // service name -> *serviceRoom
+	drops       sync.Map     // service name -> time.Time at which a request was last unanswered until its deadline
 	paces       sync.Map     // paceKey -> *meanPace
+	cold        sync.Map     // service name -> *coldRejections
 	subsetSeed  maphash.Seed // ranks endpoints for this host's subsets, which differ between hosts
 
 	rejectingCount atomic.Int64 // endpoints in rejections
@@ -41,6 +43,7 @@
 	load           Load
 	loadReportedAt time.Time
 	inFlight       int // requests in flight that this host sent
+	silent         int // the part of inFlight that counts as dropped, see RecordSilent
 	sentSinceLoad  int // requests that this host sent since loadReportedAt, less those that ended since then
 	failureRate    float64
 	failureRateAt  time.Time
@@ -50,8 +53,10 @@
 	rejectingUntil time.Time     // until when the endpoint wants no requests
 	inFlightLimit  int           // bound of inFlight after a rejection; 0 if there is none
 	usedAt         time.Time     // of the last access, for EvictUnused
-	answeredAt     time.Time     // of the last response
+	answeredAt     time.Time     // of the last response, see RecordContact
+	contactLostAt  time.Time     // when a connection to it last failed or was ended by it
 	pace           pace
+	responseRatio  float64 // moving average of what responses take, as a multiple of what was expected; 0 before the first
 }
 
 // NewEndpointStats returns statistics without any endpoint.
@@ -95,6 +100,9 @@
 	v := EndpointView{Endpoint: e, Local: e.Zone == t.cfg.Zone, WarmUpLeft: max(0, e.WarmUpEnd.Sub(now))}
 	if t.cfg.RateLimiter != nil {
 		v.Limited, v.Permits = t.cfg.RateLimiter.Permits(e.ID, now)
+		if until := t.cfg.RateLimiter.ColdUntil(e.ID, now); !until.IsZero() {
+			v.Cold, v.WarmUpLeft = true, max(v.WarmUpLeft, until.Sub(now))
+		}
 	}
 	t.update(e.ID, now, func(s *endpointEntry) {
 		s.fill(&v, now)
@@ -102,6 +110,9 @@
 			v.Pace = s.pace.at(t.meanPace(e.Service, v.Local).get(), now)
 		}
 	})
+	if v.WarmUpLeft > 0 {
+		v.FailureRate = max(v.FailureRate, t.coldRejectionRate(e.Service, now))
+	}
 	return v
 }
 
@@ -113,7 +124,8 @@
 	}
 	v.ProbeInFlight = !s.probeStartedAt.IsZero()
 	v.Rejecting, v.InFlightLimit = s.rejecting(now), s.inFlightLimit
-	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
+	v.Unchecked, v.ContactLost = s.unchecked(contactLifetime, now), s.contactLost()
+	v.InFlight, v.SentSinceLoad, v.FailureRate, v.Suspect = s.inFlight-s.silent, s.sentSinceLoad, s.decayedFailureRate(now), now.Before(s.suspectUntil)
 }
 
 // ReserveSlot records that this host is about to send a request to the endpoint of a view. It returns false, and records nothing, if the
@@ -158,7 +170,7 @@
 func (t *EndpointStats) StartProbe(id endpoints.ID, now time.Time) bool {
 	started := false
 	t.update(id, now, func(s *endpointEntry) {
-		if started = s.probeStartedAt.IsZero() && !s.rejecting(now) && t.takePermit(id, now); started {
+		if started = s.probeStartedAt.IsZero() && !s.rejecting(now) && t.takeForCheck(id, now); started {
 			s.probeStartedAt = now
 		}
 	})
@@ -175,7 +187,7 @@
 func (t *EndpointStats) RecordUnreachable(id endpoints.ID, now time.Time) {
 	t.update(id, now, func(s *endpointEntry) {
 		s.suspectTime = min(max(minSuspectTime, 2*s.suspectTime), maxSuspectTime)
-		s.suspectUntil = now.Add(s.suspectTime)
+		s.suspectUntil, s.contactLostAt = now.Add(s.suspectTime), now
 	})
 }
 
@@ -196,6 +208,11 @@
 	return t.cfg.RateLimiter == nil || t.cfg.RateLimiter.Take(id, now)
 }
 
+// takeForCheck uses up a permit for a load probe if the endpoint has a limit that counts probes. It returns false if there is none.
+func (t *EndpointStats) takeForCheck(id endpoints.ID, now time.Time) bool {
+	return t.cfg.RateLimiter == nil || t.cfg.RateLimiter.TakeForCheck(id, now)
+}
+
 func (s *endpointEntry) recordSend() { s.inFlight, s.sentSinceLoad = s.inFlight+1, s.sentSinceLoad+1 }
 
 // RecordEnd records the end of a request of this host, and whether it failed.
@@ -214,20 +231,6 @@
 	t.update(id, now, func(s *endpointEntry) { s.addOutcome(true, now) })
 }
 
-// RecordAnswer records that the endpoint has sent a response of any kind.
-func (t *EndpointStats) RecordAnswer(id endpoints.ID, now time.Time) {
-	t.update(id, now, func(s *endpointEntry) { s.answeredAt = now })
-}
-
-// AnsweredSince reports whether the endpoint has sent a response after a time.
-func (t *EndpointStats) AnsweredSince(id endpoints.ID, at time.Time) bool {
-	sh := t.shard(id)
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	s := sh.entries[id]
-	return s != nil && s.answeredAt.After(at)
-}
-
 // addOutcome adds an outcome to the failure rate.
 func (s *endpointEntry) addOutcome(failed bool, now time.Time) {
 	sample := 0.0
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,8 +46,6 @@
 	// OthersAnswer reports whether another endpoint answers this host at the moment. If none does, this host may have lost its own way to all of them, which
 	// says nothing about their processes. Nil means that others always answer.
 	OthersAnswer func(ctx context.Context, e endpoints.Endpoint) bool
-	// AnsweredSince reports whether this host has got a response of an endpoint after a time.
-	AnsweredSince func(id endpoints.ID, at time.Time) bool
 	// MayTry reports whether this host is the one that sends a quarantined request once more, see Try.
 	MayTry func(pattern Fingerprint) bool
 	// OnCrash is called when this host has noticed, or has first heard, that an endpoint ended under requests. source is SourceSelf or the name of a host.
@@ -69,6 +68,8 @@
 	Requests []Fingerprint // that ran there, as far as this host knows
 	At       time.Time
 	Alive    bool // the process answered later, so that it had not ended
+	// replaced is set when this host has got a response of the next process under the same id. The next end is that of another process then.
+	replaced bool
 }
 
 // Verdict says that the requests that match a pattern are quarantined.
@@ -83,7 +84,9 @@
 	Verdict
 	// derived is set if this host's evidence is the reason. Such a verdict is reversed if the evidence changes before firmTime.
 	derived bool
-	tried   [len(trialTimes)]bool // this host has sent the request once more
+	// fromStore is set while this host has the verdict from the store only. Such a verdict ends when the store's lists have it no more.
+	fromStore bool
+	tried     [len(trialTimes)]bool // this host has sent the request once more
 }
 
 // trialTimes are the times after a decision at which one host sends one matching request once more, if one comes within trialWindow: a proper request that
@@ -99,17 +102,20 @@
 	crashUpdates    announce.Broadcast[endpoints.ID]
 	verdictUpdates  announce.Broadcast[Fingerprint]
 	answeredUpdates announce.Broadcast[Fingerprint]
-	active          atomic.Bool // there is evidence or a verdict
+	active          atomic.Bool  // there is evidence or a verdict
+	doubted         atomic.Int64 // number of doubts
 
 	mu       sync.Mutex
+	doubts   map[endpoints.ID]map[*doubt]bool
 	crashes  map[endpoints.ID]*Crash
-	verdicts map[Fingerprint]*entry    // by pattern
-	answered map[Fingerprint]time.Time // by pattern, when an endpoint has last answered a suspected request that matches it
+	verdicts map[Fingerprint]*entry          // by pattern
+	stored   map[string]map[Fingerprint]bool // by key, the patterns of the lists in the store
+	answered map[Fingerprint]time.Time       // by pattern, when an endpoint has last answered a suspected request that matches it
 }
 
 // New returns a guard without evidence.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
+	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, stored: map[string]map[Fingerprint]bool{}, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
 }
 
 // Active reports whether there is evidence or a verdict. If not, no request has to be identified.
@@ -165,7 +171,7 @@
 		if g.cfg.OthersAnswer != nil && !g.check(ctx, "others "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.OthersAnswer(ctx, e) }) {
 			return
 		}
-		g.addCrash(Crash{Endpoint: e.ID, Requests: []Fingerprint{f}, At: at}, SourceSelf)
+		g.addCrash(Crash{Endpoint: g.process(e.ID), Requests: []Fingerprint{f}, At: at}, SourceSelf)
 	}
 	if g.check(ctx, "refuses "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.RefusesConnections(ctx, e) }) {
 		evidence()
@@ -175,9 +181,11 @@
 		return
 	}
 	go func() {
+		d := g.beginDoubt(e.ID, at)
+		defer g.endDoubt(e.ID, d)
 		for range unansweredChecks {
 			time.Sleep(unansweredInterval)
-			if g.cfg.AnsweredSince(e.ID, at) || !g.check(ctx, "closes "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.ClosesUnanswered(ctx, e) }) {
+			if d.answered.Load() || !g.check(ctx, "closes "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.ClosesUnanswered(ctx, e) }) {
 				return
 			}
 		}
@@ -195,20 +203,75 @@
 	return result.(bool)
 }
 
-// Answered records that an endpoint has answered a request that was sent to it at a time: its process has not ended before that.
-func (g *Guard) Answered(id endpoints.ID, sentAt time.Time) {
-	if !g.Active() {
+// doubt is a check of whether an endpoint has ended that goes on.
+type doubt struct {
+	at       time.Time   // when a connection to it broke
+	answered atomic.Bool // it has answered since then
+}
+
+func (g *Guard) beginDoubt(id endpoints.ID, at time.Time) *doubt {
+	d := &doubt{at: at}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.doubts[id] == nil {
+		g.doubts[id] = map[*doubt]bool{}
+	}
+	g.doubts[id][d] = true
+	g.doubted.Add(1)
+	return d
+}
+
+func (g *Guard) endDoubt(id endpoints.ID, d *doubt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if delete(g.doubts[id], d); len(g.doubts[id]) == 0 {
+		delete(g.doubts, id)
+	}
+	g.doubted.Add(-1)
+}
+
+// Answered records that an endpoint has just answered a request that was sent to it at a time, over a connection that was open since an earlier one.
+// Its process has not ended in between. A connection that was opened after the end may lead to the next process of the endpoint, which has the same
+// id until its entry is known, and proves nothing.
+func (g *Guard) Answered(id endpoints.ID, connectedAt, sentAt time.Time) {
+	if !g.Active() && g.doubted.Load() == 0 || connectedAt.IsZero() {
 		return
 	}
 	g.mu.Lock()
+	for d := range g.doubts[id] {
+		if connectedAt.Before(d.at) {
+			d.answered.Store(true)
+		}
+	}
+	id = g.processLocked(id)
 	c := g.crashes[id]
-	wrong := c != nil && !c.Alive && sentAt.After(c.At)
+	wrong := c != nil && !c.Alive && connectedAt.Before(c.At) && sentAt.After(c.At)
+	if c != nil && !c.Alive && connectedAt.After(c.At) {
+		c.replaced = true
+	}
 	g.mu.Unlock()
 	if wrong {
 		g.addCrash(Crash{Endpoint: id, At: time.Now(), Alive: true}, SourceSelf)
 	}
 }
 
+// process returns the id under which the end of the process is recorded that runs, or ran last, under an endpoint's id. It is not the endpoint's if an
+// earlier process under that id has ended and the entry of the next one is not known: the ends of both count.
+func (g *Guard) process(id endpoints.ID) endpoints.ID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.processLocked(id)
+}
+
+// processLocked is process with g.mu held.
+func (g *Guard) processLocked(id endpoints.ID) endpoints.ID {
+	process := id
+	for n := 1; g.crashes[process] != nil && g.crashes[process].replaced; n++ {
+		process.Incarnation = id.Incarnation + "+" + strconv.Itoa(n)
+	}
+	return process
+}
+
 // Succeeded records that an endpoint has answered a request: it is not the cause of the ends of endpoints beside which it ran before.
 func (g *Guard) Succeeded(f Fingerprint, now time.Time) {
 	if g.addAnswered(f, now, SourceSelf) {
--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -39,6 +39,11 @@
 	return nil
 }
 
+// unknownStatement returns the message about an endpoint that has named no limit. It is so old that it replaces none that its receiver knows.
+func unknownStatement(id endpoints.ID) Statement {
+	return Statement{ID: id, PerSecond: ratelimits.Unlimited, SentAgoMS: maxAgeMS, AnsweredAgoMS: maxAgeMS}
+}
+
 // At returns the statement with times of this host's clock.
 func (s *Statement) At(now time.Time) ratelimits.Statement {
 	return ratelimits.Statement{PerSecond: s.PerSecond, SentAt: now.Add(-time.Duration(s.SentAgoMS) * time.Millisecond),
@@ -55,6 +60,9 @@
 	Statement Statement `cbor:"5,keyasint"`
 	// MaxWaitMS is how long after the request a permit is still of use.
 	MaxWaitMS int64 `cbor:"6,keyasint,omitempty"`
+	// Cold is set if the host that asks knows the endpoint as cold. Without it, the coordinator goes by its own knowledge alone, as it does with requests
+	// of earlier versions.
+	Cold *Cold `cbor:"7,keyasint,omitempty"`
 }
 
 // maxWaitMS bounds Request.MaxWaitMS and Grant.AfterMS in milliseconds. Reservations do not add up to more than the time of a request.
@@ -65,6 +73,9 @@
 	if r.ID != r.Statement.ID || r.Zone == "" || r.MaxWaitMS < 0 || r.MaxWaitMS > maxWaitMS {
 		return trace.BadParameter("a request for permits names no zone, or two endpoints, or waits for %d ms: not 0 to %d", r.MaxWaitMS, maxWaitMS)
 	}
+	if err := r.Cold.check(r.ID); err != nil {
+		return err
+	}
 	return r.Statement.Check()
 }
 
@@ -76,6 +87,17 @@
 	AfterMS int64        `cbor:"4,keyasint"` // until the permits may be used; without permits, until there may be one
 	// Statement is what the coordinator knows of the limit.
 	Statement Statement `cbor:"5,keyasint"`
+	// PerSecond is the limit under which the permits were granted, in requests per second. It is missing in grants of earlier versions, whose
+	// coordinators apply the limit of Statement, and if it is that limit.
+	PerSecond float64 `cbor:"6,keyasint,omitempty"`
+}
+
+// limit returns the limit under which the permits were granted, in requests per second.
+func (g *Grant) limit() float64 {
+	if g.PerSecond > 0 {
+		return min(g.PerSecond, g.Statement.PerSecond)
+	}
+	return g.Statement.PerSecond
 }
 
 // Check returns an error if the grant is none that a coordinator sends.
@@ -83,5 +105,8 @@
 	if g.ID != g.Statement.ID || g.Permits < 0 || g.Permits > maxPermits || g.AfterMS < 0 || g.AfterMS > maxWaitMS {
 		return trace.BadParameter("a grant of %d permits for %s after %d ms: not 0 to %d permits, or not within %d ms", g.Permits, g.ID, g.AfterMS, maxPermits, maxWaitMS)
 	}
+	if math.IsNaN(g.PerSecond) || g.PerSecond < 0 {
+		return trace.BadParameter("a grant for %s under a limit of %v: no rate", g.ID, g.PerSecond)
+	}
 	return g.Statement.Check()
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -16,6 +16,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/problem"
@@ -75,6 +76,10 @@
 			Detail: "this host has not learned the configuration in force yet", Remedy: "use another address, or come back after the stated delay"})
 	}
 	route := table.Match(r.Host, r.Path)
+	if route != nil && r.BodyDiscarded {
+		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostCatchingUp, Ran: refusals.RanNo, RetryAfter: catchUpRetryAfter, Revision: table.Version,
+			Detail: "the route of the request came into force while its body arrived", Remedy: "send the request again"})
+	}
 	if route == nil {
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RouteUnknown, Ran: refusals.RanNo, Revision: table.Version,
 			Detail: "no route of the configuration in force matches " + r.Host + r.Path, Remedy: "ask the operator for a route"})
@@ -90,13 +95,14 @@
 	}
 	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
 	deadline := r.HeaderReadAt.Add(timeout)
-	if g.mayBeCut(r.HeaderReadAt, deadline) {
+	if g.mayBeCut(deadline) {
 		g.log.Info("refused", "id", id, "reason", refusals.HostDraining, "path", r.Path, "version", table.Version)
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
 	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
-		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, Deadline: deadline, Host: r.Host}}
+		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
+	call.CallerDue = r.HeaderReadAt.Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
 	who.addTo(call)
 	permit, refusal := g.takePermit(ctx, call, table)
 	if refusal != nil {
@@ -107,7 +113,8 @@
 	checkRevoked(call, res)
 	g.logRequest(ctx, r, id, table, call, res)
 	if res.Outcome != forward.Answered {
-		refusal := refusalOf(res, route, table, g.drainEnded() || errors.Is(context.Cause(ctx), ingress.ErrStopped))
+		stopped := g.drainEnded() || errors.Is(context.Cause(ctx), ingress.ErrStopped) || res.Outcome == forward.RefusedUnsent && g.mayBeCut(deadline)
+		refusal := refusalOf(res, route, table, stopped)
 		refusal.Customer = call.Customer
 		return g.refuse(r, id, refusal)
 	}
@@ -137,6 +144,18 @@
 	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
+// maxStatedTime bounds the time that a caller states. No caller waits for longer.
+const maxStatedTime = time.Hour
+
+// statedTime returns for how long a caller waits, by the stated time in milliseconds. It is 0 if none is stated or the text is no number.
+func statedTime(text string) time.Duration {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms > 0) { // NaN compares false
+		return 0
+	}
+	return time.Duration(min(ms, float64(maxStatedTime.Milliseconds())) * float64(time.Millisecond))
+}
+
 // responseOf returns the response of an endpoint as a response to the caller, without hop-by-hop header fields. A large body is streamed.
 func responseOf(res *forward.Result) *ingress.Response {
 	out := &ingress.Response{Status: res.Response.Status, Header: callerapi.EndToEndHeaders(res.Response.Header, nil), Body: res.Body, Length: res.Response.Length}
@@ -163,6 +182,8 @@
 		r.Reason, r.Detail, r.RetryAfter = refusals.HostDraining, "this host stops and has not sent the request to an endpoint", stopRetryAfter
 	case stopped:
 		r.Reason, r.Ran, r.Detail = refusals.UpstreamLost, refusals.RanUnknown, "this host stops and did not wait any longer for the endpoint"
+	case outcome == forward.RefusedTooLate && res.Overload != nil && res.Overload.Reason != overload.NoReason:
+		r.Reason, r.Detail = refusals.DeadlineUnreachable, res.Overload.Explain()
 	case outcome == forward.RefusedTooLate:
 		r.Reason, r.Detail = refusals.DeadlineUnreachable, "no endpoint is expected to answer in the time that is left"
 	case outcome == forward.RefusedUnsent:
@@ -257,6 +278,7 @@
 	if c.Customer != "" {
 		fields = append(fields, "customer", c.Customer)
 	}
+	fields = append(fields, g.reportOverload(res)...)
 	if c.Handover != nil {
 		fields = append(fields, "for", c.Handover.Host)
 	}
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -33,7 +33,7 @@
 )
 
 // hopDialect describes the headers of requests between hosts.
-var hopDialect = upstreamconn.Dialect{RequestID: hop.HeaderRequestID, DeadlineMS: hop.HeaderDeadlineMS, Interpret: func(endpoints.Endpoint, *executor.Response) {}}
+var hopDialect = upstreamconn.Dialect{RequestID: hop.HeaderRequestID, DeadlineMS: hop.HeaderDeadlineMS, EchoesID: true, Interpret: func(endpoints.Endpoint, *executor.Response) {}}
 
 // newTracker returns the tracker of this host's ways to the endpoints.
 func (g *Gateway) newTracker() *detour.Tracker {
@@ -53,7 +53,7 @@
 // newHopServer returns the server for the requests of other hosts' callers.
 func (g *Gateway) newHopServer() *ingress.Server {
 	return ingress.New(ingress.Config{Handler: hopHandler{g}, MaxConnections: max(minHops, int(g.settings.Cores*hopsPerCore)),
-		MaxTotalBodyBytes: int64(g.settings.MemoryMB * hopBodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		MaxTotalBodyBytes: int64(g.settings.MemoryMB * hopBodyFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered, Limits: func() routing.Limits {
 			l := g.limits()
 			l.MaxHeaderBytes += hop.MaxHeaderBytes
@@ -154,7 +154,7 @@
 	if timeout <= 0 {
 		return h.refuse(r, id, request, forward.RefusedUnsent, "no time is left for the request")
 	}
-	if g.mayBeCut(r.HeaderReadAt, deadline) {
+	if g.mayBeCut(deadline) {
 		return h.refuse(r, id, request, forward.RefusedNoEndpoint, "this host stops before the deadline of the request")
 	}
 	who := g.identifyHop(table, route, r.Header)
@@ -166,9 +166,10 @@
 		service = route.ServiceAt(g.nextSplitPosition(route.Name))
 	}
 	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.HeaderReadAt.Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
-		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late},
+		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late,
+			WaitedBefore: request.WaitedBeforeFor()},
 		Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target, Header: g.endpointHeader(table, r.Header, who, hop.IsHeader), Body: r.Body,
-			Deadline: deadline, Host: r.Host}}
+			RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
 	who.addTo(call)
 	res := g.forwarder.Run(ctx, call)
 	checkRevoked(call, res)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -25,6 +24,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/ratelimit"
 	"github.com/arbutusspan/arbutusspan/internal/eventlog"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
@@ -46,6 +46,9 @@
 	ContractTopic, EndpointTopic, HostTopic string
 	// DecodeContract decodes a record of ContractTopic. It returns nil for records that are not a configuration.
 	DecodeContract func(key string, value []byte) (*routing.Config, error)
+	// DecodeEvacuation returns the zone to whose endpoints nothing is to be sent while ContractTopic has a record with the key. ok is false for
+	// keys of other records. Nil means that there are no such records.
+	DecodeEvacuation func(key string) (zone string, ok bool)
 	// DecodeEndpoint decodes a record of EndpointTopic.
 	DecodeEndpoint func(key string, value []byte) (registry.Entry, error)
 	// Directory returns the handler that serves callers the addresses of the hosts to connect to. lookup returns the hosts' addresses and
@@ -79,8 +82,9 @@
 	hops             *ingress.Server    // serves requests that other hosts got from their callers
 	checkWaysNow     chan struct{}      // has the ways checked that need it
 	forwarder        *forward.Forwarder
-	callers          *ingress.Server  // serves callers' requests
-	follower         *follow.Follower // keeps this host's copy of the store current
+	callers          *ingress.Server   // serves callers' requests
+	memory           *membudget.Budget // what callers may take of the memory
+	follower         *follow.Follower  // keeps this host's copy of the store current
 	peers            *peers.Table
 	link             *peerlink.Link // exchanges messages with peers; set by Run
 	draining         atomic.Bool
@@ -92,6 +96,8 @@
 	storeHealth      storeHealth
 	encodedStates    encodedStateCache
 	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
+	invalidEntries   *invalidEntries
+	evacuations      evacuations
 	storedHosts      storedHostList
 	storedQuarantine storedQuarantine
 	heartbeatNow     chan struct{} // has the next heartbeat sent at once
@@ -114,13 +120,6 @@
 	// upstreamConnectTimeout limits connection set-up, so that requests do not wait for an endpoint that does not accept connections
 	// at once.
 	upstreamConnectTimeout = 150 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the process's memory that request bodies may take, hopBodyMemoryFraction the one for those of requests
-	// that other hosts got, answerMemoryFraction the one for answers that are read before they are passed on, and heapFraction the memory limit of the Go
-	// runtime as a fraction of the process's memory.
-	bodyMemoryFraction    = 0.2
-	hopBodyMemoryFraction = 0.05
-	answerMemoryFraction  = 0.15
-	heapFraction          = 0.6
 	// callerDescriptorFraction is the fraction of the file descriptors that callers' connections may use. The rest is for upstreams, the
 	// store and peers.
 	callerDescriptorFraction = 0.6
@@ -147,13 +146,15 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
-		rateLimits: ratelimits.NewTable(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+	g.memory = newMemoryBudget(s.MemoryMB)
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
 		CallerAddress: s.CallerAddress, PeerAddress: s.advertised(s.PeerAddress), StateAddress: s.advertised(s.StateAddress), Cores: s.Cores, LinkMbps: s.LinkMbps, DetourAddress: s.advertisedDetour()}))
 	g.ways, g.hopPool, g.hops = g.newTracker(), g.newHopPool(), g.newHopServer()
 	g.rateLimiter = ratelimit.New(ratelimit.Config{Limits: g.rateLimits, Coordinator: g.limitCoordinator, Hosts: g.peers.HostCount,
-		OnChange: g.logRateLimit, OnUrgent: g.requestHeartbeat, SendRequest: g.sendPermitRequest, SendGrant: g.sendGrant})
+		OnChange: g.logRateLimit, OnCold: g.logCold,
+		ColdTolerance: ratelimit.ColdTolerance{Over: s.ColdOver, Slack: s.ColdSlack}, OnUrgent: g.requestHeartbeat, SendRequest: g.sendPermitRequest, SendGrant: g.sendGrant})
 	g.quota = g.newQuota()
 	cfg := placement.DefaultConfig()
 	cfg.Zone, cfg.RateLimiter = s.Zone, g.rateLimiter
@@ -162,6 +163,7 @@
 	poolConfig.Dialect, poolConfig.IdleTimeout, poolConfig.ConnectTimeout = a.Dialect, upstreamIdleTimeout, upstreamConnectTimeout
 	poolConfig.MaxPerEndpoint, poolConfig.SourceIP = g.maxConnections, s.upstreamSourceIP
 	poolConfig.OnResponse, poolConfig.Leaving = g.recordResponse, g.endpoints.Withdrawn
+	poolConfig.Unchecked, poolConfig.OnContactLost = g.unchecked, g.recordContactLost
 	poolConfig.Rejecting = func(id endpoints.ID) bool {
 		return g.endpointStats.AnyRejecting() && g.endpointStats.Rejecting(id, time.Now())
 	}
@@ -169,13 +171,14 @@
 	repeatLimiter := placement.NewRepeatLimiter(placement.RepeatBudget{Ratio: s.RepeatRatio, Burst: s.RepeatBurst,
 		Window: time.Duration(s.RepeatWindowS * float64(time.Second))}, g.repeatBudgetParts)
 	g.crashGuard = quarantine.New(quarantine.Config{RefusesConnections: g.pool.RefusesConnections, ClosesUnanswered: g.closesUnanswered, OthersAnswer: g.othersAnswer,
-		AnsweredSince: g.endpointStats.AnsweredSince, MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
+		MayTry: g.mayTryQuarantined, OnCrash: g.logCrash, OnVerdict: g.logVerdict, OnUrgent: g.requestHeartbeat})
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
-		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MaxBufferedBytes: int64(s.MemoryMB * answerMemoryFraction * mebibyte),
-		OnCut: g.reportCut})
+		Withdrawn: g.endpoints.Withdrawn, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
+		OnCut: g.reportCut, OnSilence: g.reportSilence})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
-		MaxTotalBodyBytes: int64(s.MemoryMB * bodyMemoryFraction * mebibyte), OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
+		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), PipelinedPerS: s.Cores * pipelinedPerCoreS,
+		OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge:    func() time.Duration { return g.peers.MaxAge(time.Now()) },
@@ -203,27 +206,6 @@
 	return g
 }
 
-// advertisedBurstFraction is the fraction of the repeat budget's burst that the advertised hosts divide among themselves. All hosts divide
-// the rest.
-const advertisedBurstFraction = 0.75
-
-// repeatBudgetParts returns into how many parts like this host's the burst of the repeat budget is divided.
-func (g *Gateway) repeatBudgetParts() int {
-	now := time.Now()
-	return burstParts(g.peers.SelfAdvertised(now), g.peers.AdvertisedHostCount(now), g.peers.HostCount())
-}
-
-// burstParts returns the inverse of a host's share of the burst. Hosts that the directory advertises receive most requests. The others
-// serve only callers that still use older addresses. With equal shares, hundreds of hosts would leave those that receive the requests of a
-// zone about one repeat each.
-func burstParts(selfAdvertised bool, advertisedHosts, hosts int) int {
-	share := (1 - advertisedBurstFraction) / float64(hosts)
-	if selfAdvertised {
-		share += advertisedBurstFraction / float64(advertisedHosts)
-	}
-	return int(math.Ceil(1 / share))
-}
-
 // usedProbeFraction is the fraction of the allowed load probes that the hosts advertised by the directory use. The rest is left for other
 // hosts, which callers may still use with older addresses.
 const usedProbeFraction = 0.85
@@ -320,7 +302,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: aux.handler, ReadTimeout: auxServerTimeout, WriteTimeout: aux.writeTimeout, IdleTimeout: auxIdleTimeout}
+		server, l := g.newAuxServer(aux, l)
 		servers = append(servers, server)
 		group.Go(func() error { return ignoreClosed(server.Serve(l)) })
 	}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -1,5 +1,5 @@
 // Package registry holds the endpoints that upstreams register in a store. Each endpoint has one entry there and renews it. The
-// newest entry of an endpoint applies; if it cannot be read, the endpoint is removed. Readers get immutable snapshots.
+// newest valid entry of an endpoint applies. Readers get immutable snapshots.
 package registry
 
 import (
@@ -33,8 +33,16 @@
 	return cmp.Or(cmp.Compare(e.Started, other.Started), cmp.Compare(e.Sequence, other.Sequence))
 }
 
-// Renews reports whether e and other differ in nothing but their sequence numbers and the remaining times of warm-up.
+// Renews reports whether e and other differ in nothing but their sequence numbers and the remaining times of warm-up, and the later one states no longer
+// time than the other: an endpoint may become cold again.
 func (e Entry) Renews(other Entry) bool {
+	earlier, later := other, e
+	if later.Sequence < earlier.Sequence {
+		earlier, later = later, earlier
+	}
+	if later.WarmUp > earlier.WarmUp {
+		return false
+	}
 	e.Sequence, e.WarmUp = other.Sequence, other.WarmUp
 	return e == other
 }
@@ -51,6 +59,8 @@
 	Version  uint64 // number of changes that were applied, see Table.Version
 	Services map[string][]*Endpoint
 	Total    int
+	// Evacuated is the number of endpoints per service that are left out because their zone is evacuated. It is nil without evacuated zones.
+	Evacuated map[string]int
 }
 
 // Change describes one applied change of an endpoint, for logs.
@@ -74,7 +84,9 @@
 	marks          map[endpoints.ID]*leavingMark
 	marksCheckedAt time.Time      // when the old ones were last dropped
 	unannounced    []endpoints.ID // marks that messages to other hosts have to carry
-	withdrawn      idSet          // incarnations that are marked or whose record is not usable
+	withdrawn      idSet          // incarnations that are marked, whose record is not usable or whose zone is evacuated
+
+	evacuated map[string]time.Time // evacuated zones, and since when
 }
 
 // service lists the usable endpoints of one service, ordered by name.
@@ -93,12 +105,45 @@
 	// removedAt is the time at which the endpoint was removed; zero if it was not. The record is kept for tombstoneLifetime after it,
 	// so that an older entry that arrives late does not add the endpoint again.
 	removedAt time.Time
+	// lateAt and lateSequence are the time of the first entry that was ignored because it has a lower sequence number than this one, and its number.
+	// lateAt is zero if there is none.
+	lateAt       time.Time
+	lateSequence int64
 }
 
 // tombstoneLifetime is how long the record of a removed endpoint is kept. An entry can be written to the store seconds after the
 // endpoint sent it.
 const tombstoneLifetime = time.Minute
 
+// warmUpTolerance is the difference up to which the ends of the warm-up in two entries count as the same. Entries arrive with delays that differ
+// by about a second.
+const warmUpTolerance = 1500 * time.Millisecond
+
+const (
+	// maxLateEntries is how many entries of a process may reach the store before an earlier one does. An entry further behind was not late: the
+	// entry with the higher number was not written by the endpoint.
+	maxLateEntries = 8
+	// lateEntrySpan is the time within which late entries of a process arrive. Entries that go on to arrive for longer are not late.
+	lateEntrySpan = 2 * time.Second
+)
+
+// isLate reports whether an older entry than the newest one is an earlier entry of the endpoint that was written late. Otherwise another program
+// wrote the newest entry, and the endpoint's own go on below its sequence number.
+func (r *record) isLate(e Entry, now time.Time) bool {
+	if e.Started != r.entry.Started {
+		return true
+	}
+	behind := r.removedAt.IsZero() && r.entry.Sequence-e.Sequence > maxLateEntries
+	continued := !r.lateAt.IsZero() && e.Sequence > r.lateSequence && now.Sub(r.lateAt) > lateEntrySpan
+	if behind || continued {
+		return false
+	}
+	if r.lateAt.IsZero() {
+		r.lateAt, r.lateSequence = now, e.Sequence
+	}
+	return true
+}
+
 // NewTable returns an empty table. If an entry lapses during or shortly after an outage of the store, its endpoint stays usable for
 // the grace period lapseGrace, because it may be alive and only unable to renew the entry.
 func NewTable(lapseGrace time.Duration) *Table {
@@ -115,7 +160,17 @@
 func (t *Table) Endpoint(id endpoints.ID) (Endpoint, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[EndpointName(id)]; r != nil && r.usable && r.endpoint.ID == id {
+	if r := t.records[EndpointName(id)]; r != nil && t.listed(r) && r.endpoint.ID == id {
+		return *r.endpoint, true
+	}
+	return Endpoint{}, false
+}
+
+// Named returns the endpoint with a name that is usable according to its entry, also if its zone is evacuated.
+func (t *Table) Named(name string) (Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[name]; r != nil && r.usable {
 		return *r.endpoint, true
 	}
 	return Endpoint{}, false
@@ -132,7 +187,7 @@
 	if old.Version == t.version.Load() {
 		return old
 	}
-	s := &Snapshot{Version: t.version.Load(), Services: maps.Clone(old.Services), Total: t.total}
+	s := &Snapshot{Version: t.version.Load(), Services: maps.Clone(old.Services), Total: t.total, Evacuated: t.countEvacuated()}
 	for name, list := range t.services {
 		switch {
 		case len(list.endpoints) == 0:
@@ -151,7 +206,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[e.Name]
-	return r != nil && e.Renews(r.entry)
+	return r != nil && e.Renews(r.entry) && e.Compare(r.entry) >= 0
 }
 
 // Put applies an entry. It returns nil if nothing changes: the entry only renews the last one, or it is older.
@@ -159,10 +214,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.records[e.Name]
-	if old != nil {
-		if e.Compare(old.entry) < 0 {
-			return nil
-		}
+	if old != nil && e.Compare(old.entry) < 0 && old.isLate(e, now) {
+		return nil
 	}
 	r := &record{entry: e, usable: !e.Leaving}
 	r.endpoint = &Endpoint{Name: e.Name, WarmUpEnd: now.Add(e.WarmUp), Endpoint: endpoints.Endpoint{
@@ -170,12 +223,13 @@
 	marked := t.isMarked(r.endpoint.ID, now)
 	r.usable = r.usable && !marked
 	t.records[e.Name] = r
-	if r.usable {
+	if t.listed(r) {
 		t.withdrawn.set(r.endpoint.ID, false, false)
 	} else {
 		defer t.withdrawn.set(r.endpoint.ID, true, marked) // after the new snapshot, which must not list a withdrawn endpoint
 	}
-	if old != nil && old.removedAt.IsZero() && old.graceEnd.IsZero() && old.usable == r.usable && old.endpoint.Endpoint == r.endpoint.Endpoint && (e.WarmUp > 0) == (old.entry.WarmUp > 0) {
+	if old != nil && old.removedAt.IsZero() && old.graceEnd.IsZero() && old.usable == r.usable && old.endpoint.Endpoint == r.endpoint.Endpoint && (e.WarmUp > 0) == (old.entry.WarmUp > 0) &&
+		r.endpoint.WarmUpEnd.Sub(old.endpoint.WarmUpEnd) <= warmUpTolerance {
 		r.endpoint = old.endpoint
 		return nil
 	}
@@ -187,6 +241,8 @@
 	state := "usable"
 	if !r.usable {
 		state = "leaving"
+	} else if !t.listed(r) {
+		state = "evacuated"
 	}
 	return &Change{Name: e.Name, Service: e.Service, Address: e.Address, State: state, ID: r.endpoint.ID}
 }
@@ -196,7 +252,7 @@
 	return e.Name + "@" + time.UnixMilli(e.Started).UTC().Format("0102T150405.000")
 }
 
-// Remove applies the removal of an entry. An entry that cannot be read counts as removed. recentOutage states that the store is
+// Remove applies the removal of an entry. recentOutage states that the store is
 // or was recently unavailable, so that an endpoint may be alive although it could not renew its entry.
 func (t *Table) Remove(name string, recentOutage bool, now time.Time) *Change {
 	t.mu.Lock()
@@ -284,12 +340,12 @@
 	}
 	i, listed := slices.BinarySearchFunc(list.endpoints, r.entry.Name, func(e *Endpoint, name string) int { return strings.Compare(e.Name, name) })
 	switch {
-	case listed && r.usable:
+	case listed && t.listed(r):
 		list.endpoints[i] = r.endpoint
 	case listed:
 		list.endpoints = slices.Delete(list.endpoints, i, i+1)
 		t.total--
-	case r.usable:
+	case t.listed(r):
 		list.endpoints = slices.Insert(list.endpoints, i, r.endpoint)
 		t.total++
 	}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -46,6 +46,10 @@
 	// Leaving reports whether an endpoint must not get new requests any more, and Rejecting whether it must not get any for a while. Send
 	// calls both right before it writes. Connections to leaving endpoints are not kept. Nil means that no endpoint is.
 	Leaving, Rejecting func(id endpoints.ID) bool
+	// Unchecked reports whether an endpoint may have started again since its last response, and OnContactLost is called when all idle connections to
+	// one turned out to be closed. Both are called only for requests with RecentContact. Nil means no call.
+	Unchecked     func(id endpoints.ID) bool
+	OnContactLost func(id endpoints.ID)
 	// MaxBodyBytes is the maximum size of a response body.
 	MaxBodyBytes int64
 }
@@ -104,36 +108,40 @@
 
 // conn is a connection that carries at most one request at a time.
 type conn struct {
-	http      *http.ClientConn
-	guarded   *guardedConn
-	idleSince time.Time
+	http        *http.ClientConn
+	guarded     *guardedConn
+	openedAt    time.Time // when it was begun to be opened
+	connectedAt time.Time // when it had been opened
+	idleSince   time.Time
+	// unnamed holds when the last maxLateCopies exchanges were sent whose responses carried no request id, oldest first.
+	unnamed []time.Time
 }
 
 func (c *conn) close() { c.http.Close() }
 
-// get returns an idle connection to the endpoint, or nil. It prefers the one that was used last, because that one is most likely still
-// open. If oldest is true, it prefers the one that has been idle for longest.
-func (p *Pool) get(id endpoints.ID, now time.Time, oldest bool) *conn {
+// get returns an idle connection to the endpoint for the request, or nil. It prefers the one that was used last, because that one is most likely
+// still open, or the one that has been idle for longest if the request asks for it. closed says that the endpoint had closed an idle connection.
+func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) (idle *conn, closed bool) {
 	var unusable []*conn
 	defer func() { closeAll(unusable) }()
 	sh := p.shard(id)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	list := sh.idle[id]
-	for len(list) > 0 {
-		at := len(list) - 1
-		if oldest {
-			at = 0
+	for {
+		at := chooseIdle(list, c)
+		if at < 0 {
+			return nil, closed
 		}
-		c := list[at]
+		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
-		if now.Sub(c.idleSince) < p.cfg.IdleTimeout && c.http.Err() == nil && c.guarded.beginRequest() {
-			return c
+		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && cn.http.Err() == nil && cn.guarded.beginRequest() {
+			return cn, closed
 		}
-		unusable = append(unusable, c)
+		closed = closed || cn.http.Err() != nil
+		unusable = append(unusable, cn)
 	}
-	return nil
 }
 
 // closeAll closes connections. It must not be called under a shard's lock, because closing a connection calls release, which takes that
@@ -180,13 +188,14 @@
 	if !p.reserve(e) {
 		return nil, executor.ErrConnectionLimit
 	}
+	openedAt := time.Now()
 	guarded := &guardedConn{writeTimeout: p.cfg.WriteTimeout, onClose: func() { p.release(e.ID) }}
 	hc, err := p.transport.NewClientConn(context.WithValue(ctx, guardedConnKey{}, guarded), "http", e.Address)
 	if err != nil {
 		guarded.notifyClosed()
 		return nil, err
 	}
-	return &conn{http: hc, guarded: guarded}, nil
+	return &conn{http: hc, guarded: guarded, openedAt: openedAt, connectedAt: time.Now()}, nil
 }
 
 // reserve adds a connection to the endpoint's count. It returns false if the count has reached the maximum.
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -1,7 +1,6 @@
 package upstreamconn
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -11,7 +10,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,13 +20,13 @@
 
 var (
 	errSwitchedProtocols = errors.New("the upstream switched protocols")
-	errOtherRequest      = errors.New("the answer names another request")
 	errDamaged           = errors.New("the answer lacks what every whole answer of an endpoint has")
 	errTooLarge          = errors.New("the answer's body is larger than this host accepts")
 )
 
 // Send implements executor.Sender. The connection returns to the pool after the response body was read to its end.
 func (p *Pool) Send(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*executor.Response, error) {
+	c, ownID := p.withID(c)
 	req, err := p.newRequest(ctx, e, c)
 	if err != nil {
 		return nil, sendError(false, err)
@@ -38,16 +36,24 @@
 	if err != nil {
 		return nil, err
 	}
-	// An upstream may repeat the request id in its response. If it is the id of another request, these are late bytes of an earlier response.
-	if id := resp.Header.Get(p.cfg.Dialect.RequestID); id != "" && id != c.RequestID {
-		err = errOtherRequest
+	origin, err := p.attribute(cn, c, resp, sentAt)
+	if ownID {
+		delete(resp.Header, p.cfg.Dialect.RequestID)
+	}
+	if err != nil {
+		origin.sentAt = cn.openedAt
 	} else if resp.StatusCode == http.StatusSwitchingProtocols {
 		err = errSwitchedProtocols
 	} else if resp.ContentLength > p.cfg.MaxBodyBytes && c.Method != http.MethodHead {
 		err = errTooLarge
 	}
-	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: sentAt, ReadAt: time.Now()}
+	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: origin.sentAt, ReadAt: time.Now(),
+		HealthCheck: c.HealthCheck, ConnectedAt: cn.connectedAt}
 	p.cfg.Dialect.Interpret(e, out)
+	if err != nil {
+		// What the endpoint says of itself counts, but not what it says of a request: that may be another one.
+		out.NotRun, out.RejectedFor, out.MalformedDelay = false, 0, ""
+	}
 	if p.cfg.OnResponse != nil {
 		p.cfg.OnResponse(e, out)
 	}
@@ -58,7 +64,7 @@
 		cn.close()
 		return nil, sendError(true, err)
 	}
-	b := &responseBody{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, remaining: p.cfg.MaxBodyBytes}
+	b := &responseBody{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, remaining: p.cfg.MaxBodyBytes, keepConn: origin.keepConn}
 	if resp.Body == http.NoBody {
 		b.finish() // HEAD, 204, 304 or Content-Length 0: there is no body to read
 	}
@@ -79,11 +85,17 @@
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
 // before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn
 // or the caller's key removed meanwhile.
-func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (*conn, *http.Response, error) {
+func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (_ *conn, _ *http.Response, err error) {
+	defer func() {
+		if err != nil {
+			closeBody(req) // net/http does not close it in all cases
+		}
+	}()
 	if p.withdrawn(e.ID) || c.IsRevoked() {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
-	if cn := p.get(e.ID, time.Now(), c.UseOldestConnection); cn != nil {
+	cn, closed := p.get(e.ID, time.Now(), c)
+	if cn != nil {
 		resp, err := cn.http.RoundTrip(req)
 		if err == nil {
 			return cn, resp, nil
@@ -92,9 +104,14 @@
 		if cn.guarded.requestWritten() || ctx.Err() != nil {
 			return nil, nil, cn.sendError(err)
 		}
+		closed = true
+		closeBody(req)
 		setBody(req, c)
 	}
-	cn, err := p.dial(ctx, e)
+	if p.needsContact(e.ID, closed, c) {
+		return nil, nil, sendError(false, executor.ErrWithdrawn)
+	}
+	cn, err = p.dial(ctx, e)
 	if err != nil {
 		return nil, nil, sendError(false, err)
 	}
@@ -110,6 +127,18 @@
 	return cn, resp, nil
 }
 
+// needsContact reports whether a request may not be sent on a new connection to an endpoint before a health check, because the endpoint may have
+// started again. closed says that the endpoint had closed an idle connection.
+func (p *Pool) needsContact(id endpoints.ID, closed bool, c *executor.Call) bool {
+	if !c.RecentContact || p.cfg.Unchecked == nil {
+		return false
+	}
+	if closed && p.cfg.OnContactLost != nil {
+		p.cfg.OnContactLost(id)
+	}
+	return p.cfg.Unchecked(id)
+}
+
 func (p *Pool) newRequest(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*http.Request, error) {
 	target, err := url.ParseRequestURI(c.Path)
 	if err != nil {
@@ -146,32 +175,6 @@
 	return req, nil
 }
 
-// setBody sets a request body that can be read once. It does not set GetBody, so net/http cannot send the body again.
-func setBody(req *http.Request, c *executor.Call) {
-	if len(c.Body) > 0 {
-		b := &requestBody{Reader: bytes.NewReader(c.Body)}
-		if c.RetainBody != nil {
-			b.release = c.RetainBody()
-		}
-		req.Body = b
-		req.ContentLength = int64(len(c.Body))
-	}
-}
-
-// requestBody calls release when net/http closes it, which net/http does once it no longer reads from it.
-type requestBody struct {
-	*bytes.Reader
-	once    sync.Once
-	release func()
-}
-
-func (b *requestBody) Close() error {
-	if b.release != nil {
-		b.once.Do(b.release)
-	}
-	return nil
-}
-
 // responseBody is the body of a response. If it is read up to io.EOF, its connection returns to the pool; otherwise Close closes the
 // connection.
 type responseBody struct {
@@ -180,6 +183,7 @@
 	conn      *conn
 	id        endpoints.ID
 	remaining int64
+	keepConn  bool // the connection may carry further requests
 	fullyRead atomic.Bool
 	closed    atomic.Bool
 }
@@ -195,9 +199,9 @@
 	return n, errtext.Bound(err)
 }
 
-// finish lets the connection return to the pool.
+// finish lets the connection return to the pool, if it may carry further requests. Otherwise Close closes it.
 func (b *responseBody) finish() {
-	if !b.fullyRead.Swap(true) {
+	if b.keepConn && !b.fullyRead.Swap(true) {
 		b.conn.guarded.finishResponse(func() { b.pool.put(b.id, b.conn, time.Now()) })
 	}
 }
