--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -22,6 +23,7 @@
 		f := newFakeService(map[string]*fakeUpstream{"a": {duration: dropping, load: placement.Load{Slots: 1}}})
 		fw := f.forwarder(largeBurst)
 		is.Equal(fw.Run(t.Context(), request(true)).Outcome, TimedOut)
+		synctest.Wait() // a send records its end after its request has ended
 		now := time.Now()
 		is.True(fw.cfg.EndpointStats.DropsRequests("lotdesk", now))
 
@@ -51,6 +53,7 @@
 		r = <-ended
 		is.Equal(r.Outcome, TimedOut)
 		is.Equal(len(r.Attempts), 1)
+		synctest.Wait()
 		for _, e := range f.list {
 			is.Equal(fw.cfg.EndpointStats.View(*e, time.Now()).InFlight, 0)
 		}
