quota: a host that reaches three fifths of a large zone is not cut off

Hosts counted as heard from within 0.8 heartbeat intervals, in which a fifth of the live hosts send nothing. With two fifths of a zone cut off, the others wavered around one half: in simulated time, 137 hosts, 585 of 1,835 requests of a customer (80 of them more than 1.2 s after the fault) were refused as without a coordinator (TestBoundAndService/cut_off_with_others,_137_hosts with -args -full failed). The window is 1.25 intervals now, and a silent coordinator is replaced after 0.85 of it, at least 0.5 s, so that a host that is cut off has noticed it by then.

Measured: all faults but none and freeze at 12, 50 and 137 hosts with -args -full; -race ./internal/coordination/quota without it, ./internal/gateway, ./internal/coordination/peers, ./internal/transport/peerlink.

--- a/internal/coordination/peers/quorum.go
+++ b/internal/coordination/peers/quorum.go
@@ -52,9 +52,10 @@
 
 const (
 	// minQuorumWindow is the least time in which a host must have sent a message to count as heard from. On large zones, whose hosts send
-	// heartbeats less often, the time is quorumIntervals heartbeat intervals: about four fifths of the hosts send one within it.
+	// heartbeats less often, the time is quorumIntervals heartbeat intervals, in which every live host sends one. With less than one interval, a host
+	// that reaches three fifths of a large zone took itself for cut off.
 	minQuorumWindow = 500 * time.Millisecond
-	quorumIntervals = 0.8
+	quorumIntervals = 1.25
 	// quorumMemory is how long a host counts the hosts that it knew when it last heard from half of them. A host that is cut off forgets silent
 	// hosts much sooner, and would else take itself for the whole zone.
 	quorumMemory = 5 * time.Minute
@@ -66,13 +67,25 @@
 	at    time.Time
 }
 
+// QuorumWindow returns the time in which a host must have sent a message to count as heard from.
+func (t *Table) QuorumWindow() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.quorumWindow()
+}
+
+// quorumWindow does the work of QuorumWindow. t.mu must be held.
+func (t *Table) quorumWindow() time.Duration {
+	return max(minQuorumWindow, time.Duration(quorumIntervals*float64(t.heartbeatIntervalLocked())))
+}
+
 // Quorum returns from how many hosts of this zone this host has heard lately, and how many it knows, itself included in both. Hosts that have
 // announced that they leave do not count, and of several descriptions with one address only one does. A host that has not heard from half of them may be
 // cut off from the rest.
 func (t *Table) Quorum(now time.Time) (heard, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	window := max(minQuorumWindow, time.Duration(quorumIntervals*float64(t.heartbeatIntervalLocked())))
+	window := t.quorumWindow()
 	addresses := map[string]bool{t.cfg.Self.PeerAddress: true} // whether the host was heard from
 	for _, p := range t.hosts {
 		if p.Zone != t.cfg.Self.Zone || p.Leaving {
--- a/internal/coordination/quota/coordinator.go
+++ b/internal/coordination/quota/coordinator.go
@@ -88,10 +88,10 @@
 	return v.candidates
 }
 
-// silent reports whether a host has sent nothing since it was asked, for takeoverTime. l.mu must be held.
+// silent reports whether a host has sent nothing since it was asked, for so long that another one takes its place. l.mu must be held.
 func (l *Limiter) silent(host string, now time.Time) bool {
 	a := l.awaited[host]
-	return a != nil && now.Sub(a.since) >= takeoverTime && !l.cfg.LastMessage(host).After(a.since)
+	return a != nil && now.Sub(a.since) >= max(minTakeoverTime, time.Duration(takeoverWindow*float64(l.cfg.QuorumWindow()))) && !l.cfg.LastMessage(host).After(a.since)
 }
 
 // await notes that a host of this zone is asked. l.mu must be held.
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -18,9 +18,11 @@
 	requestTimeout = 30 * time.Millisecond
 	// lateGrantTime is how long after a request its grant is still accepted.
 	lateGrantTime = time.Second
-	// takeoverTime is how long a coordinator must be silent although it is asked before the next host takes its place. A host that is cut off with
-	// less than half of its zone has noticed that by then (peers.Table.Quorum) and grants nothing.
-	takeoverTime = 500 * time.Millisecond
+	// minTakeoverTime is the least time for which a coordinator must be silent although it is asked before the next host takes its place, and
+	// takeoverWindow that time as a part of the quorum window. A host that is cut off with less than half of its zone has noticed that by then
+	// (peers.Table.Quorum), or notices it soon after, and grants nothing.
+	minTakeoverTime = 500 * time.Millisecond
+	takeoverWindow  = 0.85
 	// pingInterval is the interval at which a silent coordinator is asked for a response.
 	pingInterval = 100 * time.Millisecond
 	// tickInterval is the interval at which Tick is to be called.
@@ -66,6 +68,8 @@
 	LastMessage func(host string) time.Time
 	// Quorum returns from how many hosts of this zone this host has heard lately, and how many it knows; see peers.Table.Quorum.
 	Quorum func(now time.Time) (heard, known int)
+	// QuorumWindow returns the time in which a host must have sent a message to count as heard from.
+	QuorumWindow func() time.Duration
 	// Send sends a message to the address of a host, without waiting. Messages may be lost.
 	Send func(address string, requests []Request, grants []Grant)
 	// OnEvent reports a change of what this host coordinates. Fields are pairs of names and values, as for eventlog.
