--- a/internal/coordination/peers/quorum.go
+++ b/internal/coordination/peers/quorum.go
@@ -51,9 +51,9 @@
 }
 
 const (
-	// minQuorumWindow is the least time in which a host must have sent a message to count as heard from. In large zones, whose hosts send
-	// heartbeats less often, the time is quorumIntervals heartbeat intervals, in which each host sends one. With less than one interval, hosts that
-	// started together would hear from nobody in between.
+	// minQuorumWindow is the least time in which a host must have sent a message to count as heard from. On large zones, whose hosts send
+	// heartbeats less often, the time is quorumIntervals heartbeat intervals, in which every live host sends one: they vary by a quarter. With less than one interval, a host
+	// that reaches three fifths of a large zone took itself for cut off.
 	minQuorumWindow = 500 * time.Millisecond
 	quorumIntervals = 1.3
 	// quorumMemory is how long a host counts the hosts that it knew when it last heard from half of them. A host that is cut off forgets silent
@@ -79,6 +79,18 @@
 	at    time.Time
 }
 
+// QuorumWindow returns the time in which a host must have sent a message to count as heard from.
+func (t *Table) QuorumWindow() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.quorumWindow()
+}
+
+// quorumWindow does the work of QuorumWindow. t.mu must be held.
+func (t *Table) quorumWindow() time.Duration {
+	return max(minQuorumWindow, time.Duration(quorumIntervals*float64(t.heartbeatIntervalLocked())))
+}
+
 // Quorum returns from how many hosts of this zone this host has heard lately, and how many it knows, itself included in both. Hosts that have
 // announced that they leave do not count, and of several descriptions with one address only one does. A host that has not heard from half of them may be
 // cut off from the rest.
