faketime: one scheduler for the simulations

The simulations of endpoint limits and of quotas and the overload model each had their own event queue.

--- a/internal/coordination/overload/day_test.go
+++ b/internal/coordination/overload/day_test.go
@@ -1,7 +1,6 @@
 package overload
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
 )
 
 // This file plays the heaviest day of docs/design/customers-zones-overload.md section 1 at one host, without a network: the host has a tenth of the traffic
@@ -88,69 +89,36 @@
 		(o.refusalWait / time.Duration(max(1, o.refusals))).Milliseconds(), o.longestWait.Milliseconds(), o.value)
 }
 
-// event is something that happens at a time.
-type event struct {
-	at time.Time
-	n  int
-	do func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].n < h[j].n
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 // day plays one service with one policy.
 type day struct {
+	faketime.Scheduler
 	site    daySite
 	policy  policy
 	traffic *rand.Rand // the same requests arrive with each policy
 	random  *rand.Rand // durations
-	now     time.Time
-	events  eventHeap
-	counted int
 	busy    int
 	byKind  map[string]*outcome
 	byName  map[string]*outcome // by customer
 	worst   map[int64][2]int    // by second: answers in time and late
 }
 
-func (d *day) at(t time.Time, do func()) {
-	d.counted++
-	heap.Push(&d.events, event{t, d.counted, do})
-}
-
 // play runs the day.
 func (d *day) play() {
-	d.now, d.byKind, d.byName, d.worst = start, map[string]*outcome{}, map[string]*outcome{}, map[int64][2]int{}
+	d.Now, d.byKind, d.byName, d.worst = start, map[string]*outcome{}, map[string]*outcome{}, map[int64][2]int{}
 	for i := range d.site.kinds {
 		k := &d.site.kinds[i]
 		d.byKind[k.name] = &outcome{}
 		d.nextArrival(k)
 	}
 	for tick := time.Duration(0); tick < dayLength+10*time.Second; tick += 50 * time.Millisecond { // slots that come back are used
-		d.at(start.Add(tick), d.fill)
-	}
-	for len(d.events) > 0 {
-		e := heap.Pop(&d.events).(event)
-		d.now = e.at
-		e.do()
+		d.At(start.Add(tick), d.fill)
 	}
+	d.Run()
 }
 
 // nextArrival plans the next request of a kind.
 func (d *day) nextArrival(k *kind) {
-	passed := d.now.Sub(start)
+	passed := d.Now.Sub(start)
 	if passed > dayLength {
 		return
 	}
@@ -161,7 +129,7 @@
 	if passed >= 6*time.Second && passed < 12*time.Second {
 		usual, large = usual*k.burst, large*k.burst
 	}
-	d.at(d.now.Add(time.Duration(d.traffic.ExpFloat64()/(usual+large)*1e9)), func() {
+	d.After(time.Duration(d.traffic.ExpFloat64()/(usual+large)*1e9), func() {
 		customer := largeCustomer
 		if d.traffic.Float64() > large/(usual+large) {
 			customer = fmt.Sprint("c", 1+d.traffic.IntN(otherCustomers))
@@ -171,15 +139,15 @@
 		}
 		d.byName[customer].requests++
 		d.byKind[k.name].requests++
-		d.arrive(&attempt{kind: k, customer: customer, sent: d.now, due: d.now.Add(k.timeout), repeats: callerRepeats})
+		d.arrive(&attempt{kind: k, customer: customer, sent: d.Now, due: d.Now.Add(k.timeout), repeats: callerRepeats})
 		d.nextArrival(k)
 	})
 }
 
 func (d *day) arrive(a *attempt) {
-	a.arrived = d.now
-	slots, _ := d.site.daySlots(d.now.Sub(start))
-	switch decision, delay := d.policy.arrive(a, d.busy < slots, d.now); decision {
+	a.arrived = d.Now
+	slots, _ := d.site.daySlots(d.Now.Sub(start))
+	switch decision, delay := d.policy.arrive(a, d.busy < slots, d.Now); decision {
 	case "send":
 		d.run(a)
 	case "wait":
@@ -195,34 +163,34 @@
 	if !a.waiting {
 		return
 	}
-	refuse, delay, again := d.policy.check(a, d.now)
+	refuse, delay, again := d.policy.check(a, d.Now)
 	if refuse {
 		a.waiting = false
 		d.refused(a, delay)
 		return
 	}
-	d.at(again, func() { d.check(a) })
+	d.At(again, func() { d.check(a) })
 }
 
 // refused counts a refusal. The caller returns after the delay, but waits no longer than a third of the time that is left.
 func (d *day) refused(a *attempt, delay time.Duration) {
 	o := d.byKind[a.kind.name]
 	o.refusals++
-	o.refusalWait += d.now.Sub(a.arrived)
-	o.longestWait = max(o.longestWait, d.now.Sub(a.arrived))
-	left := a.due.Sub(d.now)
+	o.refusalWait += d.Now.Sub(a.arrived)
+	o.longestWait = max(o.longestWait, d.Now.Sub(a.arrived))
+	left := a.due.Sub(d.Now)
 	if a.repeats == 0 || left < a.kind.work/2 {
 		o.failed++
 		d.byName[a.customer].failed++
 		return
 	}
 	back := &attempt{kind: a.kind, customer: a.customer, sent: a.sent, due: a.due, repeats: a.repeats - 1}
-	d.at(d.now.Add(min(delay, left/3)), func() { d.arrive(back) })
+	d.After(min(delay, left/3), func() { d.arrive(back) })
 }
 
 // run runs a request at an endpoint.
 func (d *day) run(a *attempt) {
-	slots, cold := d.site.daySlots(d.now.Sub(start))
+	slots, cold := d.site.daySlots(d.Now.Sub(start))
 	d.busy++
 	stretch := 0.8 + 0.4*d.random.Float64()
 	if float64(d.busy) > 0.8*float64(slots) {
@@ -235,31 +203,31 @@
 		stretch *= 3
 	}
 	took := time.Duration(stretch * float64(a.kind.work))
-	d.policy.started(a, d.now)
-	d.at(d.now.Add(took), func() {
+	d.policy.started(a, d.Now)
+	d.After(took, func() {
 		d.busy--
-		d.policy.ended(a, took, d.now)
+		d.policy.ended(a, took, d.Now)
 		d.answered(a)
 		d.fill()
 	})
 }
 
 func (d *day) answered(a *attempt) {
-	second := int64(d.now.Sub(start) / time.Second)
+	second := int64(d.Now.Sub(start) / time.Second)
 	counts := d.worst[second]
 	for _, o := range []*outcome{d.byKind[a.kind.name], d.byName[a.customer]} {
 		switch {
-		case d.now.Sub(a.sent) <= a.kind.target:
+		case d.Now.Sub(a.sent) <= a.kind.target:
 			o.inTime++
 			o.value += a.kind.valueInTime
-		case d.now.Before(a.due):
+		case d.Now.Before(a.due):
 			o.late++
 			o.value += a.kind.valueIfLate
 		default:
 			o.failed++
 		}
 	}
-	if d.now.Sub(a.sent) <= a.kind.target {
+	if d.Now.Sub(a.sent) <= a.kind.target {
 		counts[0]++
 	} else {
 		counts[1]++
@@ -270,10 +238,10 @@
 // fill gives the free slots to waiting requests.
 func (d *day) fill() {
 	for {
-		if slots, _ := d.site.daySlots(d.now.Sub(start)); d.busy >= slots {
+		if slots, _ := d.site.daySlots(d.Now.Sub(start)); d.busy >= slots {
 			return
 		}
-		a := d.policy.next(d.now)
+		a := d.policy.next(d.Now)
 		if a == nil {
 			return
 		}
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -51,7 +51,7 @@
 	demand[s.add("hot", 1.6*30, 20, 0)] = 7.5 * 30
 	demand[s.add("hot-large", 300, 0, 0)] = 1500
 	demand[s.add("hot-small", 2, 0, 0)] = 15
-	s.runFor(10 * time.Second)
+	s.RunFor(10 * time.Second)
 	for c, perSecond := range demand {
 		c.perSecond = perSecond
 	}
@@ -73,12 +73,12 @@
 		"die": func(s *simulation, n int) {
 			h := s.hosts[n%s.large()]
 			h.down = true
-			s.after(1500*time.Millisecond, h.start)
+			s.After(1500*time.Millisecond, h.start)
 		},
 		"freeze": func(s *simulation, n int) {
 			h := s.hosts[n%s.large()]
 			h.frozen = true
-			s.after([]time.Duration{300, 900, 2500}[n%3]*time.Millisecond, h.thaw)
+			s.After([]time.Duration{300, 900, 2500}[n%3]*time.Millisecond, h.thaw)
 		},
 		"cut off": func(s *simulation, n int) { s.cut(2500*time.Millisecond, n%s.large()) },
 		"cut off with others": func(s *simulation, n int) {
@@ -92,7 +92,7 @@
 			if n%2 == 0 {
 				for _, h := range s.hosts {
 					h.down = true
-					s.after(time.Duration(100+s.rng.IntN(100))*time.Millisecond, h.start)
+					s.After(time.Duration(100+s.rng.IntN(100))*time.Millisecond, h.start)
 				}
 			}
 		},
@@ -107,9 +107,9 @@
 				s := newSimulation(uint64(size.hosts), size.hosts, 3, 0.01)
 				s.typical()
 				for n := range size.rounds {
-					s.faultAt = s.now
+					s.faultAt = s.Now
 					fault(s, n)
-					s.runFor(5 * time.Second)
+					s.RunFor(5 * time.Second)
 				}
 				t.Logf("messages %v", s.messages)
 				for _, c := range s.customers {
@@ -134,9 +134,9 @@
 	for _, i := range group {
 		s.hosts[i].group = 1
 	}
-	s.after(d, func() {
+	s.After(d, func() {
 		for _, i := range group {
-			s.hosts[i].group, s.hosts[i].calmSince = 0, s.now
+			s.hosts[i].group, s.hosts[i].calmSince = 0, s.Now
 		}
 	})
 }
@@ -148,17 +148,17 @@
 	s := newSimulation(5, 12, 3, 0.01)
 	c := s.add("norte", 80, 40, 400)
 	steady := s.add("sur", 80, 40, 20)
-	s.runFor(6 * time.Second)
+	s.RunFor(6 * time.Second)
 	for version, perSecond := range []float64{4, 120, 20, 60, 2} {
 		for _, changed := range []*simCustomer{c, steady} {
-			changed.limits = append(changed.limits, limitChange{Limit{perSecond, perSecond / 2, uint64(version + 2)}, s.now})
+			changed.limits = append(changed.limits, limitChange{Limit{perSecond, perSecond / 2, uint64(version + 2)}, s.Now})
 		}
-		changed := s.now
-		s.runFor(9 * time.Second)
+		changed := s.Now
+		s.RunFor(9 * time.Second)
 		worst, bound := c.excess(changed)
 		last := 0 // runs of the last five seconds, when the limit has been known for long
 		for _, at := range c.runs {
-			if s.now.Sub(at) < 5*time.Second {
+			if s.Now.Sub(at) < 5*time.Second {
 				last++
 			}
 		}
@@ -176,7 +176,7 @@
 	is := is.New(t)
 	s := newSimulation(9, 12, 3, 0)
 	c := s.add("norte", 60, 60, 450)
-	s.runFor(8 * time.Second)
+	s.RunFor(8 * time.Second)
 	zone := s.hosts[0].table.HomeZone(c.name)
 	var members []*simHost
 	for _, h := range s.hosts {
@@ -186,24 +186,24 @@
 	}
 	// Its two large hosts do not hear each other for a second: the second one takes over.
 	members[0].deaf, members[1].deaf = members[1], members[0]
-	s.runFor(time.Second)
+	s.RunFor(time.Second)
 	members[0].deaf, members[1].deaf = nil, nil
-	s.runFor(4 * time.Second)
+	s.RunFor(4 * time.Second)
 	worst, bound := c.excess(simBegin)
 	t.Logf("not heard for a second: most %.0f of %.0f", bound+worst, bound)
 	is.True(worst <= 0)
 	for i, h := range s.hosts { // each half of the zone has one large host
 		h.group = i / 3 % 2
 	}
-	begin := s.now
-	s.runFor(8 * time.Second)
+	begin := s.Now
+	s.RunFor(8 * time.Second)
 	worst, bound = c.excess(begin)
 	t.Logf("zone split in half: most %.0f of %.0f", bound+worst, bound)
 	is.True(worst <= 0)
 	for _, h := range s.hosts {
 		h.group = 0
 	}
-	s.runFor(8 * time.Second)
+	s.RunFor(8 * time.Second)
 	worst, _ = c.excess(begin)
 	is.True(worst <= 0)
 }
@@ -215,10 +215,10 @@
 	s := newSimulation(3, 12, 3, 0.01)
 	beyond, below := s.add("beyond", 40, 60, 300), s.add("below", 40, 40, 60)
 	beyond.notRun, below.notRun = 0.5, 0.6
-	s.runFor(5 * time.Second)
+	s.RunFor(5 * time.Second)
 	below.exceeded, below.sent = 0, 0
 	for range 4 {
-		s.runFor(4 * time.Second)
+		s.RunFor(4 * time.Second)
 		beyond.notRun = 0.95 - beyond.notRun // capacity comes and goes
 	}
 	for _, c := range s.customers {
@@ -237,15 +237,15 @@
 		s := newSimulation(uint64(perSecond), 12, 3, 0)
 		c := s.add("norte", perSecond, 10, 0)
 		c.notRun, c.even = 0, true
-		s.runFor(time.Duration(12/perSecond*float64(time.Second)) + 2*time.Second) // the bucket fills
+		s.RunFor(time.Duration(12/perSecond*float64(time.Second)) + 2*time.Second) // the bucket fills
 		c.perSecond = 0.99 * perSecond
 		for range 4 {
 			for range 10 {
-				s.request(c, s.hosts[s.rng.IntN(s.large())], s.now)
+				s.request(c, s.hosts[s.rng.IntN(s.large())], s.Now)
 			}
-			s.runFor(max(15*time.Second, time.Duration(10/(0.01*perSecond)*float64(time.Second))/20))
+			s.RunFor(max(15*time.Second, time.Duration(10/(0.01*perSecond)*float64(time.Second))/20))
 			c.perSecond = 0 // until the burst is made up for
-			s.runFor(time.Duration(10 / perSecond * float64(time.Second)))
+			s.RunFor(time.Duration(10 / perSecond * float64(time.Second)))
 			c.perSecond = 0.99 * perSecond
 		}
 		t.Logf("%v/s: %d sent, %d refused, %d unavailable, messages per request %.2f", perSecond, c.sent, c.exceeded, c.unavailable, float64(s.messages["messages"])/float64(c.sent))
@@ -273,15 +273,15 @@
 	s := newSimulation(1, 1, 1, 0)
 	l := s.hosts[0].limiter
 	name := s.add("customer", 100, 50, 1).name
-	s.runFor(5 * time.Second)
-	late := func() Outcome { result, _ := l.begin(name, true, s.now); return result.Outcome }
+	s.RunFor(5 * time.Second)
+	late := func() Outcome { result, _ := l.begin(name, true, s.Now); return result.Outcome }
 	is.Equal(late(), Granted) // permits are left
-	for r, _ := l.begin(name, false, s.now); r.Outcome == Granted; r, _ = l.begin(name, false, s.now) {
+	for r, _ := l.begin(name, false, s.Now); r.Outcome == Granted; r, _ = l.begin(name, false, s.Now) {
 	}
-	s.runFor(scarceTime / 2)
+	s.RunFor(scarceTime / 2)
 	is.Equal(late(), Exceeded)
-	r, _ := l.begin(name, false, s.now)
+	r, _ := l.begin(name, false, s.Now)
 	is.Equal(r.Outcome, Granted) // the bucket has refilled
-	s.runFor(2 * scarceTime)
+	s.RunFor(2 * scarceTime)
 	is.Equal(late(), Granted)
 }
--- a/internal/coordination/quota/sim_test.go
+++ b/internal/coordination/quota/sim_test.go
@@ -2,22 +2,20 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
 )
 
 // simulation runs the limiters of a deployment's hosts in simulated time, with a fake network: heartbeats, lost messages, hosts that are killed, frozen
 // or cut off, and callers that keep an address for seconds and move on.
 type simulation struct {
+	faketime.Scheduler
 	rng       *rand.Rand
-	now       time.Time
-	events    eventQueue
-	sequence  int
 	hosts     []*simHost
 	byAddress map[string]*simHost
 	loss      float64
@@ -64,42 +62,6 @@
 	calmSince   time.Time // when it was last started, resumed or connected again
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
-func (s *simulation) after(d time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.events, event{s.now.Add(d), s.sequence, run})
-}
-
-func (s *simulation) runFor(d time.Duration) {
-	end := s.now.Add(d)
-	for len(s.events) > 0 && !s.events[0].at.After(end) {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.run()
-	}
-	s.now = end
-}
-
 // settleTime is how long after its start, or after it was frozen or cut off, a host may refuse requests itself.
 const settleTime = 500 * time.Millisecond
 
@@ -110,7 +72,7 @@
 
 // newSimulation returns a deployment whose hosts have been up for long. The first two hosts of each zone are large.
 func newSimulation(seed uint64, hosts, zones int, loss float64) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 11)), now: simBegin, loss: loss, byAddress: map[string]*simHost{}, messages: map[string]int{}}
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 11)), Scheduler: faketime.Scheduler{Now: simBegin}, loss: loss, byAddress: map[string]*simHost{}, messages: map[string]int{}}
 	for n := range hosts {
 		h := &simHost{sim: s, host: peers.Host{Name: fmt.Sprint("host-", n), Zone: fmt.Sprint("zone-", n%zones), Cores: 0.16,
 			PeerAddress: fmt.Sprintf("10.0.%d.%d:1", n/250, n%250)}}
@@ -123,7 +85,7 @@
 		h.start()
 		h.started, h.listed = simBegin.Add(-time.Hour), true
 	}
-	s.runFor(3 * time.Second)
+	s.RunFor(3 * time.Second)
 	return s
 }
 
@@ -147,7 +109,7 @@
 // move has the callers of a customer use another large host, every five seconds at the latest.
 func (s *simulation) move(c *simCustomer) {
 	c.at = s.hosts[s.rng.IntN(s.large())]
-	s.after(time.Duration(500+s.rng.IntN(4500))*time.Millisecond, func() { s.move(c) })
+	s.After(time.Duration(500+s.rng.IntN(4500))*time.Millisecond, func() { s.move(c) })
 }
 
 // send sends the requests of a customer: half of them to one host, and the others to any large one or, one in twenty, to any host.
@@ -159,7 +121,7 @@
 			gap = time.Duration(s.rng.ExpFloat64() * float64(gap))
 		}
 	}
-	s.after(gap, func() {
+	s.After(gap, func() {
 		if c.perSecond > 0 {
 			to := c.at
 			switch p := s.rng.Float64(); {
@@ -168,7 +130,7 @@
 			case p < 0.5:
 				to = s.hosts[s.rng.IntN(s.large())]
 			}
-			s.request(c, to, s.now)
+			s.request(c, to, s.Now)
 		}
 		s.send(c)
 	})
@@ -176,7 +138,7 @@
 
 // request delivers a request to a host. One that a frozen host gets waits there.
 func (s *simulation) request(c *simCustomer, to *simHost, sent time.Time) {
-	s.after(time.Millisecond, func() {
+	s.After(time.Millisecond, func() {
 		if !to.down {
 			to.do(func() { to.serve(c, sent) })
 		}
@@ -204,14 +166,14 @@
 func (h *simHost) serve(c *simCustomer, sent time.Time) {
 	s := h.sim
 	c.sent++
-	result, w := h.limiter.begin(c.name, false, s.now)
+	result, w := h.limiter.begin(c.name, false, s.Now)
 	if w == nil {
 		h.finish(c, sent, result)
 		return
 	}
 	incarnation := h.incarnation
 	var poll func()
-	deadline := s.now.Add(100 * time.Millisecond)
+	deadline := s.Now.Add(100 * time.Millisecond)
 	poll = func() {
 		if h.down || h.incarnation != incarnation {
 			return
@@ -220,14 +182,14 @@
 		case result := <-w.done:
 			h.finish(c, sent, result)
 		default:
-			if !s.now.Before(deadline) {
+			if !s.Now.Before(deadline) {
 				h.finish(c, sent, h.limiter.abandon(c.name, w))
 				return
 			}
-			s.after(time.Millisecond, func() { h.do(poll) })
+			s.After(time.Millisecond, func() { h.do(poll) })
 		}
 	}
-	s.after(time.Millisecond, func() { h.do(poll) })
+	s.After(time.Millisecond, func() { h.do(poll) })
 }
 
 // finish records the end of a request. Some of those with a permit are not run, after a wait.
@@ -239,16 +201,16 @@
 		c.worstRetryAfter = max(c.worstRetryAfter, r.RetryAfter)
 	case r.Outcome == Unavailable:
 		c.unavailable++
-		if h.group == 0 && s.now.Sub(h.calmSince) > settleTime && s.now.Sub(s.faultAt) > maxOutage {
+		if h.group == 0 && s.Now.Sub(h.calmSince) > settleTime && s.Now.Sub(s.faultAt) > maxOutage {
 			c.lateUnavailable++
 		}
 	case s.rng.Float64() < c.notRun:
 		incarnation := h.incarnation
-		s.after(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() {
+		s.After(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() {
 			h.do(func() {
 				if !h.down && h.incarnation == incarnation {
-					h.limiter.Refund(r.Permit, s.now)
-					h.limiter.Refund(r.Permit, s.now) // counts once
+					h.limiter.Refund(r.Permit, s.Now)
+					h.limiter.Refund(r.Permit, s.Now) // counts once
 				}
 			})
 		})
@@ -260,8 +222,8 @@
 // start starts a host's process, which learns of the other hosts from the store a moment later.
 func (h *simHost) start() {
 	s := h.sim
-	h.down, h.incarnation, h.started, h.calmSince, h.listed, h.coordinates, h.pending, h.timers = false, h.incarnation+1, s.now, s.now, false, false, nil, nil
-	h.host.Started = s.now.UnixMilli()
+	h.down, h.incarnation, h.started, h.calmSince, h.listed, h.coordinates, h.pending, h.timers = false, h.incarnation+1, s.Now, s.Now, false, false, nil, nil
+	h.host.Started = s.Now.UnixMilli()
 	h.configLag = time.Duration(s.rng.IntN(2000)) * time.Millisecond
 	h.table = peers.NewTable(peers.DefaultConfig(h.host))
 	h.limiter = New(Config{Tolerance: tolerance, Host: h.host.Name, Zone: h.host.Zone, Limit: h.limit, HomeZone: h.table.HomeZone, Candidates: h.table.QuotaHosts,
@@ -271,16 +233,16 @@
 				names = append(names, c.name)
 			}
 			return names
-		}}, s.now)
+		}}, s.Now)
 	incarnation := h.incarnation
-	s.after(time.Duration(20+s.rng.IntN(280))*time.Millisecond, func() {
+	s.After(time.Duration(20+s.rng.IntN(280))*time.Millisecond, func() {
 		for _, other := range s.hosts {
-			h.table.Add(other.host, s.now)
+			h.table.Add(other.host, s.Now)
 		}
 		h.listed = true
 	})
-	s.after(time.Duration(s.rng.IntN(200))*time.Millisecond, func() { h.beat(incarnation) })
-	s.after(tickInterval, func() { h.tick(incarnation) })
+	s.After(time.Duration(s.rng.IntN(200))*time.Millisecond, func() { h.beat(incarnation) })
+	s.After(tickInterval, func() { h.tick(incarnation) })
 }
 
 // limit returns the newest limit that this host knows.
@@ -290,7 +252,7 @@
 			continue
 		}
 		for _, change := range c.limits {
-			if !h.sim.now.Before(change.at.Add(h.configLag)) {
+			if !h.sim.Now.Before(change.at.Add(h.configLag)) {
 				l = change.Limit
 			}
 		}
@@ -300,8 +262,8 @@
 
 // status is that of gateway.updateStatus.
 func (h *simHost) status() peers.Status {
-	heard, known := h.table.Quorum(h.sim.now)
-	coordinates := h.sim.now.Sub(h.started) > 2*time.Second || h.listed && 2*heard >= known // known includes the hosts that the store lists
+	heard, known := h.table.Quorum(h.sim.Now)
+	coordinates := h.sim.Now.Sub(h.started) > 2*time.Second || h.listed && 2*heard >= known // known includes the hosts that the store lists
 	return peers.Status{Ready: true, HasStoreCopy: true, Coordinates: coordinates, Quotas: 2*heard >= known}
 }
 
@@ -319,7 +281,7 @@
 			return
 		}
 		h.heartbeat()
-		h.sim.after(h.table.HeartbeatInterval(), func() { h.beat(incarnation) })
+		h.sim.After(h.table.HeartbeatInterval(), func() { h.beat(incarnation) })
 	})
 }
 
@@ -335,8 +297,8 @@
 			h.limiter.ForgetViews()
 			h.heartbeat()
 		}
-		next := h.limiter.Tick(h.sim.now)
-		h.sim.after(next, func() { h.tick(incarnation) })
+		next := h.limiter.Tick(h.sim.Now)
+		h.sim.After(next, func() { h.tick(incarnation) })
 	})
 }
 
@@ -351,10 +313,10 @@
 			if r.Check() != nil {
 				panic("a host sends a request that others reject")
 			}
-			to.limiter.HandleRequest(r, from, s.now)
+			to.limiter.HandleRequest(r, from, s.Now)
 		}
 		for _, g := range grants {
-			to.limiter.HandleGrant(g, from, s.now)
+			to.limiter.HandleGrant(g, from, s.Now)
 		}
 	})
 }
@@ -371,10 +333,10 @@
 		delay += 900 * time.Microsecond
 	}
 	from, status := h.table.Self()
-	s.after(delay, func() {
+	s.After(delay, func() {
 		if !to.down && to.group == h.group {
 			to.do(func() {
-				to.table.RecordMessage(from, status, s.now)
+				to.table.RecordMessage(from, status, s.Now)
 				handle(to)
 			})
 		}
@@ -383,7 +345,7 @@
 
 // thaw resumes a frozen host, which then handles what has arrived meanwhile.
 func (h *simHost) thaw() {
-	h.frozen, h.calmSince = false, h.sim.now
+	h.frozen, h.calmSince = false, h.sim.Now
 	pending := append(h.pending, h.timers...)
 	h.pending, h.timers = nil, nil
 	for _, run := range pending {
--- a/internal/coordination/ratelimit/cold_test.go
+++ b/internal/coordination/ratelimit/cold_test.go
@@ -37,12 +37,12 @@
 func (s *simulation) startCold(number, zones int) []*coldEndpoint {
 	var list []*coldEndpoint
 	for n := range number {
-		e := &coldEndpoint{coldUntil: s.now.Add(coldTime), heard: map[*simHost]time.Time{}, checked: map[coldContact]bool{}}
+		e := &coldEndpoint{coldUntil: s.Now.Add(coldTime), heard: map[*simHost]time.Time{}, checked: map[coldContact]bool{}}
 		e.before = endpoints.Endpoint{ID: endpoints.ID{Address: fmt.Sprintf("10.9.%d.%d:80", n/250, n%250), Incarnation: fmt.Sprintf("i-%d@5", n)},
 			Service: "lotdesk", Zone: fmt.Sprintf("zone-%d", n%zones)}
 		e.after = e.before
 		e.after.ID.Incarnation = fmt.Sprintf("i-%d@6", n)
-		written := s.now.Add(800*time.Millisecond + time.Duration(s.rng.IntN(1000))*time.Millisecond)
+		written := s.Now.Add(800*time.Millisecond + time.Duration(s.rng.IntN(1000))*time.Millisecond)
 		for _, h := range s.hosts {
 			e.heard[h] = written.Add(time.Duration(s.rng.IntN(500)) * time.Millisecond)
 		}
@@ -55,28 +55,28 @@
 func (h *simHost) tryCold(e *coldEndpoint, again bool) {
 	s, run := h.sim, h.incarnation
 	known := e.before
-	if !s.now.Before(e.heard[h]) {
+	if !s.Now.Before(e.heard[h]) {
 		known = e.after
 	}
 	contact := coldContact{h, run, known.ID}
 	if !e.checked[contact] {
-		sent, left := s.now, e.coldUntil.Sub(s.now.Add(time.Millisecond))
-		s.after(2*time.Millisecond, func() {
+		sent, left := s.Now, e.coldUntil.Sub(s.Now.Add(time.Millisecond))
+		s.After(2*time.Millisecond, func() {
 			if !h.down && h.incarnation == run {
 				e.checked[contact] = true
-				h.limiter.RecordColdAnswer(known.ID, coldPerSecond, left, sent, s.now)
+				h.limiter.RecordColdAnswer(known.ID, coldPerSecond, left, sent, s.Now)
 				h.tryCold(e, again)
 			}
 		})
 		return
 	}
-	held, answered, _ := h.limiter.request(known, 0, s.now)
+	held, answered, _ := h.limiter.request(known, 0, s.Now)
 	switch {
-	case held && h.limiter.Take(known.ID, s.now):
+	case held && h.limiter.Take(known.ID, s.Now):
 		delay := time.Duration(500+s.rng.IntN(1500)) * time.Microsecond
-		s.after(delay, func() { e.arrivals = append(e.arrivals, s.now) })
+		s.After(delay, func() { e.arrivals = append(e.arrivals, s.Now) })
 	case answered != nil && again:
-		s.after(3*time.Millisecond, func() {
+		s.After(3*time.Millisecond, func() {
 			if !h.down && h.incarnation == run {
 				h.tryCold(e, false)
 			}
@@ -103,13 +103,13 @@
 			is := is.New(t)
 			s := newSimulation(137, 137, 3, c.loss)
 			s.endpoint.ID = endpoints.ID{Address: "10.9.9.9:80", Incarnation: "unused@5"}
-			s.runFor(4 * time.Second)
+			s.RunFor(4 * time.Second)
 			list := s.startCold(c.endpoints, c.zones)
 			byZone := map[string][]*coldEndpoint{}
 			for _, e := range list {
 				byZone[e.before.Zone] = append(byZone[e.before.Zone], e)
 			}
-			begin := s.now
+			begin := s.Now
 			for n, h := range s.hosts {
 				pool := byZone[h.host.Zone]
 				if len(pool) == 0 || n >= 45 && n%15 != 0 { // callers use 15 hosts of a zone, and a few others now and then
@@ -118,19 +118,19 @@
 				perSecond := c.demand * coldPerSecond * float64(len(pool)) / 15
 				var next func()
 				next = func() {
-					if !h.down && s.now.Before(begin.Add(coldTime)) {
+					if !h.down && s.Now.Before(begin.Add(coldTime)) {
 						h.tryCold(pool[s.rng.IntN(len(pool))], true)
 					}
-					s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+					s.After(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 				}
-				s.after(0, next)
+				s.After(0, next)
 			}
 			if c.faults {
 				for at := time.Duration(0); at < coldTime; at += 700 * time.Millisecond {
-					s.after(at, s.disturb)
+					s.After(at, s.disturb)
 				}
 			}
-			s.runFor(coldTime)
+			s.RunFor(coldTime)
 			most, total := 0, 0
 			for _, e := range list {
 				total += len(e.arrivals)
@@ -156,13 +156,13 @@
 func TestColdRateIsNoStatement(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(1, 1, 1, 0)
-	s.runFor(3 * time.Second)
+	s.RunFor(3 * time.Second)
 	h, id := s.hosts[0], s.endpoint.ID
 	ask := func(c *Cold) Grant {
 		r := Request{ID: id, Zone: s.endpoint.Zone, Number: 1, Statement: unknownStatement(id), Cold: c, MaxWaitMS: 1000}
 		is.NoErr(r.Check())
-		h.limiter.recordColdMessage(id, r.Cold, Sender{Name: "other"}, s.now)
-		g := h.limiter.answer(r, s.now)
+		h.limiter.recordColdMessage(id, r.Cold, Sender{Name: "other"}, s.Now)
+		g := h.limiter.answer(r, s.Now)
 		is.NoErr(g.Check())
 		return g
 	}
@@ -172,10 +172,10 @@
 	is.Equal(g.Statement.PerSecond, ratelimits.Unlimited)
 	is.Equal(len(h.limits.Limited()), 0)
 	s.limit = 3 // the lower of the two counts
-	h.limiter.RecordResponse(id, ratelimits.Statement{PerSecond: 3, SentAt: s.now.Add(-time.Millisecond), AnsweredAt: s.now})
+	h.limiter.RecordResponse(id, ratelimits.Statement{PerSecond: 3, SentAt: s.Now.Add(-time.Millisecond), AnsweredAt: s.Now})
 	g = ask(&Cold{PerSecond: 5, LeftMS: 800})
 	is.Equal(g.limit(), 3.0)
-	h.limiter.RecordResponse(id, ratelimits.Statement{PerSecond: 9, SentAt: s.now.Add(time.Millisecond), AnsweredAt: s.now.Add(2 * time.Millisecond)})
-	is.Equal(h.limits.Effective(id, s.now), 5.0)
-	is.Equal(h.limits.Effective(id, s.now.Add(800*time.Millisecond)), 9.0)
+	h.limiter.RecordResponse(id, ratelimits.Statement{PerSecond: 9, SentAt: s.Now.Add(time.Millisecond), AnsweredAt: s.Now.Add(2 * time.Millisecond)})
+	is.Equal(h.limits.Effective(id, s.Now), 5.0)
+	is.Equal(h.limits.Effective(id, s.Now.Add(800*time.Millisecond)), 9.0)
 }
--- a/internal/coordination/ratelimit/falling_test.go
+++ b/internal/coordination/ratelimit/falling_test.go
@@ -21,10 +21,10 @@
 			h.perSecond, h.maxWait = 200.0/6, 2*time.Second
 		}
 		s.limit = high
-		s.runFor(8 * time.Second)
+		s.RunFor(8 * time.Second)
 		s.limit = low
-		fallen := s.now
-		s.runFor(2 * window)
+		fallen := s.Now
+		s.RunFor(2 * window)
 		got := s.most(fallen)
 		allowed := limitFactor*(high*told.Seconds()+low*(window-told).Seconds()) + allowance
 		after := 0
@@ -46,26 +46,26 @@
 	is := is.New(t)
 	s := newSimulation(1, 1, 1, 0)
 	h, id := s.hosts[0], s.endpoint.ID
-	s.runFor(3 * time.Second)
+	s.RunFor(3 * time.Second)
 	name := func(perSecond float64) {
-		s.runFor(10 * time.Millisecond)
-		h.limiter.RecordResponse(id, ratelimits.Statement{PerSecond: perSecond, SentAt: s.now.Add(-time.Millisecond), AnsweredAt: s.now})
+		s.RunFor(10 * time.Millisecond)
+		h.limiter.RecordResponse(id, ratelimits.Statement{PerSecond: perSecond, SentAt: s.Now.Add(-time.Millisecond), AnsweredAt: s.Now})
 	}
 	stocked := func(perSecond float64) bool {
 		h.limiter.mu.Lock()
 		defer h.limiter.mu.Unlock()
 		st := &stock{}
 		h.limiter.stocks[id] = st
-		h.limiter.add(st, id, grant{permits: 1, perSecond: perSecond}, s.now)
-		return st.valid(s.now) == 1
+		h.limiter.add(st, id, grant{permits: 1, perSecond: perSecond}, s.Now)
+		return st.valid(s.Now) == 1
 	}
 	name(40)
 	is.True(stocked(40))
 	name(2)
 	name(40)
-	is.True(!h.limiter.Take(id, s.now))
+	is.True(!h.limiter.Take(id, s.Now))
 	is.True(stocked(2)) // a rise makes nothing void
-	is.True(h.limiter.Take(id, s.now))
+	is.True(h.limiter.Take(id, s.Now))
 	name(2)
 	is.True(!stocked(40))
 }
--- a/internal/coordination/ratelimit/sim_test.go
+++ b/internal/coordination/ratelimit/sim_test.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math"
@@ -14,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/ratelimits"
 )
@@ -21,11 +21,10 @@
 // simulation runs the limiters of a deployment's hosts in simulated time, with heartbeats, lost messages, hosts that are killed or cut off, and an
 // endpoint whose limit changes. It needs no network.
 type simulation struct {
-	rng    *rand.Rand
-	now    time.Time
-	events eventQueue
-	hosts  []*simHost
-	loss   float64 // part of the messages that is lost
+	faketime.Scheduler
+	rng   *rand.Rand
+	hosts []*simHost
+	loss  float64 // part of the messages that is lost
 
 	endpoint endpoints.Endpoint
 	limit    float64       // requests per second; ratelimits.Unlimited if the endpoint names none
@@ -59,48 +58,9 @@
 	maxWait     time.Duration // for which it reserves permits
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
-var simSequence int
-
-func (s *simulation) after(d time.Duration, run func()) {
-	simSequence++
-	heap.Push(&s.events, event{s.now.Add(d), simSequence, run})
-}
-
-// runFor runs the simulation for a time.
-func (s *simulation) runFor(d time.Duration) {
-	end := s.now.Add(d)
-	for len(s.events) > 0 && !s.events[0].at.After(end) {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.run()
-	}
-	s.now = end
-}
-
 // newSimulation returns a deployment whose hosts have been up for long. Its endpoint is in the first zone.
 func newSimulation(seed uint64, hosts, zones int, loss float64) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), now: begin, loss: loss, limit: ratelimits.Unlimited, runs: 30 * time.Millisecond,
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), Scheduler: faketime.Scheduler{Now: begin}, loss: loss, limit: ratelimits.Unlimited, runs: 30 * time.Millisecond,
 		endpoint: endpoints.Endpoint{ID: endpoints.ID{Address: "10.9.0.1:80", Incarnation: "i-1@5"}, Service: "lotdesk", Zone: "zone-0"}}
 	for n := range hosts {
 		h := &simHost{sim: s, host: peers.Host{Name: fmt.Sprintf("host-%d", n), Zone: fmt.Sprintf("zone-%d", n%zones), Cores: 0.32, LinkMbps: 1000,
@@ -118,11 +78,11 @@
 
 func (h *simHost) start() {
 	s := h.sim
-	h.down, h.incarnation, h.started, h.calmSince, h.learnedAt = false, h.incarnation+1, s.now, s.now, time.Time{}
-	h.host.Started = s.now.UnixMilli()
+	h.down, h.incarnation, h.started, h.calmSince, h.learnedAt = false, h.incarnation+1, s.Now, s.Now, time.Time{}
+	h.host.Started = s.Now.UnixMilli()
 	h.table, h.limits = peers.NewTable(peers.DefaultConfig(h.host)), ratelimits.NewTable()
 	for _, other := range s.hosts {
-		h.table.Add(other.host, s.now)
+		h.table.Add(other.host, s.Now)
 	}
 	h.limiter = New(Config{Limits: h.limits, ColdTolerance: ColdTolerance{Over: 1.5, Slack: 8}, Hosts: h.table.HostCount,
 		Coordinator: func(zone string, id endpoints.ID, failures int, now time.Time) (peers.Host, bool, bool) {
@@ -130,20 +90,20 @@
 		},
 		OnChange: func(_ endpoints.ID, c ratelimits.Change, _ ratelimits.Statement, _ string) {
 			if c.Old == ratelimits.Unlimited && h.learnedAt.IsZero() {
-				h.learnedAt = s.now
+				h.learnedAt = s.Now
 			}
 		},
-		OnUrgent: func() { h.beatAt(maxTime(s.now, h.lastBeat.Add(20*time.Millisecond))) },
+		OnUrgent: func() { h.beatAt(maxTime(s.Now, h.lastBeat.Add(20*time.Millisecond))) },
 		SendRequest: func(address string, r Request) {
 			s.requests++
-			h.send(address, func(to *simHost) { to.limiter.HandleRequest(r, to.sender(h), s.now) })
+			h.send(address, func(to *simHost) { to.limiter.HandleRequest(r, to.sender(h), s.Now) })
 		},
 		SendGrant: func(address string, g Grant) {
 			s.grants++
-			h.send(address, func(to *simHost) { to.limiter.HandleGrant(g, to.sender(h), s.now) })
+			h.send(address, func(to *simHost) { to.limiter.HandleGrant(g, to.sender(h), s.Now) })
 		}})
 	h.nextBeat = time.Time{}
-	h.beatAt(s.now.Add(time.Duration(s.rng.IntN(200)) * time.Millisecond))
+	h.beatAt(s.Now.Add(time.Duration(s.rng.IntN(200)) * time.Millisecond))
 	h.coordinate(h.incarnation)
 	h.demand(h.incarnation)
 }
@@ -172,17 +132,17 @@
 		delay += 2 * time.Millisecond
 	}
 	from, status := h.host, h.status()
-	s.after(delay, func() {
+	s.After(delay, func() {
 		if to.down || to.cut {
 			return
 		}
-		to.table.RecordMessage(from, status, s.now)
+		to.table.RecordMessage(from, status, s.Now)
 		handle(to)
 	})
 }
 
 func (h *simHost) status() peers.Status {
-	return peers.Status{Ready: true, HasStoreCopy: true, Coordinates: h.sim.now.Sub(h.started) > 2*time.Second}
+	return peers.Status{Ready: true, HasStoreCopy: true, Coordinates: h.sim.Now.Sub(h.started) > 2*time.Second}
 }
 
 // beatAt schedules the next heartbeat.
@@ -192,28 +152,28 @@
 	}
 	h.nextBeat = at
 	incarnation := h.incarnation
-	h.sim.after(at.Sub(h.sim.now), func() {
+	h.sim.After(at.Sub(h.sim.Now), func() {
 		if h.down || h.incarnation != incarnation || !h.nextBeat.Equal(at) {
 			return
 		}
-		h.lastBeat, h.nextBeat = h.sim.now, time.Time{}
+		h.lastBeat, h.nextBeat = h.sim.Now, time.Time{}
 		h.beat()
-		h.beatAt(h.sim.now.Add(h.table.HeartbeatInterval()))
+		h.beatAt(h.sim.Now.Add(h.table.HeartbeatInterval()))
 	})
 }
 
 func (h *simHost) beat() {
 	s := h.sim
 	h.table.SetStatus(h.status())
-	own, relayed := h.limiter.ZoneStatements(32, s.now), h.limiter.RelayStatements(32, s.now)
+	own, relayed := h.limiter.ZoneStatements(32, s.Now), h.limiter.RelayStatements(32, s.Now)
 	for _, to := range byName(h.table.ZonePeers()) {
-		h.send(to.PeerAddress, func(to *simHost) { to.limiter.HandleStatements(own, to.sender(h), s.now) })
+		h.send(to.PeerAddress, func(to *simHost) { to.limiter.HandleStatements(own, to.sender(h), s.Now) })
 	}
 	if len(relayed) == 0 {
 		return
 	}
-	for _, to := range byName(h.table.Relays(s.now)) {
-		h.send(to.PeerAddress, func(to *simHost) { to.limiter.HandleStatements(relayed, to.sender(h), s.now) })
+	for _, to := range byName(h.table.Relays(s.Now)) {
+		h.send(to.PeerAddress, func(to *simHost) { to.limiter.HandleStatements(relayed, to.sender(h), s.Now) })
 	}
 }
 
@@ -225,11 +185,11 @@
 
 // coordinate calls Coordinate four times a second.
 func (h *simHost) coordinate(incarnation int) {
-	h.sim.after(250*time.Millisecond, func() {
+	h.sim.After(250*time.Millisecond, func() {
 		if h.down || h.incarnation != incarnation {
 			return
 		}
-		h.limiter.Coordinate(func(id endpoints.ID) (endpoints.Endpoint, bool) { return h.sim.endpoint, id == h.sim.endpoint.ID }, func(endpoints.Endpoint) { h.sendRequest() }, h.sim.now)
+		h.limiter.Coordinate(func(id endpoints.ID) (endpoints.Endpoint, bool) { return h.sim.endpoint, id == h.sim.endpoint.ID }, func(endpoints.Endpoint) { h.sendRequest() }, h.sim.Now)
 		h.coordinate(incarnation)
 	})
 }
@@ -240,7 +200,7 @@
 	if h.perSecond > 0 {
 		wait = time.Duration(h.sim.rng.ExpFloat64() / h.perSecond * float64(time.Second))
 	}
-	h.sim.after(wait, func() {
+	h.sim.After(wait, func() {
 		if h.down || h.incarnation != incarnation {
 			return
 		}
@@ -254,12 +214,12 @@
 // try sends a request if there is a permit, and tries once more when the response to a request for permits should have arrived.
 func (h *simHost) try(again bool) {
 	incarnation := h.incarnation
-	held, answered, _ := h.limiter.request(h.sim.endpoint, h.maxWait, h.sim.now)
+	held, answered, _ := h.limiter.request(h.sim.endpoint, h.maxWait, h.sim.Now)
 	switch {
 	case held:
 		h.sendRequest()
 	case answered != nil && again:
-		h.sim.after(10*time.Millisecond, func() {
+		h.sim.After(10*time.Millisecond, func() {
 			if !h.down && h.incarnation == incarnation {
 				h.try(false)
 			}
@@ -270,16 +230,16 @@
 // sendRequest sends a request to the endpoint if this host may, and records what the response says.
 func (h *simHost) sendRequest() {
 	s := h.sim
-	if h.cut || !h.limiter.Take(s.endpoint.ID, s.now) {
+	if h.cut || !h.limiter.Take(s.endpoint.ID, s.Now) {
 		return
 	}
-	incarnation, asked := h.incarnation, s.now
-	s.after(time.Millisecond, func() { s.arrivals = append(s.arrivals, simArrival{s.now, h}) })
-	s.after(time.Millisecond+s.runs, func() {
+	incarnation, asked := h.incarnation, s.Now
+	s.After(time.Millisecond, func() { s.arrivals = append(s.arrivals, simArrival{s.Now, h}) })
+	s.After(time.Millisecond+s.runs, func() {
 		limit := s.limit // when the endpoint answers
-		s.after(time.Millisecond, func() {
+		s.After(time.Millisecond, func() {
 			if !h.down && h.incarnation == incarnation && !h.cut {
-				h.limiter.RecordResponse(s.endpoint.ID, ratelimits.Statement{PerSecond: limit, SentAt: asked, AnsweredAt: s.now})
+				h.limiter.RecordResponse(s.endpoint.ID, ratelimits.Statement{PerSecond: limit, SentAt: asked, AnsweredAt: s.Now})
 			}
 		})
 	})
@@ -324,14 +284,14 @@
 	if h.down || h.cut {
 		return
 	}
-	h.calmSince = s.now
+	h.calmSince = s.Now
 	if s.rng.IntN(2) == 0 {
 		h.down = true
-		s.after(2*time.Second, h.start)
+		s.After(2*time.Second, h.start)
 		return
 	}
 	h.cut = true
-	s.after(2*time.Second, func() { h.cut, h.calmSince = false, s.now })
+	s.After(2*time.Second, func() { h.cut, h.calmSince = false, s.Now })
 }
 
 // TestLimitOverAllHosts guards against more requests to an endpoint than one and a half times its limit and five in any window, summed over the
@@ -352,21 +312,21 @@
 							h.perSecond = 8
 						}
 					}
-					s.runFor(3 * time.Second)
+					s.RunFor(3 * time.Second)
 					disturbing := faults
 					var disturb func()
 					disturb = func() {
 						if disturbing {
 							s.disturb()
 						}
-						s.after(time.Duration(s.rng.IntN(1500))*time.Millisecond, disturb)
+						s.After(time.Duration(s.rng.IntN(1500))*time.Millisecond, disturb)
 					}
-					s.after(0, disturb)
+					s.After(0, disturb)
 					for _, limit := range []float64{1, 20, 3, 0.5, 8, 0} {
 						s.limit = limit
-						s.runFor(settle)
-						from := s.now
-						s.runFor(2 * window)
+						s.RunFor(settle)
+						from := s.Now
+						s.RunFor(2 * window)
 						got, used := s.most(from), 0
 						for _, a := range s.arrivals {
 							if !a.at.Before(from) {
@@ -379,9 +339,9 @@
 						is.True(faults || loss > 0.1 || limit < 1 || share >= 0.5)
 					}
 					s.limit, disturbing = ratelimits.Unlimited, false
-					s.runFor(8 * time.Second) // at 0 the endpoint is asked once in 4 s
-					from, used := s.now, 0
-					s.runFor(2 * time.Second)
+					s.RunFor(8 * time.Second) // at 0 the endpoint is asked once in 4 s
+					from, used := s.Now, 0
+					s.RunFor(2 * time.Second)
 					for _, a := range s.arrivals {
 						if !a.at.Before(from) {
 							used++
@@ -411,10 +371,10 @@
 				var delays []time.Duration
 				for seed := range uint64(seeds) {
 					s := newSimulation(seed, size.hosts, size.zones, loss)
-					s.runFor(2 * time.Second)
+					s.RunFor(2 * time.Second)
 					s.limit = 1
 					s.hosts[1].sendRequest()
-					s.runFor(5 * time.Second)
+					s.RunFor(5 * time.Second)
 					first := s.hosts[1].learnedAt
 					last := first
 					for _, h := range s.hosts {
