--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -16,12 +16,16 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
-// configureOnce writes a configuration with a route for requests that are not idempotent.
-func (d *deployment) configureOnce(t *testing.T) {
+// deployReady returns a deployment with a route for requests that are not idempotent, and a host that is ready.
+func deployReady(t *testing.T) (*deployment, *testHost) {
 	t.Helper()
+	d := deploy(t)
 	d.store.put(t, "contract", "config", routing.Config{Version: 1, Services: []routing.Service{{Name: "lotdesk", HealthPath: "/health"}},
 		Routes: []routing.Route{{Name: "lots", Host: "shop.example", Prefix: "/lots/", Timeout: time.Minute, TargetLatency: 30 * time.Second, MaxAttempts: 1,
 			Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}}}})
+	h := d.start(t)
+	waitFor(t, "readiness", h.ready)
+	return d, h
 }
 
 // stopSoon has the host refuse from now on what it may cut, as it does at the end of the time for which it reads all requests.
@@ -53,10 +57,7 @@
 // TestStopRefusesSlowBody guards against a request that is forwarded and then cut by a planned stop, because its header arrived early and its body late.
 func TestStopRefusesSlowBody(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t)
-	d.configureOnce(t)
-	h := d.start(t)
-	waitFor(t, "readiness", h.ready)
+	d, h := deployReady(t)
 	c, br := h.dial(t)
 	fmt.Fprintf(c, post, "1", "slow", "Expect: 100-continue\r\n")
 	status, _ := read(t, br) // the header was read
@@ -73,10 +74,7 @@
 // the one before it on its connection.
 func TestStopRefusesPipelined(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t)
-	d.configureOnce(t)
-	h := d.start(t)
-	waitFor(t, "readiness", h.ready)
+	d, h := deployReady(t)
 	c, br := h.dial(t)
 	fmt.Fprintf(c, post+"body"+post+"body", "held", "first", "", "2", "second", "")
 	<-d.waiting
@@ -93,10 +91,7 @@
 // TestStopRefusesQueued guards against a request that is forwarded and then cut by a planned stop, because it was read early and waited for a free slot.
 func TestStopRefusesQueued(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t)
-	d.configureOnce(t)
-	h := d.start(t)
-	waitFor(t, "readiness", h.ready)
+	d, h := deployReady(t)
 	var readers []*bufio.Reader
 	for n := range 3 { // the endpoint has two slots
 		c, br := h.dial(t)
@@ -119,10 +114,7 @@
 // TestStopFinishesResponse guards against a planned stop that cuts a response which is being sent when it begins.
 func TestStopFinishesResponse(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t)
-	d.configureOnce(t)
-	h := d.start(t)
-	waitFor(t, "readiness", h.ready)
+	d, h := deployReady(t)
 	c, br := h.dial(t)
 	io.WriteString(c, "GET /lots/large HTTP/1.1\r\nHost: shop.example\r\nUpstream-Request-Id: large\r\n\r\n")
 	resp, err := http.ReadResponse(br, nil)
