--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -10,8 +10,9 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 )
 
-// sendOnce sends the request to one endpoint, at which the send is already recorded. It reads the answer and records the outcome and the
-// reported load in the endpoint statistics, and checks whether the endpoint has ended under the request. Then it wakes a waiting request of the service, because the endpoint may have a free slot.
+// sendOnce sends the request to one endpoint, at which the send is already recorded. It reads the answer and records the outcome and the reported load
+// in the endpoint statistics, and checks whether the endpoint has ended under the request. Then it wakes a waiting request of the service, because the
+// endpoint may have a free slot.
 func (f *Forwarder) sendOnce(ctx context.Context, v placement.EndpointView, c *executor.Call, call *Call) sendResult {
 	route := call.Route
 	start := time.Now()
--- a/internal/coordination/overload/decide.go
+++ b/internal/coordination/overload/decide.go
@@ -131,9 +131,9 @@
 	return n + inLane, work + workInLane, own
 }
 
-// RetryAfter records the refusal of a request and returns the delay that its caller is told. The delays of the callers of one rank follow each other at the rate at which requests
-// that can be in time leave capacity over, after those of more urgent ranks. If none is left over at present, the delay is random, and as long as
-// callers honour. random returns a number in [0, 1).
+// RetryAfter records the refusal of a request and returns the delay that its caller is told. The delays of the callers of one rank follow each other at the
+// rate at which requests that can be in time leave capacity over, after those of more urgent ranks. If none is left over at present, the delay is random,
+// and as long as callers honour. random returns a number in [0, 1).
 func (q *Queue) RetryAfter(r *Request, now time.Time, random func() float64) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -8,7 +8,8 @@
 )
 
 // Queue holds the requests of one service that wait on this host. Requests that can still be in time come first, ordered by rank, then by the work
-// that their customers got done, then by urgency; then those that can only be late, in the same order. An exception are the late ones of a band that is underserved. It is safe for concurrent use, and its zero value is empty.
+// that their customers got done, then by urgency; then those that can only be late, in the same order. An exception are the late ones of a band that is
+// underserved. It is safe for concurrent use, and its zero value is empty.
 type Queue struct {
 	mu    sync.Mutex
 	bands []*band // by rank
@@ -19,10 +20,9 @@
 	customers  customers
 	searchedAt time.Time // when an arrival last woke the first request
 
-	running   int   // requests of this host at endpoints
-	completed meter // work of the requests that endpoints answered
-	// completions are these requests.
-	completions meter
+	running     int     // requests of this host at endpoints
+	completed   meter   // work of the requests that endpoints answered
+	completions meter   // these requests
 	stretch     float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
 }
 
--- a/internal/coordination/peers/quorum.go
+++ b/internal/coordination/peers/quorum.go
@@ -52,8 +52,8 @@
 
 const (
 	// minQuorumWindow is the least time in which a host must have sent a message to count as heard from. On large zones, whose hosts send
-	// heartbeats less often, the time is quorumIntervals heartbeat intervals, in which every live host sends one: they vary by a quarter. With less than one interval, a host
-	// that reaches three fifths of a large zone took itself for cut off.
+	// heartbeats less often, the time is quorumIntervals heartbeat intervals, in which every live host sends one: they vary by a quarter. With less than
+	// one interval, a host that reaches three fifths of a large zone took itself for cut off.
 	minQuorumWindow = 500 * time.Millisecond
 	quorumIntervals = 1.3
 	// quorumMemory is how long a host counts the hosts that it knew when it last heard from half of them. A host that is cut off forgets silent
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -176,11 +176,11 @@
 	return !v.Limited || v.Permits > 1 || v.Cold && v.Permits > 0
 }
 
-// ProbeRounds returns the indices of the endpoints to probe, in rounds and in random order; rng(n) returns a random number in [0, n). The
-// caller probes the endpoints of a round at the same time, and goes on to the next round only if no endpoint was good enough. The first
-// round takes endpoints of this host's zone, further ones take endpoints of this and of other zones in turn. Endpoints are left out if
-// avoid returns true for them, if they want no requests, if they have a rate limit and no permits to spare, if a probe of them is in flight or if their load is fresh. Suspect endpoints are probed only if there is no
-// other round.
+// ProbeRounds returns the indices of the endpoints to probe, in rounds and in random order; rng(n) returns a random number in [0, n). The caller probes
+// the endpoints of a round at the same time, and goes on to the next round only if no endpoint was good enough. The first round takes endpoints of this
+// host's zone, further ones take endpoints of this and of other zones in turn. Endpoints are left out if avoid returns true for them, if they want no
+// requests, if they have a rate limit and no permits to spare, if a probe of them is in flight or if their load is fresh. Suspect endpoints are probed
+// only if there is no other round.
 func (c *Config) ProbeRounds(views []EndpointView, avoid func(endpoints.ID) bool, rng func(int) int) [][]int {
 	var local, remote, suspect []int
 	for i := range views {
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// sendHeartbeat sends one heartbeat, a message that carries the host, its status, the endpoints that are newly leaving, new limits of endpoints and requests that end endpoints.
-// What the hosts of other zones need goes to some of them.
+// sendHeartbeat sends one heartbeat, a message that carries the host, its status, the endpoints that are newly leaving, new limits of endpoints and
+// requests that end endpoints. What the hosts of other zones need goes to some of them.
 func (g *Gateway) sendHeartbeat() {
 	now := time.Now()
 	ways := g.ways.Report(now)
--- a/internal/state/ratelimits/ratelimits.go
+++ b/internal/state/ratelimits/ratelimits.go
@@ -1,5 +1,6 @@
-// Package ratelimits keeps the limits that endpoints name in their responses: how many requests per second an endpoint takes from all hosts
-// together. It also keeps which endpoints take only a stated rate for some time after their start. Responses of one endpoint reach several hosts in any order, so each statement carries the time span in which the endpoint made it.
+// Package ratelimits keeps the limits that endpoints name in their responses: how many requests per second an endpoint takes from all hosts together. It
+// also keeps which endpoints take only a stated rate for some time after their start. Responses of one endpoint reach several hosts in any order, so
+// each statement carries the time span in which the endpoint made it.
 package ratelimits
 
 import (
