--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -141,9 +141,26 @@
 		h.g.invalidEntries.report(h.g, r, trace.NotFound("endpoint %s: no service %q in configuration %d", r.Key, e.Service, t.Version))
 		return follow.Unconfirmed
 	}
+	h.g.decodedEntries[r.Key] = decodedEntry{r.Value, e}
 	return follow.Valid
 }
 
+// decodedEntry is a valid record of the endpoint topic that validate has decoded. Apply uses it up, which the follower calls under the same lock.
+type decodedEntry struct {
+	value []byte
+	entry registry.Entry
+}
+
+// decode decodes a record, unless validate has done so.
+func (h endpointHandler) decode(r follow.Record) (registry.Entry, error) {
+	d, ok := h.g.decodedEntries[r.Key]
+	delete(h.g.decodedEntries, r.Key)
+	if ok && bytes.Equal(d.value, r.Value) {
+		return d.entry, nil
+	}
+	return h.g.adapter.DecodeEndpoint(r.Key, r.Value)
+}
+
 // Apply adds, updates or removes the endpoint of a valid record.
 // recentOutage says that the store was unavailable so recently that the endpoint may have been unable to renew its entry.
 // An entry by which an endpoint leaves changes nothing on a host that learned this from a response, but on its peers.
@@ -152,7 +169,7 @@
 	if r.Value == nil {
 		return g.logEndpointChange(g.endpoints.Remove(r.Key, recentOutage, now), sourceStore)
 	}
-	e, err := g.adapter.DecodeEndpoint(r.Key, r.Value)
+	e, err := h.decode(r)
 	if err != nil {
 		g.invalidEntries.report(g, r, err)
 		return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,7 @@
 	encodedStates    encodedStateCache
 	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
 	invalidEntries   *invalidEntries
+	decodedEntries   map[string]decodedEntry // by key; used by the handler of the endpoint topic alone
 	evacuations      evacuations
 	storedHosts      storedHostList
 	storedQuarantine storedQuarantine
@@ -146,7 +147,7 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
-		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), decodedEntries: map[string]decodedEntry{}, heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
 	g.memory = newMemoryBudget(s.MemoryMB)
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
