--- a/internal/coordination/overload/meters.go
+++ b/internal/coordination/overload/meters.go
@@ -86,10 +86,9 @@
 	q.stretch += stretchWeight * (float64(took)/float64(work) - q.stretch)
 }
 
-// capacity returns the work per second that this host's requests get done at the endpoints, or 0 if too few were completed in
-// the last second. It is what they completed
-// in the last second or, if that is more, as after a sudden rise of the demand, what those that run will complete at the present speed. q.mu must
-// be held.
+// capacity returns the work per second that this host's requests get done at the endpoints, or 0 if too few were completed in the last second. It is
+// what they completed in the last second or, if that is more, as after a sudden rise of the demand, what those that run will complete at the present
+// speed. q.mu must be held.
 func (q *Queue) capacity(now time.Time) float64 {
 	if q.completions.decayed(completionTime, now) < minCompleted {
 		return 0
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -252,8 +252,8 @@
 	return e.Name + "@" + time.UnixMilli(e.Started).UTC().Format("0102T150405.000")
 }
 
-// Remove applies the removal of an entry. recentOutage states that the store is
-// or was recently unavailable, so that an endpoint may be alive although it could not renew its entry.
+// Remove applies the removal of an entry. recentOutage states that the store is or was recently unavailable, so that an endpoint may be alive although it
+// could not renew its entry.
 func (t *Table) Remove(name string, recentOutage bool, now time.Time) *Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -83,8 +83,7 @@
 }
 
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
-// before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn
-// or the caller's key removed meanwhile.
+// before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn or the caller's key removed meanwhile.
 func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (_ *conn, _ *http.Response, err error) {
 	defer func() {
 		if err != nil {
