--- a/internal/coordination/overload/customers.go
+++ b/internal/coordination/overload/customers.go
@@ -1,6 +1,10 @@
 package overload
 
-import "time"
+import (
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/decay"
+)
 
 const (
 	// usualTime is the time constant of a customer's usual traffic.
@@ -20,8 +24,8 @@
 // customer is what a queue knows of a customer's traffic.
 type customer struct {
 	all    *customers
-	usual  meter   // work
-	credit float64 // work that counts now, in seconds of work
+	usual  decay.Meter // work
+	credit float64     // work that counts now, in seconds of work
 	// weight is the usual traffic as a multiple of the mean, within bounds, as of the last arrival; 0 before the first one. A new customer has at most
 	// the mean.
 	weight float64
@@ -31,7 +35,7 @@
 // customers are those that have sent requests for a service.
 type customers struct {
 	byName  map[string]*customer
-	total   meter // of the usual traffic of all
+	total   decay.Meter // of the usual traffic of all
 	sweptAt time.Time
 }
 
@@ -57,28 +61,28 @@
 	seconds := work.Seconds()
 	if now.Sub(c.since) > learningTime {
 		rate := c.rate(now)
-		c.credit = min(usualGrowth*rate*usualBurst.Seconds(), c.credit+usualGrowth*rate*now.Sub(c.usual.at).Seconds())
+		c.credit = min(usualGrowth*rate*usualBurst.Seconds(), c.credit+usualGrowth*rate*now.Sub(c.usual.At).Seconds())
 		seconds = min(seconds, max(0, c.credit))
 		c.credit -= seconds
 	}
-	c.usual.add(seconds, usualTime, now)
-	c.all.total.add(seconds, usualTime, now)
+	c.usual.Add(seconds, usualTime, now)
+	c.all.total.Add(seconds, usualTime, now)
 	c.updateWeight(now)
 }
 
 // rate returns the usual work per second. Until the customer has been known for usualTime, it is the mean since then.
 func (c *customer) rate(now time.Time) float64 {
 	known := max(time.Second, min(usualTime, now.Sub(c.since)))
-	return c.usual.decayed(usualTime, now) / known.Seconds()
+	return c.usual.Value(usualTime, now) / known.Seconds()
 }
 
 // updateWeight updates the weight after an arrival.
 func (c *customer) updateWeight(now time.Time) {
-	mean := c.all.total.sum / float64(len(c.all.byName))
+	mean := c.all.total.Sum / float64(len(c.all.byName))
 	if mean <= 0 {
 		return
 	}
-	c.weight = c.usual.sum / mean
+	c.weight = c.usual.Sum / mean
 	if now.Sub(c.since) < learningTime {
 		c.weight = min(c.weight, 1)
 	}
@@ -100,13 +104,13 @@
 	}
 	q.customers.sweptAt = now
 	for name, c := range q.customers.byName {
-		if now.Sub(c.usual.at) > idleTime {
+		if now.Sub(c.usual.At) > idleTime {
 			delete(q.customers.byName, name)
 		}
 	}
 	for _, b := range q.bands {
 		for name, s := range b.shares {
-			if s.idle() && (s.tag <= b.virtual || now.Sub(s.arrivals.at) > idleTime) {
+			if s.idle() && (s.tag <= b.virtual || now.Sub(s.arrivals.At) > idleTime) {
 				delete(b.shares, name)
 			}
 		}
--- a/internal/coordination/overload/decide.go
+++ b/internal/coordination/overload/decide.go
@@ -107,7 +107,7 @@
 	for _, f := range w.lane().flows {
 		weights += f.share.weight()
 	}
-	others := w.band.arrivals.rate(arrivalTime, now) - w.share.arrivals.rate(arrivalTime, now)
+	others := w.band.arrivals.Rate(arrivalTime, now) - w.share.arrivals.Rate(arrivalTime, now)
 	return max(left-others, left*w.share.weight()/weights)
 }
 
@@ -141,7 +141,7 @@
 	capacity := q.capacity(now)
 	spare := capacity - q.arrivals(now, func(*band) bool { return true })
 	own := q.band(r.rank())
-	own.refused.add(1, shareTime, now)
+	own.refused.Add(1, shareTime, now)
 	if capacity > 0 && spare >= minSpareShare*capacity {
 		at := now.Add(waitFor(q.backlog(), spare))
 		for _, b := range q.bands {
--- a/internal/coordination/overload/flows.go
+++ b/internal/coordination/overload/flows.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/decay"
 )
 
 // share is the part of one customer in the service of a band (Goyal, Vin and Cheng, Start-time Fair Queueing, 1996). Requests without a customer have
@@ -13,8 +15,8 @@
 	// tag is the virtual start of the customer's next request: the work that it got done, divided by its weight, and not less than that of the
 	// customers that were served when it began to wait.
 	tag      float64
-	arrivals meter   // work of requests that can be in time
-	flows    [2]flow // of the requests that can be in time, and of those that can only be late
+	arrivals decay.Meter // work of requests that can be in time
+	flows    [2]flow     // of the requests that can be in time, and of those that can only be late
 }
 
 // flow holds the waiting requests of one customer in a lane, in their order.
--- a/internal/coordination/overload/meters.go
+++ b/internal/coordination/overload/meters.go
@@ -1,7 +1,6 @@
 package overload
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -22,25 +21,6 @@
 	maxStretch    = 2
 )
 
-// meter measures an amount per second, with weights that decay exponentially.
-type meter struct {
-	sum float64 // decayed to at
-	at  time.Time
-}
-
-func (m *meter) add(amount float64, tau time.Duration, now time.Time) {
-	m.sum, m.at = m.decayed(tau, now)+amount, now
-}
-
-func (m *meter) decayed(tau time.Duration, now time.Time) float64 {
-	return m.sum * math.Exp(-max(0, now.Sub(m.at).Seconds())/tau.Seconds())
-}
-
-// rate returns the amount per second.
-func (m *meter) rate(tau time.Duration, now time.Time) float64 {
-	return m.decayed(tau, now) / tau.Seconds()
-}
-
 // Arrived records the arrival of a request, whether or not it will wait.
 func (q *Queue) Arrived(r *Request, now time.Time) {
 	q.mu.Lock()
@@ -54,9 +34,9 @@
 		return
 	}
 	b := q.band(r.rank())
-	b.arrivals.add(r.Work.Seconds(), arrivalTime, now)
+	b.arrivals.Add(r.Work.Seconds(), arrivalTime, now)
 	if known != nil {
-		b.share(q, r.Customer, now).arrivals.add(r.Work.Seconds(), arrivalTime, now)
+		b.share(q, r.Customer, now).arrivals.Add(r.Work.Seconds(), arrivalTime, now)
 	}
 }
 
@@ -66,7 +46,7 @@
 	defer q.mu.Unlock()
 	q.running++
 	if first {
-		q.band(r.rank()).served.add(1, shareTime, now)
+		q.band(r.rank()).served.Add(1, shareTime, now)
 	}
 }
 
@@ -78,8 +58,8 @@
 	if !completed || work <= 0 {
 		return
 	}
-	q.completed.add(work.Seconds(), completionTime, now)
-	q.completions.add(1, completionTime, now)
+	q.completed.Add(work.Seconds(), completionTime, now)
+	q.completions.Add(1, completionTime, now)
 	if q.stretch == 0 {
 		q.stretch = 1
 	}
@@ -90,10 +70,10 @@
 // what they completed in the last second or, if that is more, as after a sudden rise of the demand, what those that run will complete at the present
 // speed. q.mu must be held.
 func (q *Queue) capacity(now time.Time) float64 {
-	if q.completions.decayed(completionTime, now) < minCompleted {
+	if q.completions.Value(completionTime, now) < minCompleted {
 		return 0
 	}
-	return max(q.completed.rate(completionTime, now), float64(q.running)/q.stretch)
+	return max(q.completed.Rate(completionTime, now), float64(q.running)/q.stretch)
 }
 
 // expected returns how long a request with the given work takes at an endpoint while others wait. q.mu must be held.
@@ -106,7 +86,7 @@
 func (q *Queue) arrivals(now time.Time, include func(*band) bool) (perSecond float64) {
 	for _, b := range q.bands {
 		if include(b) {
-			perSecond += b.arrivals.rate(arrivalTime, now)
+			perSecond += b.arrivals.Rate(arrivalTime, now)
 		}
 	}
 	return perSecond
@@ -114,7 +94,7 @@
 
 // servedShare returns the share of the band's requests that are served.
 func (b *band) servedShare(now time.Time) float64 {
-	served, refused := b.served.decayed(shareTime, now), b.refused.decayed(shareTime, now)
+	served, refused := b.served.Value(shareTime, now), b.refused.Value(shareTime, now)
 	if served+refused == 0 {
 		return 1
 	}
@@ -124,11 +104,11 @@
 // underserved reports whether a smaller share of a band's requests is served than of those of a less urgent one. Its late requests then come before
 // that one's requests. This happens if the requests of the urgent band have so short a target that they can only be late. q.mu must be held.
 func (q *Queue) underserved(b *band, now time.Time) bool {
-	if b.refused.decayed(shareTime, now) < minRefused {
+	if b.refused.Value(shareTime, now) < minRefused {
 		return false
 	}
 	share := b.servedShare(now)
 	return slices.ContainsFunc(q.bands, func(other *band) bool {
-		return b.rank.compare(other.rank) < 0 && b.rank.guest == other.rank.guest && other.served.decayed(shareTime, now) >= 1 && other.servedShare(now) > share
+		return b.rank.compare(other.rank) < 0 && b.rank.guest == other.rank.guest && other.served.Value(shareTime, now) >= 1 && other.servedShare(now) > share
 	})
 }
--- a/internal/coordination/overload/queue.go
+++ b/internal/coordination/overload/queue.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/decay"
 )
 
 // Queue holds the requests of one service that wait on this host. Requests that can still be in time come first, ordered by rank, then by the work
@@ -20,10 +22,10 @@
 	customers  customers
 	searchedAt time.Time // when an arrival last woke the first request
 
-	running     int     // requests of this host at endpoints
-	completed   meter   // work of the requests that endpoints answered
-	completions meter   // these requests
-	stretch     float64 // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
+	running     int         // requests of this host at endpoints
+	completed   decay.Meter // work of the requests that endpoints answered
+	completions decay.Meter // these requests
+	stretch     float64     // duration of requests at endpoints, as a multiple of their work; 0 if none was answered yet
 }
 
 // orderWork is the work by which the waiting requests of one route are ordered. It stays the same while any of them waits, so that they keep the
@@ -39,10 +41,10 @@
 	inTime, late lane
 	shares       map[string]*share // by customer
 	virtual      float64           // virtual start of the last request that was served
-	arrivals     meter             // work of requests that can be in time
+	arrivals     decay.Meter       // work of requests that can be in time
 	promised     time.Time         // until when capacity is promised to refused callers; see RetryAfter
 
-	served, refused meter // requests
+	served, refused decay.Meter // requests
 }
 
 // share returns the share of a customer and adds it if there is none.
--- a/internal/coordination/overload/state.go
+++ b/internal/coordination/overload/state.go
@@ -57,7 +57,7 @@
 	for _, b := range q.bands {
 		s.WaitingLate += b.late.count
 		s.Ranks = append(s.Ranks, RankState{CustomerPriority: b.rank.customer, RoutePriority: b.rank.route, ForOthers: b.rank.guest, Waiting: b.inTime.count + b.late.count,
-			ArrivalsPerSecond: b.arrivals.rate(arrivalTime, now), Served: b.servedShare(now), PromisedMS: max(0, b.promised.Sub(now)).Milliseconds()})
+			ArrivalsPerSecond: b.arrivals.Rate(arrivalTime, now), Served: b.servedShare(now), PromisedMS: max(0, b.promised.Sub(now)).Milliseconds()})
 		for name, share := range b.shares {
 			if n := len(share.flows[0].waiters) + len(share.flows[1].waiters); n > 0 && name != "" {
 				if s.Customers == nil {
--- a/internal/coordination/quota/holding.go
+++ b/internal/coordination/quota/holding.go
@@ -1,18 +1,22 @@
 package quota
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/decay"
 )
 
+// demandTime is the time constant of the demand of a customer at this host.
+const demandTime = 500 * time.Millisecond
+
 // holding is what this host holds and awaits for one customer.
 type holding struct {
 	customer string
 	terms
-	lots         []lot // in the order in which they were granted
-	demand       demandMeter
+	lots         []lot       // in the order in which they were granted
+	demand       decay.Meter // requests, with the time constant demandTime
 	waiters      []*waiter
 	asked        []asked   // requests without a response, the newest last
 	failures     int       // requests without a response since the last grant
@@ -103,7 +107,7 @@
 // target returns the number of permits that this host holds in advance. It is 0 at low demand: a permit would mostly expire, and is granted within a
 // round trip when it is needed.
 func (h *holding) target(now time.Time) int {
-	return int(min(h.demand.perSecond(now), h.PerSecond) * h.ahead.Seconds())
+	return int(min(h.demand.Rate(demandTime, now), h.PerSecond) * h.ahead.Seconds())
 }
 
 // dropExpired removes lots that cannot be used any more. Permits that are about to expire are given back.
@@ -192,23 +196,3 @@
 	}
 	return Result{Outcome: Exceeded, RetryAfter: after, Limit: h.Limit}
 }
-
-// demandTime is the time constant of demandMeter.
-const demandTime = 500 * time.Millisecond
-
-// demandMeter estimates the requests per second of a customer at this host.
-type demandMeter struct {
-	count float64 // requests, each with the weight that is left of it
-	at    time.Time
-}
-
-func (m *demandMeter) add(now time.Time) {
-	m.count = m.weighted(now) + 1
-	m.at = now
-}
-
-func (m *demandMeter) weighted(now time.Time) float64 {
-	return m.count * math.Exp(-max(0, now.Sub(m.at).Seconds())/demandTime.Seconds())
-}
-
-func (m *demandMeter) perSecond(now time.Time) float64 { return m.weighted(now) / demandTime.Seconds() }
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -166,7 +166,7 @@
 	defer l.mu.Unlock()
 	l.noticePause(now)
 	h := l.holding(customer, limit, now)
-	h.demand.add(now)
+	h.demand.Add(1, demandTime, now)
 	if now.Sub(l.resumedAt) < resumeTime {
 		return h.unavailable(), nil
 	}
