ingress, forward: the memory budget is the only limit on bodies

Since the budget came, no program set ingress.Config.MaxTotalBodyBytes or forward.Config.MaxBufferedBytes: only tests did, and the total of body bytes was counted twice. Tests state a budget with the same limits; their assertions are unchanged.

--- a/internal/coordination/forward/answer.go
+++ b/internal/coordination/forward/answer.go
@@ -11,7 +11,7 @@
 	// maxBufferedBody is the size in bytes of the largest answer that is read whole before it is passed on, so that the request can be
 	// sent again if the connection breaks within the answer.
 	maxBufferedBody = 256 << 10
-	// smallBody is the size in bytes up to which an answer is read without counting in Config.MaxBufferedBytes.
+	// smallBody is the size in bytes up to which an answer is read without Config.ReserveMemory.
 	smallBody = 16 << 10
 	// firstReadBytes is the size of the first buffer for an answer whose length is unknown. Each further buffer is bufferGrowth times as large.
 	firstReadBytes = 4 << 10
@@ -78,10 +78,10 @@
 // reserve raises the memory that is reserved for the body of got to size. It returns false if there is none left.
 func (f *Forwarder) reserve(got *sendResult, size int64) bool {
 	more := size - got.reserved
-	if f.bufferedBytes.Add(more) > f.cfg.MaxBufferedBytes && f.cfg.MaxBufferedBytes > 0 || f.cfg.ReserveMemory != nil && !f.cfg.ReserveMemory(more) {
-		f.bufferedBytes.Add(-more)
+	if f.cfg.ReserveMemory != nil && !f.cfg.ReserveMemory(more) {
 		return false
 	}
+	f.bufferedBytes.Add(more)
 	got.reserved = size
 	return true
 }
--- a/internal/coordination/forward/endless_test.go
+++ b/internal/coordination/forward/endless_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/faketime"
+	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
@@ -161,7 +163,9 @@
 					e.Slots = 1000
 				}
 				fw := f.forwarder(requests)
-				fw.cfg.MaxBufferedBytes = limit
+				memory := membudget.New(membudget.Limits{Responses: limit, NoShares: true})
+				fw.cfg.ReserveMemory = func(n int64) bool { return memory.Reserve(membudget.Responses, netip.Addr{}, 0, n) }
+				fw.cfg.ReleaseMemory = func(n int64) { memory.Release(membudget.Responses, netip.Addr{}, n) }
 				results := make(chan *Result, requests)
 				for range requests {
 					go func() { results <- fw.Run(t.Context(), request(true)) }()
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -54,11 +54,8 @@
 	CrashGuard CrashGuard
 	// Detour knows whether this host has lost its way to a service, and sends requests through other hosts. Nil means that there are no other hosts.
 	Detour Detour
-	// MaxBufferedBytes limits the memory for the bodies of answers, in bytes, apart from small ones. Beyond it, answers are passed on while they
-	// are read. 0 means no limit.
-	MaxBufferedBytes int64
-	// ReserveMemory reserves memory that counts in MaxBufferedBytes from a budget that others use too, and ReleaseMemory gives it back. Nil means that
-	// there is no such budget.
+	// ReserveMemory reserves memory for the bodies of answers, apart from small ones, and ReleaseMemory gives it back. Answers for which there is none are
+	// passed on while they are read. Nil means no limit.
 	ReserveMemory func(bytes int64) bool
 	ReleaseMemory func(bytes int64)
 	// OnCut is called after an endpoint's answer has ended early or without progress, except if the request's log entry tells so. Nil means no call.
--- a/internal/transport/ingress/arriving.go
+++ b/internal/transport/ingress/arriving.go
@@ -143,7 +143,6 @@
 		if memory.Reserve(k, p.address(), p.bodyBytes, n) {
 			p.bodyKind = k
 			p.bodyBytes += n
-			p.server.totalBodyBytes.Add(n)
 			return true
 		}
 		victim := p.server.arriving.stalled(k, memory, time.Now())
@@ -169,7 +168,6 @@
 
 // releaseBodyMemory gives back the memory that is reserved for the body.
 func (p *parser) releaseBodyMemory() {
-	p.server.totalBodyBytes.Add(-p.bodyBytes)
 	p.server.memory.Release(p.bodyKind, p.address(), p.bodyBytes)
 	p.bodyBytes = 0
 }
--- a/internal/transport/ingress/fuzz_test.go
+++ b/internal/transport/ingress/fuzz_test.go
@@ -27,7 +27,7 @@
 // parseBytes parses one request. It returns the parser and what was not read.
 func parseBytes(data []byte) (*parser, []byte) {
 	src := bytes.NewReader(data)
-	p := &parser{br: bufio.NewReader(src), limits: fuzzLimits, server: New(Config{MaxTotalBodyBytes: 3000}), sendContinue: func() {}}
+	p := &parser{br: bufio.NewReader(src), limits: fuzzLimits, server: New(Config{Memory: bodyMemory(3000)}), sendContinue: func() {}}
 	p.parse(func() {})
 	rest, _ := io.ReadAll(p.br) // a bytes.Reader does not fail
 	return p, rest
@@ -65,12 +65,12 @@
 		p, rest := parseBytes(data)
 		if p.refusal != nil || p.disconnected {
 			is.True(p.refusal == nil || !p.disconnected)
-			is.Equal(p.server.totalBodyBytes.Load(), int64(0))
+			is.Equal(bodyBytes(p.server), int64(0))
 			return
 		}
 		r := p.request
 		is.True(int64(len(r.Body)) <= fuzzLimits.MaxBodyBytes)
-		is.Equal(p.server.totalBodyBytes.Load(), int64(len(r.Body)))
+		is.Equal(bodyBytes(p.server), int64(len(r.Body)))
 		is.True(bytes.HasSuffix(data, rest))
 		head, _, _ := bytes.Cut(bytes.TrimLeft(data, "\r\n"), []byte("\r\n\r\n"))
 		is.Equal(len(hostLine.FindAll(head, -1)), 1)
--- a/internal/transport/ingress/hostile_test.go
+++ b/internal/transport/ingress/hostile_test.go
@@ -139,7 +139,7 @@
 			is := is.New(t)
 			const most = 20
 			var evicted atomic.Int64
-			_, dial := memoryServer(t, &heldHandler{size: c.size}, Config{MaxConnections: most, MaxTotalBodyBytes: 1 << 20,
+			_, dial := memoryServer(t, &heldHandler{size: c.size}, Config{MaxConnections: most, Memory: bodyMemory(1 << 20),
 				OnEvicted: func(net.Addr, Eviction) { evicted.Add(1) }})
 			for range most + minSpare {
 				_, _ = io.WriteString(dial(), c.text) // fails for connections that are closed at once
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -74,15 +74,13 @@
 	Limits  func() routing.Limits
 	// MaxConnections limits the open connections. Requests on further connections are answered with 503.
 	MaxConnections int
-	// MaxTotalBodyBytes limits the memory for the small and for the large request bodies, if Memory is nil.
-	MaxTotalBodyBytes int64
 	// MaxPipelined limits the requests, over all connections, that run while an earlier one of their connection is unanswered. Further ones wait for the
 	// earlier ones. 0 means no limit.
 	MaxPipelined int
 	// PipelinedPerS limits the requests per second, over all connections, that have arrived before the last one of their connection was handled. 0 means
 	// no limit.
 	PipelinedPerS float64
-	// Memory is what the connections and requests may take.
+	// Memory is what the connections and requests may take. Nil means no limit.
 	Memory *membudget.Budget
 	// OnEvicted is called when a connection, or a request whose body is being read, makes room for others. Nil means no call.
 	OnEvicted func(caller net.Addr, e Eviction)
@@ -130,16 +128,15 @@
 
 // Server accepts connections and answers their requests.
 type Server struct {
-	cfg            Config
-	draining       atomic.Bool
-	memory         *membudget.Budget
-	maxConns       int
-	heavyHeads     *rate.Limiter
-	pipelinePace   *rate.Limiter // nil without a limit
-	arriving       arrivingBodies
-	totalBodyBytes atomic.Int64 // memory reserved for request bodies
-	pipelined      atomic.Int64 // requests that run while an earlier one of their connection is unanswered
-	unanswered     atomic.Int64 // requests that were read and not yet answered
+	cfg          Config
+	draining     atomic.Bool
+	memory       *membudget.Budget
+	maxConns     int
+	heavyHeads   *rate.Limiter
+	pipelinePace *rate.Limiter // nil without a limit
+	arriving     arrivingBodies
+	pipelined    atomic.Int64 // requests that run while an earlier one of their connection is unanswered
+	unanswered   atomic.Int64 // requests that were read and not yet answered
 
 	mu        sync.Mutex
 	stopping  bool           // no further call of Serve accepts connections
@@ -154,7 +151,7 @@
 	s := &Server{cfg: cfg, conns: map[*conn]struct{}{}, memory: cfg.Memory, arriving: arrivingBodies{set: map[*arrivingBody]struct{}{}},
 		heavyHeads: rate.NewLimiter(heavyHeadsPerS, heavyHeadsBurst)}
 	if s.memory == nil {
-		s.memory = membudget.New(membudget.Limits{SmallBodies: cfg.MaxTotalBodyBytes, LargeBodies: cfg.MaxTotalBodyBytes})
+		s.memory = membudget.New(membudget.Limits{})
 	}
 	if cfg.PipelinedPerS > 0 {
 		s.pipelinePace = rate.NewLimiter(rate.Limit(cfg.PipelinedPerS), max(maxPipelined, int(cfg.PipelinedPerS*pipelinedBurstS)))
--- a/internal/transport/ingress/ingress_test.go
+++ b/internal/transport/ingress/ingress_test.go
@@ -76,7 +76,7 @@
 
 func serve(t *testing.T, h Handler, limits routing.Limits) (*Server, func() net.Conn) {
 	t.Helper()
-	s := New(Config{Handler: h, Limits: func() routing.Limits { return limits }, MaxConnections: 8, MaxTotalBodyBytes: 1 << 20,
+	s := New(Config{Handler: h, Limits: func() routing.Limits { return limits }, MaxConnections: 8, Memory: bodyMemory(1 << 20),
 		OnPanic: func(r *Request, value any, _ []byte) { panics <- fmt.Sprint(r.Target, " ", value) }})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/transport/ingress/memory_test.go
+++ b/internal/transport/ingress/memory_test.go
@@ -41,6 +41,16 @@
 	return pages * int64(os.Getpagesize())
 }
 
+// bodyMemory returns a budget that limits only the memory for the small and for the large request bodies.
+func bodyMemory(n int64) *membudget.Budget {
+	return membudget.New(membudget.Limits{SmallBodies: n, LargeBodies: n})
+}
+
+// bodyBytes returns the memory that is reserved for request bodies.
+func bodyBytes(s *Server) int64 {
+	return s.memory.Used(membudget.SmallBodies) + s.memory.Used(membudget.LargeBodies)
+}
+
 // memoryServer starts a server with a budget and the least values of the limits that deployments use.
 func memoryServer(t *testing.T, h Handler, cfg Config) (*Server, func() net.Conn) {
 	t.Helper()
@@ -116,7 +126,7 @@
 			is := is.New(t)
 			h := &heldHandler{release: make(chan struct{}), size: 10}
 			defer close(h.release)
-			s, dial := memoryServer(t, h, Config{MaxConnections: 2 * conns, MaxTotalBodyBytes: 1 << 30})
+			s, dial := memoryServer(t, h, Config{MaxConnections: 2 * conns, Memory: bodyMemory(1 << 30)})
 			s.heavyHeads.SetLimit(1e9)
 			before := memoryInUse()
 			var clients []net.Conn
--- a/internal/transport/ingress/parse.go
+++ b/internal/transport/ingress/parse.go
@@ -29,7 +29,7 @@
 	disconnected bool      // the caller disconnected before the request was complete
 	body         *bodyBuffer
 	arriving     *arrivingBody  // nil unless the body may be evicted
-	bodyBytes    int64          // memory reserved for the body, counted in server.totalBodyBytes too
+	bodyBytes    int64          // memory reserved for the body
 	bodyKind     membudget.Kind // of bodyBytes
 	headBytes    int64          // memory reserved for the head
 }
--- a/internal/transport/ingress/refused_test.go
+++ b/internal/transport/ingress/refused_test.go
@@ -29,7 +29,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			refused := make(chan string, 1)
-			s := New(Config{Handler: newHandler(), Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: c.maxConnections, MaxTotalBodyBytes: 10,
+			s := New(Config{Handler: newHandler(), Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: c.maxConnections, Memory: bodyMemory(10),
 				OnRefused: func(caller net.Addr, header http.Header, status int, reason string) {
 					id := header.Get("Id")
 					if id == "" {
--- a/internal/transport/ingress/slow_caller_test.go
+++ b/internal/transport/ingress/slow_caller_test.go
@@ -59,7 +59,7 @@
 			faketime.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				link := faketime.NewLink(10e6 / 8)
-				server := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+				server := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, Memory: bodyMemory(1)})
 				go func() { _ = server.Serve(link) }() // returns when the link is closed
 				defer link.Close()
 				conn, err := link.DialContext(t.Context(), "", "")
@@ -83,7 +83,7 @@
 		is := is.New(t)
 		link := faketime.NewLink(10e6 / 8)
 		server := New(Config{Handler: &streamHandler{stream: bytes.NewReader(make([]byte, 1<<20)), length: 1 << 20},
-			Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+			Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, Memory: bodyMemory(1)})
 		go func() { _ = server.Serve(link) }() // returns when the link is closed
 		defer link.Close()
 		conn, err := link.DialContext(t.Context(), "", "")
@@ -123,7 +123,7 @@
 				is := is.New(t)
 				link := faketime.NewLink(10e6 / 8)
 				limits := routing.DefaultLimits
-				server := New(Config{Handler: echoHandler{}, Limits: func() routing.Limits { return limits }, MaxConnections: 1, MaxTotalBodyBytes: limits.MaxBodyBytes})
+				server := New(Config{Handler: echoHandler{}, Limits: func() routing.Limits { return limits }, MaxConnections: 1, Memory: bodyMemory(limits.MaxBodyBytes)})
 				go func() { _ = server.Serve(link) }() // returns when the link is closed
 				defer link.Close()
 				conn, err := link.DialContext(t.Context(), "", "")
@@ -162,7 +162,7 @@
 			is := is.New(t)
 			h := &streamHandler{stream: &slowReader{halves: [][]byte{[]byte("one"), []byte("two")}, pause: time.Minute}, length: length}
 			link := faketime.NewLink(10e6)
-			server := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+			server := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, Memory: bodyMemory(1)})
 			go func() { _ = server.Serve(link) }() // returns when the link is closed
 			defer link.Close()
 			conn, err := link.DialContext(t.Context(), "", "")
--- a/internal/transport/ingress/stop_property_test.go
+++ b/internal/transport/ingress/stop_property_test.go
@@ -317,7 +317,7 @@
 			r.planned[q.target] = q
 		}
 	}
-	r.server = New(Config{Handler: r, Limits: func() routing.Limits { return idleLimits(p.idleTimeout) }, MaxConnections: p.maxConnections, MaxTotalBodyBytes: 1 << 20,
+	r.server = New(Config{Handler: r, Limits: func() routing.Limits { return idleLimits(p.idleTimeout) }, MaxConnections: p.maxConnections, Memory: bodyMemory(1 << 20),
 		OnPanic: func(*Request, any, []byte) {}})
 	var group sync.WaitGroup
 	group.Go(func() { _ = r.server.Serve(r.network) })
@@ -336,7 +336,7 @@
 		r.violate("Close returned %v late", late)
 	}
 	group.Wait()
-	if n, bytes := r.server.Unanswered(), r.server.totalBodyBytes.Load(); n != 0 || bytes != 0 || r.server.Connections() != 0 {
+	if n, bytes := r.server.Unanswered(), bodyBytes(r.server); n != 0 || bytes != 0 || r.server.Connections() != 0 {
 		r.violate("left: %d requests, %d bytes of bodies, %d connections", n, bytes, r.server.Connections())
 	}
 	return r.violation
--- a/internal/transport/ingress/stop_test.go
+++ b/internal/transport/ingress/stop_test.go
@@ -150,7 +150,7 @@
 		t.Run(fmt.Sprint(run), func(t *testing.T) {
 			is := is.New(t)
 			h := &recordingHandler{ran: map[string]bool{}, delay: func() time.Duration { return rand.N(20 * time.Millisecond) }}
-			s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 2 * callers, MaxTotalBodyBytes: 1 << 20})
+			s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 2 * callers, Memory: bodyMemory(1 << 20)})
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
 			go s.Serve(l)
@@ -221,7 +221,7 @@
 func TestNoRequestRunsOnceClosing(t *testing.T) {
 	is := is.New(t)
 	h := newHandler()
-	s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 8, MaxTotalBodyBytes: 1})
+	s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 8, Memory: bodyMemory(1)})
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer tcp.Close()
@@ -354,7 +354,7 @@
 		is := is.New(t)
 		h := &recordingHandler{ran: map[string]bool{}, delay: func() time.Duration { return 10 * time.Second }}
 		link := faketime.NewLink(10e6)
-		s := New(Config{Handler: h, Limits: func() routing.Limits { return idleLimits(3 * time.Second) }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		s := New(Config{Handler: h, Limits: func() routing.Limits { return idleLimits(3 * time.Second) }, MaxConnections: 1, Memory: bodyMemory(1)})
 		go func() { _ = s.Serve(link) }() // returns when the link is closed
 		defer link.Close()
 		c, err := link.DialContext(t.Context(), "", "")
@@ -376,7 +376,7 @@
 		const idleTimeout = 5 * time.Second
 		h := &recordingHandler{ran: map[string]bool{}, delay: func() time.Duration { return 4 * time.Second }}
 		link := faketime.NewLink(10e6)
-		s := New(Config{Handler: h, Limits: func() routing.Limits { return idleLimits(idleTimeout) }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		s := New(Config{Handler: h, Limits: func() routing.Limits { return idleLimits(idleTimeout) }, MaxConnections: 1, Memory: bodyMemory(1)})
 		go func() { _ = s.Serve(link) }() // returns when the link is closed
 		defer link.Close()
 		c, err := link.DialContext(t.Context(), "", "")
@@ -404,7 +404,7 @@
 	is := is.New(t)
 	h := newHandler()
 	undelivered := make(chan string, 4)
-	s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 8, MaxTotalBodyBytes: 1,
+	s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 8, Memory: bodyMemory(1),
 		OnUndelivered: func(r *Request, _ *Response, cause error) { undelivered <- r.Target + " " + cause.Error() }})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
@@ -468,7 +468,7 @@
 	c := dial()
 	send(t, c, get("/hold/panic")+"POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
 	<-h.started
-	waitFor(func() bool { return s.totalBodyBytes.Load() == 3 })
+	waitFor(func() bool { return bodyBytes(s) == 3 })
 	close(h.hold("/hold/panic"))
 	resp, _ := answer(t, bufio.NewReader(c))
 	is.True(resp.Close)
@@ -476,7 +476,7 @@
 	send(t, c, "no chunk\r\n")
 	c.Close()
 	waitFor(func() bool { return s.Connections() == 0 })
-	is.Equal(s.totalBodyBytes.Load(), int64(0))
+	is.Equal(bodyBytes(s), int64(0))
 }
 
 // TestLastResponseSurvivesEndOfStop guards against a stop that resets a connection whose response has just been sent: at the end of the stop, a
@@ -485,7 +485,7 @@
 	faketime.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		h := &recordingHandler{ran: map[string]bool{}, delay: func() time.Duration { return 20 * time.Millisecond }}
-		s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, Memory: bodyMemory(1)})
 		network := newMemNetwork(8 * time.Millisecond)
 		go func() { _ = s.Serve(network) }() // returns when Close has closed the listener
 		c := network.dial()
@@ -542,7 +542,7 @@
 	var group sync.WaitGroup
 	var networks []*memNetwork
 	for range 2000 {
-		s := New(Config{Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+		s := New(Config{Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, Memory: bodyMemory(1)})
 		network := newMemNetwork(0)
 		networks = append(networks, network)
 		group.Go(func() { _ = s.Serve(network) }) // returns nil
@@ -574,7 +574,7 @@
 	is := is.New(t)
 	h := newHandler()
 	var slowReader atomic.Bool
-	s := New(Config{Handler: h, MaxConnections: 1, MaxTotalBodyBytes: 1, Limits: func() routing.Limits {
+	s := New(Config{Handler: h, MaxConnections: 1, Memory: bodyMemory(1), Limits: func() routing.Limits {
 		if slowReader.Load() {
 			time.Sleep(20 * time.Millisecond) // the reader asks for the limits before it reads
 		}
@@ -625,7 +625,7 @@
 func TestStopOfStarvedProcess(t *testing.T) {
 	is := is.New(t)
 	h := newHandler()
-	s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, MaxTotalBodyBytes: 1})
+	s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, Memory: bodyMemory(1)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	var delay atomic.Int64
