ingress: report connections that close with a request unanswered

A connection could be closed for its idle timeout, a planned stop or to make room while bytes of a request had arrived or crossed the close. Nothing was logged, or a line without the request's id, so that callers' reports of cut requests could not be matched with a host.

Config.OnClosed tells for each such connection the reason, the number of requests read before, what arrived unanswered, the header of the first such request, and how long the connection had been idle. The gateway logs msg=connection_closed with the id. No decision changes.

--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -54,7 +54,7 @@
 func (g *Gateway) newHopServer() *ingress.Server {
 	return ingress.New(ingress.Config{Handler: hopHandler{g}, MaxConnections: max(minHops, int(g.settings.Cores*hopsPerCore)),
 		Memory: newHopBudget(g.settings.MemoryMB), OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
-		OnUndelivered: g.reportUndelivered, Limits: func() routing.Limits {
+		OnUndelivered: g.reportUndelivered, OnClosed: g.reportClosed, Limits: func() routing.Limits {
 			l := g.limits()
 			l.MaxHeaderBytes += hop.MaxHeaderBytes
 			l.IdleTimeout = max(l.IdleTimeout, 2*upstreamIdleTimeout) // the other host closes idle connections first
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,7 +180,7 @@
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), PipelinedPerS: s.Cores * pipelinedPerCoreS,
 		OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
-		OnUndelivered: g.reportUndelivered})
+		OnUndelivered: g.reportUndelivered, OnClosed: g.reportClosed})
 	g.follower = follow.New(follow.Config{Store: g.store, Feeds: g.feeds(),
 		MaxAge:    func() time.Duration { return g.peers.MaxAge(time.Now()) },
 		ReadDelay: func() time.Duration { return g.peers.ReadDelay(time.Now()) },
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -74,6 +74,13 @@
 	g.log.Info("evicted", "caller", caller.String(), "why", string(e), "connections", g.callers.Connections())
 }
 
+// reportClosed counts and logs a connection that was closed although bytes had arrived on it that belong to no answered request.
+func (g *Gateway) reportClosed(c ingress.ClosedConn) {
+	g.metrics.Add("connections_closed_unanswered_"+string(c.Reason)+"_total", 1)
+	g.log.Info("connection_closed", "id", c.Header.Get(g.adapter.Dialect.RequestID), "caller", c.Caller.String(), "why", string(c.Reason),
+		"requests", c.Requests, "unread_bytes", c.Unread, "dropped", c.Dropped, "open_ms", ms(c.OpenFor), "idle_ms", ms(c.IdleFor))
+}
+
 // registerMemoryGauges registers the metrics of the memory budget.
 func (g *Gateway) registerMemoryGauges() {
 	for _, k := range membudget.Kinds() {
--- /dev/null
+++ b/internal/transport/ingress/closing_test.go
@@ -0,0 +1,63 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+)
+
+// TestClosedConnectionsAreReported guards against connections that are closed with a request unanswered and no trace for operators.
+func TestClosedConnectionsAreReported(t *testing.T) {
+	const request = "GET /x HTTP/1.1\r\nHost: h\r\nX-Id: r-1\r\n\r\n"
+	for _, c := range []struct {
+		name   string
+		reason CloseReason
+		before string // sent before the server closes
+		after  string // sent when it has closed
+		id     string
+	}{
+		{"idle", CloseIdle, get("/"), request, "r-1"},
+		{"partial", CloseIdle, get("/"), request[:20], ""},
+		{"response", CloseRequest, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", request, "r-1"},
+		{"caller left", CloseCallerLeft, request[:20], "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan ClosedConn, 1)
+			limits := routing.DefaultLimits
+			limits.IdleTimeout = 50 * time.Millisecond
+			s := New(Config{Handler: newHandler(), Limits: func() routing.Limits { return limits }, MaxConnections: 8, OnClosed: func(c ClosedConn) { closed <- c }})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			go s.Serve(l)
+			nc, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			send(t, nc, c.before)
+			if c.after == "" {
+				nc.Close()
+				select {
+				case <-closed:
+					t.Fatal("a caller that leaves is no fault of the host")
+				case <-time.After(100 * time.Millisecond):
+				}
+				return
+			}
+			is.NoErr(nc.SetReadDeadline(time.Now().Add(time.Minute)))
+			_, err = io.Copy(io.Discard, nc) // until the server has closed its side
+			is.NoErr(err)
+			send(t, nc, c.after)
+			nc.Close()
+			got := <-closed
+			is.Equal(got.Reason, c.reason)
+			is.Equal(got.Unread, int64(len(c.after)))
+			is.Equal(got.Header.Get("X-Id"), c.id)
+			is.Equal(got.Requests, int64(1))
+		})
+	}
+}
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -36,6 +36,13 @@
 	lastRead        bool          // no further request is read; the connection closes after the responses to those that were
 	lingerUntil     time.Time     // when the connection is closed although the caller has not closed it; zero until the write side is closed
 	continueDue     bool          // the caller of the request being read waits for 100 Continue, which follows the earlier responses
+	closeReason     CloseReason   // why no further request is read; empty until that is decided
+	idleFor         time.Duration // time without progress at this decision
+
+	// Used by the reader alone, for the report:
+	unread     int64    // bytes that were read and discarded after the last request
+	unreadHead []byte   // the first of them
+	dropped    *Request // was read after the decision that no further request is
 }
 
 // exchange is a request and the response that its handler will send.
@@ -67,6 +74,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopping = true
+	c.setCloseReason(CloseStopped)
 	if c.waiting && !c.lastRead {
 		c.netConn.SetReadDeadline(time.Now()) // wakes the reader
 	}
@@ -79,6 +87,7 @@
 	c.read()
 	close(c.queue)
 	writer.Wait()
+	c.reportClosed()
 	c.abort(ErrCallerLeft)
 }
 
@@ -101,8 +110,12 @@
 		_, err := br.Peek(1)
 		c.mu.Lock()
 		c.waiting, c.arrived = false, err == nil
-		if onlyArrived && isTimeout(err) {
+		switch {
+		case onlyArrived && isTimeout(err):
 			c.lastRead = true
+			c.setCloseReason(CloseIdle)
+		case err != nil && !isTimeout(err):
+			c.setCloseReason(CloseCallerLeft)
 		}
 		c.mu.Unlock()
 		if err == nil {
@@ -152,11 +165,13 @@
 		})
 	}
 	if p.disconnected {
+		c.closeFor(CloseCallerLeft)
 		p.release()
 		return false
 	}
 	keepAlive := p.keepAlive && p.refusal == nil
 	if !c.countRequest(keepAlive, br.Buffered() > 0) {
+		c.dropped = p.request
 		p.release()
 		return false
 	}
@@ -211,8 +226,7 @@
 	c.mu.Lock()
 	c.netConn.SetReadDeadline(c.lingerUntil)
 	c.mu.Unlock()
-	// An error means only that there is nothing more to read.
-	if n, _ := io.CopyN(io.Discard, br, maxLingerBytes); n == maxLingerBytes {
+	if c.discard(br, maxLingerBytes) == maxLingerBytes {
 		<-c.ctx.Done() // the end of the time to read the response, or of the connection
 	}
 	c.cancel(ErrCallerLeft)
@@ -228,7 +242,9 @@
 	if c.lastRead {
 		return false
 	}
-	c.lastRead = !keepAlive || c.stopping
+	if c.lastRead = !keepAlive || c.stopping; c.lastRead {
+		c.setCloseReason(CloseRequest)
+	}
 	c.pending++
 	c.activity.requests.Add(1)
 	c.progress()
@@ -375,6 +391,7 @@
 	defer c.mu.Unlock()
 	if r.CloseConnection || c.server.draining.Load() && c.pending == 1 && !c.arrived {
 		c.lastRead = true
+		c.setCloseReason(CloseResponse)
 	}
 	return c.lastRead && c.pending == 1
 }
