upstreamconn: keep to the idle timeout that an upstream states

A connection to an endpoint was used for up to 8 s of idleness whatever its Keep-Alive header field said. A request sent when the endpoint closes the connection for idleness is lost: a caller of a non-idempotent route gets 502, although nothing has failed.

--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -23,7 +23,7 @@
 	Host string
 	// Dialect describes the headers that the upstreams understand.
 	Dialect Dialect
-	// IdleTimeout is the time after which an unused connection is closed. A longer timeout saves connection set-up; a shorter one
+	// IdleTimeout is the time after which an unused connection is closed, if its upstream states no shorter one. A longer timeout saves connection set-up; a shorter one
 	// avoids connections whose state a middlebox has dropped.
 	IdleTimeout time.Duration
 	// ConnectTimeout bounds connection set-up.
@@ -113,6 +113,7 @@
 	openedAt    time.Time // when it was begun to be opened
 	connectedAt time.Time // when it had been opened
 	idleSince   time.Time
+	idleTimeout time.Duration // by the last response
 	// unnamed holds when the last maxLateCopies exchanges were sent whose responses carried no request id, oldest first.
 	unnamed []time.Time
 }
@@ -136,7 +137,7 @@
 		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
-		if now.Sub(cn.idleSince) < p.cfg.IdleTimeout && cn.http.Err() == nil && cn.guarded.beginRequest() {
+		if !cn.idleTooLong(now) && cn.http.Err() == nil && cn.guarded.beginRequest() {
 			return cn, closed
 		}
 		closed = closed || cn.http.Err() != nil
@@ -224,7 +225,7 @@
 	}
 }
 
-// CloseIdle closes connections that have been idle for at least IdleTimeout. It also closes those to removed endpoints, which
+// CloseIdle closes connections that have been idle for their timeout. It also closes those to removed endpoints, which
 // become idle and are not used again.
 func (p *Pool) CloseIdle(now time.Time) {
 	var expired []*conn
@@ -235,7 +236,7 @@
 		for id, list := range sh.idle {
 			kept := list[:0]
 			for _, c := range list {
-				if now.Sub(c.idleSince) >= p.cfg.IdleTimeout {
+				if c.idleTooLong(now) {
 					expired = append(expired, c)
 					continue
 				}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cn.idleTimeout = idleTimeoutOf(resp.Header, p.cfg.IdleTimeout)
 	origin, err := p.attribute(cn, c, resp, sentAt)
 	if ownID {
 		delete(resp.Header, p.cfg.Dialect.RequestID)
