registry: an entry with a late start time does not keep the endpoint's own out

What callers saw: an endpoint stayed unusable, or requests went to an address that is not its own, for as long as the process of the host ran.

Cause: an entry with an earlier start time than the newest one always counted as written late. One entry of another writer with a great "born" therefore kept all later entries of the endpoint out. For a great sequence number of the same start, Put has had a rule that ends this.

Change: the rule for entries that go on to arrive holds for an earlier start too: entries with rising numbers, over more than lateEntrySpan, without one of the later start in between, are the endpoint's. A process that renews its entry ends the count each time, so that an earlier process that ends beside it does not replace it.

Evidence: TestLateStartOfAnotherWriter failed (not usable after 4 entries, and never) and passes; all tests of the package pass with -race.

--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -105,7 +105,7 @@
 	// removedAt is the time at which the endpoint was removed; zero if it was not. The record is kept for tombstoneLifetime after it,
 	// so that an older entry that arrives late does not add the endpoint again.
 	removedAt time.Time
-	// lateAt and lateSequence are the time of the first entry that was ignored because it has a lower sequence number than this one, and its number.
+	// lateAt and lateSequence are the time of the first entry that was ignored because it has a lower sequence number or an earlier start than this one, and its number.
 	// lateAt is zero if there is none.
 	lateAt       time.Time
 	lateSequence int64
@@ -128,12 +128,10 @@
 )
 
 // isLate reports whether an older entry than the newest one is an earlier entry of the endpoint that was written late. Otherwise another program
-// wrote the newest entry, and the endpoint's own go on below its sequence number.
+// wrote the newest entry, and the endpoint's own go on below its sequence number or its start time. Each entry that replaces the newest one ends the
+// count of late entries, so that a process that renews its entry is not replaced by an earlier one that ends.
 func (r *record) isLate(e Entry, now time.Time) bool {
-	if e.Started != r.entry.Started {
-		return true
-	}
-	behind := r.removedAt.IsZero() && r.entry.Sequence-e.Sequence > maxLateEntries
+	behind := e.Started == r.entry.Started && r.removedAt.IsZero() && r.entry.Sequence-e.Sequence > maxLateEntries
 	continued := !r.lateAt.IsZero() && e.Sequence > r.lateSequence && now.Sub(r.lateAt) > lateEntrySpan
 	if behind || continued {
 		return false
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -243,3 +244,32 @@
 	is.True(table.Put(warming(4, 3*time.Second), start.Add(2*time.Second)) != nil)
 	is.Equal(end(), 5*time.Second)
 }
+
+// TestLateStartOfAnotherWriter guards against an entry of another writer whose start time is so late that the endpoint's own entries count as those of
+// an earlier process for ever. Those of an earlier process that end while the later one renews its entry must not count.
+func TestLateStartOfAnotherWriter(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(grace)
+	table.Put(entry(10), start)
+	foreign := entry(1)
+	foreign.Started, foreign.Leaving = math.MaxInt64, true
+	table.Put(foreign, start)
+	is.Equal(usable(table), 0)
+	now := start
+	for n := int64(11); usable(table) == 0; n++ {
+		is.True(n < 15)
+		now = now.Add(1500 * time.Millisecond)
+		table.Put(entry(n), now)
+	}
+	is.True(now.Sub(start) > lateEntrySpan)
+
+	restarted := entry(0)
+	restarted.Started, restarted.Address = 6, "10.0.0.1:81"
+	for n := range int64(10) { // both processes write
+		now = now.Add(1500 * time.Millisecond)
+		restarted.Sequence = n
+		table.Put(restarted, now)
+		is.Equal(table.Put(entry(20+n), now), nil)
+		is.Equal(table.Snapshot().Services["lotdesk"][0].Address, restarted.Address)
+	}
+}
