--- a/internal/gateway/invalid_entries.go
+++ b/internal/gateway/invalid_entries.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
+	"github.com/arbutusspan/arbutusspan/internal/transport/errtext"
 )
 
 const (
@@ -46,6 +47,6 @@
 	}
 	g.metrics.Add("entries_invalid_total", 1)
 	if i.lines.Allow() {
-		g.log.Warn("entry_invalid", "key", r.Key[:min(maxLoggedKey, len(r.Key))], "offset", r.Offset, "bytes", len(r.Value), "error", reason)
+		g.log.Warn("entry_invalid", "key", r.Key[:min(maxLoggedKey, len(r.Key))], "offset", r.Offset, "bytes", len(r.Value), "error", errtext.Bound(reason))
 	}
 }
