follow: a key that is not UTF-8 does not keep peers from reading the copy

What callers saw: nothing yet; shown by a test. One record with such a key, valid or not, made each state that a host serves, and each update with the record, undecodable for all other hosts: starting hosts and those that had missed an update got nothing from their peers, and messages were dropped.

Cause: the log's records have keys of any bytes. Hosts exchange keys as CBOR text, which decoders refuse if it is not UTF-8.

Change: such records do not get into the copy. Their keys name no endpoint, configuration or zone.

Evidence: TestHostsFollowPastOddEntries failed with "cbor: invalid UTF-8 string" at the state of the first host, and passes. It also puts 22 odd entries, under keys of their own and in the place of an endpoint's, before a real one that both hosts have to learn. follow, gateway and platform pass with -race.

--- a/internal/coordination/follow/apply.go
+++ b/internal/coordination/follow/apply.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"time"
+	"unicode/utf8"
 )
 
 // applyReads applies what a refresh read, calls the callbacks for failure and recovery, and sends the changes to the peers. err is the
@@ -149,6 +150,7 @@
 			return FeedUpdate{}, false
 		}
 	}
+	r.records = slices.DeleteFunc(slices.Clone(r.records), func(rec Record) bool { return !utf8.ValidString(rec.Key) }) // peers cannot decode such a key
 	u := FeedUpdate{Topic: f.cfg.Feeds[i].Topic, From: f.nextOffsets[i], Next: r.next, Whole: r.complete}
 	if u.From < 0 {
 		f.copyEnd[i] = cmp.Or(r.copyEnd, r.next)
