gateway: a panic at one record or message does not end the process

What callers saw: nothing yet; shown by a test. No entry is known at which the code panics. If there is one, each host that reads it ends, reads it again at its start and ends again, and so do the hosts to which it is sent: the requests of all their callers end with them.

Cause: requests, sends and probes recover from panics; the goroutines that follow the store and receive messages did not.

Change: the functions of each feed (validate, prepare, apply, compare) recover for one record, which then counts as invalid or changes nothing, so that the feed goes on after it. The handling of a message recovers too. Both are counted in panics_total and logged with the stack.

Evidence: TestPanicOfOneRecord ended the test process ("panic: an odd configuration") and passes, for reads of the store, updates and whole copies; TestPanicOfOneMessage likewise, without the recovery ("nil pointer dereference"). FuzzEndpointEntry with the odd entries as seeds: 40 s, nothing found.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -23,12 +23,16 @@
 // feeds returns the topics of the store that this host follows, with the types that apply their records. Only the host topic has
 // AllowGaps set, so that missed records are no reason to read the store: hosts also learn of each other by messages.
 func (g *Gateway) feeds() []follow.Feed {
-	return []follow.Feed{
+	list := []follow.Feed{
 		{Topic: g.adapter.EndpointTopic, Handler: endpointHandler{g}, Validate: endpointHandler{g}.validate, RefreshesPerRead: 1},
 		{Topic: g.adapter.ContractTopic, Handler: contractHandler{g}, Prepare: contractHandler{g}.prepare, RefreshesPerRead: 1, Watch: true,
 			KeepMissing: true},
 		{Topic: g.adapter.HostTopic, Handler: hostListHandler{g}, RefreshesPerRead: hostRefreshesPerRead, AllowGaps: true},
 	}
+	for i := range list {
+		list[i] = g.guarded(list[i])
+	}
+	return list
 }
 
 // contractHandler implements follow.Handler for the contract topic. It puts each configuration in force that is newer than the current one
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -309,7 +309,7 @@
 	}
 	g.registerGauges()
 	runCtx, stop := context.WithCancel(context.Background())
-	group.Go(func() error { return g.link.Receive(g.handleMessage, g.handleMalformed) })
+	group.Go(func() error { return g.link.Receive(g.receiveMessage, g.handleMalformed) })
 	group.Go(func() error { return g.callers.Serve(callers) })
 	group.Go(func() error { g.sendHeartbeats(runCtx); return nil })
 	group.Go(func() error { g.followStore(runCtx); return nil })
