forward: a planned stop sends nothing again that it may cut and has not run

What callers saw: late in the grace time of a planned stop, a request that endpoints had refused without running it went to a further endpoint, and was cut there at the end of the grace time, with a response that says that it may have run. Requests that are not idempotent may not be sent again then.

Cause: MayBeCut was asked only before the first send of a request. After a refusal nothing has run either, so that the request can be refused still.

Change: it is asked as long as no endpoint may have run the request and none has it.

Evidence: TestNoRepeatThatMayBeCut failed (the second endpoint received the request) and passes; the package passes with -race.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -43,8 +43,8 @@
 	Withdrawn func(id endpoints.ID) bool
 	// Stopped reports whether this host sends no further requests, because its planned stop ends. Nil means that it does not stop.
 	Stopped func() bool
-	// MayBeCut reports whether this host stops too soon for a request that is sent now and has the given deadline. Such a request is not sent for the
-	// first time; one that was sent may be repeated. Nil means that none is cut.
+	// MayBeCut reports whether this host stops too soon for a request that is sent now and has the given deadline. Such a request is not sent, unless an
+	// endpoint may have run it already. Nil means that none is cut.
 	MayBeCut func(due time.Time) bool
 	Random   func(n int) int // nil means placement.Random
 	// OrderByValue reports whether requests that find no free slot are ordered and refused by what their callers lose, see package overload. If it
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -138,9 +138,9 @@
 	}
 }
 
-// stopped reports whether the request is not sent because this host stops.
+// stopped reports whether the request is not sent because this host stops. One that may have run cannot be refused as not run, and may be repeated.
 func (r *activeRequest) stopped() bool {
-	return r.forwarder.cfg.Stopped() || r.sends == 0 && r.forwarder.cfg.MayBeCut(r.call.Due)
+	return r.forwarder.cfg.Stopped() || !r.mayHaveRun && r.inFlight == 0 && r.forwarder.cfg.MayBeCut(r.call.Due)
 }
 
 // send starts to send the request to an endpoint. The result arrives on r.sendResults.
