detour: an answer to a silent host is evidence against a cut

Callers' requests went through other hosts although the host's own way to the endpoints was there.

An answer clears the failures, and with them the time after which another host's answer counts as a witness. While the way was silent, any answer that another host had had within 2 s then made it cut, both in Decide and on a message. Silent becomes cut only while the conditions under which it had become silent hold: enough endpoints have failed, for long enough, since the last answer of any. Requests are likewise refused only if no endpoint has answered for refuseAfter. A host that is cut off gets no answer, so that it finds out as early as before.

--- a/internal/coordination/detour/detour_test.go
+++ b/internal/coordination/detour/detour_test.go
@@ -247,3 +247,32 @@
 	is.True(answered(time.Hour).Check() != nil)
 	is.True((&Report{Lost: make([]string, maxServices+1)}).Check() != nil)
 }
+
+// TestAnswerWhileSilentIsNoCut guards against a host that holds itself for cut off right after an endpoint has answered it, because another host was answered too.
+func TestAnswerWhileSilentIsNoCut(t *testing.T) {
+	for name, witnessed := range map[string]func(*Tracker, time.Time){
+		"by the next request": func(t *Tracker, now time.Time) { t.reports["a-1"].answered[service] = now },
+		"by a message":        func(t *Tracker, now time.Time) { t.HandleReport(peer(1, "a"), true, answered(0), now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracker, _ := newTracker(8)
+			tracker.HandleReport(peer(1, "a"), true, &Report{}, start)
+			tracker.silence(0, 3, start)
+			is.Equal(tracker.State(service), Silent)
+			tracker.Answered(service, endpoint(4), start.Add(45*time.Millisecond))
+			now := start.Add(53 * time.Millisecond)
+			witnessed(tracker, now)
+			is.Equal(tracker.Decide(service, true, now), Direct)
+			is.Equal(tracker.State(service), Silent)
+			now = start.Add(refuseAfter + time.Second)
+			tracker.Answered(service, endpoint(4), now)
+			is.Equal(tracker.Decide(service, true, now), Direct) // the endpoint is there
+			tracker.silence(0, 3, now.Add(10*time.Millisecond))
+			tracker.silence(0, 1, now.Add(minSilence+10*time.Millisecond))
+			witnessed(tracker, now.Add(minSilence+20*time.Millisecond))
+			is.Equal(tracker.Decide(service, true, now.Add(minSilence+20*time.Millisecond)), Through) // lost again
+			is.Equal(tracker.State(service), Cut)
+		})
+	}
+}
--- a/internal/coordination/detour/hosts.go
+++ b/internal/coordination/detour/hosts.go
@@ -141,7 +141,7 @@
 		h.answered = make(map[string]time.Time, len(r.Answered))
 		for _, a := range r.Answered {
 			h.answered[a.Service] = now.Add(-time.Duration(a.AgeMS) * time.Millisecond)
-			if w := t.ways[a.Service]; w != nil && w.machine.Current() == Silent && h.reaches(w, now) {
+			if w := t.ways[a.Service]; w != nil && w.machine.Current() == Silent && t.unanswered(w, now) && h.reaches(w, now) {
 				changes = append(changes, t.apply(w, eventWitnessed, hostAnswer{from.Name, h.answered[a.Service]}, now))
 			}
 		}
--- a/internal/coordination/detour/reach.go
+++ b/internal/coordination/detour/reach.go
@@ -171,9 +171,14 @@
 
 func (w *way) lost() bool { s := w.machine.Current(); return s == Silent || s == Cut }
 
+// unanswered reports whether enough endpoints of a service have failed to answer, for long enough, since the last answer of any. t.mu must be held.
+func (t *Tracker) unanswered(w *way, now time.Time) bool {
+	return len(w.failed) >= min(minFailedEndpoints, max(1, t.cfg.Endpoints(w.service))) && now.Sub(w.answeredAt) >= minSilence
+}
+
 // judge checks whether the way to a service is lost. t.mu must be held.
 func (t *Tracker) judge(w *way, now time.Time) []Change {
-	if w.lost() || len(w.failed) < min(minFailedEndpoints, max(1, t.cfg.Endpoints(w.service))) || now.Sub(w.answeredAt) < minSilence {
+	if w.lost() || !t.unanswered(w, now) {
 		return nil
 	}
 	if now.Sub(w.lostAt) < relapseWindow {
@@ -269,17 +274,17 @@
 		w.checkedAt = now
 		return Direct
 	}
-	witness := t.witness(w, now)
-	switch {
-	case witness.host != "" && w.machine.Current() == Silent:
+	witness, unanswered := t.witness(w, now), t.unanswered(w, now)
+	switch state := w.machine.Current(); {
+	case state == Silent && witness.host != "" && unanswered:
 		*changes = append(*changes, t.apply(w, eventWitnessed, witness, now))
-	case witness.host == "" && w.machine.Current() == Cut:
+	case state == Cut && witness.host == "":
 		*changes = append(*changes, t.apply(w, eventDoubted, witness, now))
 	}
 	switch {
-	case witness.host != "":
+	case w.machine.Current() == Cut:
 		return Through
-	case now.Sub(w.lostAt) >= refuseAfter && checkable:
+	case unanswered && now.Sub(w.lostAt) >= refuseAfter && now.Sub(w.answeredAt) >= refuseAfter && checkable:
 		return Refuse
 	}
 	return Direct
