upstreamconn: tell the host's own delay from an upstream's silence

Small hosts get no processor for 100 ms and more. Their timers then expire although the answer lies in the kernel's buffer, or although most of the time had passed before the request was written; endpoints were blamed for it, and established connections were given up.

After a timeout a guardedConn asks the kernel, before it is closed, what lies unread. SendError.OwnDelay says that bytes of a response had arrived, or that the upstream had less than half of the time; Config.OnOwnDelay counts it. A connection that is established when the time passes is returned and not given up. An upstream that sends nothing gives the same error at the same time as before.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -65,7 +65,10 @@
 	Written bool // at least one byte of the request may have reached the upstream
 	Partial bool // a part of the response's header had arrived
 	Broken  bool // the connection ended before the response's header had arrived
-	Err     error
+	// OwnDelay says that the time passed because this host got no processor: bytes of a response had arrived that it had not read, or it had used up most
+	// of the time before it asked. It says nothing about the upstream.
+	OwnDelay bool
+	Err      error
 }
 
 func (e *SendError) Error() string { return fmt.Sprintf("send (written: %t): %v", e.Written, e.Err) }
--- a/internal/transport/sockbuf/sockbuf.go
+++ b/internal/transport/sockbuf/sockbuf.go
@@ -19,6 +19,16 @@
 	EOF                   // the peer has closed its side, and all bytes before that are read
 )
 
+// Connected reports whether a connection has been established, also if the process that opens it has not noticed yet.
+func Connected(c syscall.RawConn) bool {
+	connected := false
+	err := c.Control(func(fd uintptr) {
+		_, err := syscall.Getpeername(int(fd))
+		connected = err == nil
+	})
+	return err == nil && connected
+}
+
 // Received returns what lies unread in the receive buffer. It does not block, and takes no notice of deadlines.
 func Received(c net.Conn) Unread {
 	s, ok := c.(syscall.Conn)
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 // connState is the state of a guardedConn.
@@ -96,11 +98,19 @@
 	reading bool        // a Read is in progress
 	written bool        // a byte of the current request may have been passed to the kernel
 	onIdle  func()      // called once when the connection becomes idle
+	// writtenAt is when the last byte of the current request was passed to the kernel; zero before the first one.
+	writtenAt time.Time
+	unread    bool // bytes of a response lay in the kernel's buffer when the connection was closed
 }
 
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.notifyClosed()
+	c.mu.Lock()
+	if c.state == awaitingResponse {
+		c.unread = c.unread || sockbuf.Received(c.Conn) == sockbuf.Bytes
+	}
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -114,11 +124,15 @@
 	}
 	ok := c.state == awaitingResponse
 	c.written = c.written || ok
+	now := time.Now()
+	if ok {
+		c.writtenAt = now
+	}
 	c.mu.Unlock()
 	if !ok {
 		return 0, errUnsolicited
 	}
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+	if err := c.Conn.SetWriteDeadline(now.Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
@@ -185,7 +199,7 @@
 	if c.state != idle {
 		return false
 	}
-	c.state, c.written, c.head = readyForRequest, false, headScanner{}
+	c.state, c.written, c.writtenAt, c.head = readyForRequest, false, time.Time{}, headScanner{}
 	return true
 }
 
@@ -196,6 +210,14 @@
 	return c.written
 }
 
+// answerUnseen returns when the last byte of the current request was written, and whether bytes of its response had arrived that net/http has not passed
+// on: they lay in the kernel's buffer, or the response's header was read whole.
+func (c *guardedConn) answerUnseen() (writtenAt time.Time, unseen bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writtenAt, c.unread || c.head.ended
+}
+
 // headerBegun reports whether a part of a response's status line or header has arrived, but not its end.
 func (c *guardedConn) headerBegun() bool {
 	c.mu.Lock()
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -50,6 +50,8 @@
 	// one turned out to be closed. Both are called only for requests with RecentContact. Nil means no call.
 	Unchecked     func(id endpoints.ID) bool
 	OnContactLost func(id endpoints.ID)
+	// OnOwnDelay is called for each SendError with OwnDelay. Nil means no call.
+	OnOwnDelay func()
 	// MaxBodyBytes is the maximum size of a response body.
 	MaxBodyBytes int64
 }
@@ -88,7 +90,7 @@
 		DisableCompression:     true, // the caller's Accept-Encoding is forwarded unchanged
 		MaxResponseHeaderBytes: cfg.MaxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			nc, err := p.dialer.DialContext(ctx, network, address)
+			nc, err := p.connect(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -32,8 +32,12 @@
 		return nil, sendError(false, err)
 	}
 	sentAt := time.Now()
-	cn, resp, err := p.roundTrip(ctx, e, req, c)
+	cn, resp, err := p.roundTrip(ctx, e, req, c, sentAt)
 	if err != nil {
+		var sendErr *executor.SendError
+		if p.cfg.OnOwnDelay != nil && errors.As(err, &sendErr) && sendErr.OwnDelay {
+			p.cfg.OnOwnDelay()
+		}
 		return nil, err
 	}
 	origin, err := p.attribute(cn, c, resp, sentAt)
@@ -77,14 +81,17 @@
 	return &executor.SendError{Written: written, Err: errtext.Bound(err)}
 }
 
-// sendError returns the SendError of a request that got no response on this connection.
-func (c *conn) sendError(err error) error {
-	return &executor.SendError{Written: c.guarded.requestWritten(), Partial: c.guarded.headerBegun(), Broken: true, Err: errtext.Bound(err)}
+// sendError returns the SendError of a request that was begun at start and got no response on this connection.
+func (c *conn) sendError(ctx context.Context, start time.Time, err error) error {
+	writtenAt, unseen := c.guarded.answerUnseen()
+	return &executor.SendError{Written: c.guarded.requestWritten(), Partial: c.guarded.headerBegun(), Broken: true, Err: errtext.Bound(err),
+		OwnDelay: isOwnDelay(ctx, start, writtenAt, unseen)}
 }
 
 // roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
 // before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn or the caller's key removed meanwhile.
-func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call) (_ *conn, _ *http.Response, err error) {
+func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call,
+	start time.Time) (_ *conn, _ *http.Response, err error) {
 	defer func() {
 		if err != nil {
 			closeBody(req) // net/http does not close it in all cases
@@ -101,7 +108,7 @@
 		}
 		cn.close()
 		if cn.guarded.requestWritten() || ctx.Err() != nil {
-			return nil, nil, cn.sendError(err)
+			return nil, nil, cn.sendError(ctx, start, err)
 		}
 		closed = true
 		closeBody(req)
@@ -110,9 +117,10 @@
 	if p.needsContact(e.ID, closed, c) {
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
+	dialedAt := time.Now()
 	cn, err = p.dial(ctx, e)
 	if err != nil {
-		return nil, nil, sendError(false, err)
+		return nil, nil, &executor.SendError{Err: errtext.Bound(err), OwnDelay: isOwnDelay(ctx, start, dialedAt, false)}
 	}
 	if p.withdrawn(e.ID) || c.IsRevoked() {
 		cn.close()
@@ -121,7 +129,7 @@
 	resp, err := cn.http.RoundTrip(req)
 	if err != nil {
 		cn.close()
-		return nil, nil, cn.sendError(err)
+		return nil, nil, cn.sendError(ctx, start, err)
 	}
 	return cn, resp, nil
 }
