forward: a host's own delay is no evidence against endpoints

A host that got no processor blamed its endpoints for timeouts: it suspected them (RecordUnreachable), took them for dropping requests, and held itself for cut off. Probes, sends and the silence of a service now leave out the timeouts that upstreamconn reports as own delay. Timeouts without a response, refused and broken connections count as before.

TestOwnDelayIsNoEvidence failed before and passes.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -321,7 +321,7 @@
 	load, err := f.cfg.Prober.ProbeLoad(ctx, e.Endpoint, path)
 	now := time.Now()
 	f.cfg.EndpointStats.EndProbe(e.ID, now)
-	if err != nil && !errors.Is(err, executor.ErrWithdrawn) && !f.cfg.Withdrawn(e.ID) && !f.cfg.EndpointStats.Rejecting(e.ID, now) {
+	if err != nil && !errors.Is(err, executor.ErrWithdrawn) && !isOwnDelay(err) && !f.cfg.Withdrawn(e.ID) && !f.cfg.EndpointStats.Rejecting(e.ID, now) {
 		f.cfg.EndpointStats.RecordUnreachable(e.ID, now)
 		f.recordUnanswered(e.Endpoint, err, now)
 	}
--- /dev/null
+++ b/internal/coordination/forward/owndelay_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+)
+
+// timedOut fails all probes and requests at their deadline.
+type timedOut struct{ ownDelay bool }
+
+func (p timedOut) ProbeLoad(ctx context.Context, _ endpoints.Endpoint, _ string) (placement.Load, error) {
+	<-ctx.Done()
+	return placement.Load{}, &executor.SendError{Written: true, Broken: true, OwnDelay: p.ownDelay, Err: ctx.Err()}
+}
+
+func (p timedOut) Send(ctx context.Context, _ endpoints.Endpoint, _ *executor.Call) (*executor.Response, error) {
+	<-ctx.Done()
+	return nil, &executor.SendError{Written: true, Broken: true, OwnDelay: p.ownDelay, Err: ctx.Err()}
+}
+
+// countedWays counts what is said of endpoints.
+type countedWays struct {
+	fakeHosts
+	unanswered int
+}
+
+func (c *countedWays) Unanswered(string, endpoints.ID, time.Time) { c.unanswered++ }
+
+// TestOwnDelayIsNoEvidence guards against endpoints that are suspected, or taken for dropping requests, and against a way that is taken for lost, because this
+// host got no processor to read what had arrived. Timeouts without a response remain evidence.
+func TestOwnDelayIsNoEvidence(t *testing.T) {
+	for _, ownDelay := range []bool{false, true} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeService(map[string]*fakeUpstream{"a": {}})
+			fw, ways := f.forwarder(largeBurst), &countedWays{}
+			fw.cfg.Prober, fw.cfg.Sender, fw.cfg.Detour = timedOut{ownDelay}, timedOut{ownDelay}, ways
+			_, err := fw.probe(*f.list[0], "/health")
+			is.True(errors.Is(err, context.DeadlineExceeded))
+			is.Equal(ways.unanswered == 0, ownDelay)
+			is.Equal(fw.cfg.EndpointStats.View(*f.list[0], time.Now()).Suspect, !ownDelay)
+			time.Sleep(time.Minute)
+
+			fw.cfg.Prober = f
+			is.Equal(fw.Run(t.Context(), request(false)).Outcome, TimedOut)
+			synctest.Wait() // a send records its end after its request has ended
+			is.Equal(fw.cfg.EndpointStats.DropsRequests("lotdesk", time.Now()), !ownDelay)
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -31,7 +31,7 @@
 		got.written = sendErr.Written
 	}
 	switch {
-	case got.err != nil && ctx.Err() != nil && (got.stalled(now) || sendErr != nil && sendErr.Partial):
+	case got.err != nil && ctx.Err() != nil && (got.stalled(now) || sendErr != nil && sendErr.Partial && !sendErr.OwnDelay):
 		f.cfg.EndpointStats.RecordEnd(v.ID, true, now)
 		f.reportCut(c, v.Name, &got, int64(len(got.body)), errStalled)
 	case got.err != nil && ctx.Err() != nil, errors.Is(got.err, executor.ErrWithdrawn):
@@ -82,6 +82,12 @@
 	return got
 }
 
+// isOwnDelay reports whether the time of a request to an endpoint passed because this host got no processor, so that the error says nothing about the endpoint.
+func isOwnDelay(err error) bool {
+	var sendErr *executor.SendError
+	return errors.As(err, &sendErr) && sendErr.OwnDelay
+}
+
 // LoadFromResponse returns the load that a response reports. Slots is 0 if it reports none.
 func LoadFromResponse(r *executor.Response) placement.Load {
 	l := placement.Load{Running: r.InFlight - r.Waiting, Waiting: r.Waiting, Slots: r.Slots, Slowness: r.Slowness}
--- a/internal/coordination/forward/silence.go
+++ b/internal/coordination/forward/silence.go
@@ -69,7 +69,7 @@
 	switch {
 	case got.err == nil && !got.resp.NotRun:
 		f.cfg.EndpointStats.RecordResponseTime(v.ID, took, expected, now)
-	case got.err != nil && got.written && errors.Is(ctx.Err(), context.DeadlineExceeded) && len(got.body) == 0 && errors.As(got.err, &sendErr) && !sendErr.Partial &&
+	case got.err != nil && got.written && errors.Is(ctx.Err(), context.DeadlineExceeded) && len(got.body) == 0 && errors.As(got.err, &sendErr) && !sendErr.Partial && !sendErr.OwnDelay &&
 		took > f.cfg.EndpointStats.SilentAfter(v.ID, expected, now):
 		f.cfg.EndpointStats.RecordUnanswered(v.Service, now)
 		f.reportSilence(Silence{RequestID: requestID, Service: v.Service, Endpoint: v.Name, AtDeadline: true, Elapsed: took, Expected: expected})
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -45,7 +45,7 @@
 func (g *Gateway) newHopPool() *upstreamconn.Pool {
 	cfg := upstreamconn.DefaultConfig()
 	cfg.Dialect, cfg.IdleTimeout, cfg.ConnectTimeout = hopDialect, upstreamIdleTimeout, upstreamConnectTimeout
-	cfg.MaxPerEndpoint = func(endpoints.Endpoint) int { return maxHopConnections }
+	cfg.MaxPerEndpoint, cfg.OnOwnDelay = func(endpoints.Endpoint) int { return maxHopConnections }, g.countOwnDelay
 	cfg.MaxHeaderBytes += hop.MaxHeaderBytes
 	return upstreamconn.NewPool(cfg)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,7 @@
 	poolConfig.Dialect, poolConfig.IdleTimeout, poolConfig.ConnectTimeout = a.Dialect, upstreamIdleTimeout, upstreamConnectTimeout
 	poolConfig.MaxPerEndpoint, poolConfig.SourceIP = g.maxConnections, s.upstreamSourceIP
 	poolConfig.OnResponse, poolConfig.Leaving = g.recordResponse, g.endpoints.Withdrawn
-	poolConfig.Unchecked, poolConfig.OnContactLost = g.unchecked, g.recordContactLost
+	poolConfig.Unchecked, poolConfig.OnContactLost, poolConfig.OnOwnDelay = g.unchecked, g.recordContactLost, g.countOwnDelay
 	poolConfig.Rejecting = func(id endpoints.ID) bool {
 		return g.endpointStats.AnyRejecting() && g.endpointStats.Rejecting(id, time.Now())
 	}
