forward: read answers to probes before the wait for them counts as over

On small hosts requests reported asked=14 unanswered=14 while other hosts were answered by the same endpoints: the wait of 12 ms passed while the host had no processor, and then one of two ready channels was taken at random, or the answers lay unread still.

Package lateness tells when a host's own timers are seen more than 5 ms late. Its Timer begins anew then, so that what has arrived is handled first; probes end by themselves, which bounds that. The loops of the gateway that sleep anyway record their lateness in the same Meter: no further wake-ups. Operators see host_late_ms_total, and msg=host_late if a host was late for a fifth of a second.

--- a/internal/coordination/forward/choose.go
+++ b/internal/coordination/forward/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -288,11 +289,12 @@
 	r.result.ProbesSent += probed
 	cfg := r.forwarder.cfg.EndpointStats.Config()
 	var answered []int
-	timer := time.NewTimer(firstProbeWait)
+	timer := lateness.NewTimer(r.forwarder.cfg.Lateness, firstProbeWait)
 	defer timer.Stop()
-	for n := range probed {
+	for n := 0; n < probed; {
 		select {
 		case got := <-results:
+			n++
 			if got.err != nil {
 				r.result.ProbesUnanswered++
 				continue
@@ -304,8 +306,10 @@
 			}
 			answered = append(answered, got.index)
 		case <-timer.C:
-			r.result.ProbesUnanswered += probed - n
-			return answered
+			if timer.Expired() {
+				r.result.ProbesUnanswered += probed - n
+				return answered
+			}
 		case <-ctx.Done():
 			return answered
 		}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/overload"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
@@ -54,6 +55,8 @@
 	CrashGuard CrashGuard
 	// Detour knows whether this host has lost its way to a service, and sends requests through other hosts. Nil means that there are no other hosts.
 	Detour Detour
+	// Lateness records when this host is late. Nil means that nothing is recorded.
+	Lateness *lateness.Meter
 	// ReserveMemory reserves memory for the bodies of answers, apart from small ones, and ReleaseMemory gives it back. Answers for which there is none are
 	// passed on while they are read. Nil means no limit.
 	ReserveMemory func(bytes int64) bool
--- a/internal/coordination/forward/owndelay_test.go
+++ b/internal/coordination/forward/owndelay_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/faketime"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -59,3 +60,49 @@
 		})
 	}
 }
+
+// lateContext keeps its user from running for a while before its first wait.
+type lateContext struct {
+	context.Context
+	late time.Duration
+}
+
+func (c *lateContext) Done() <-chan struct{} {
+	time.Sleep(c.late)
+	c.late = 0
+	return c.Context.Done()
+}
+
+// TestLateRequestSeesAnswers guards against requests that take probes for unanswered because they could not run until the wait for answers had passed: the
+// answers are there, or arrive as soon as this host reads them.
+func TestLateRequestSeesAnswers(t *testing.T) {
+	for _, probeDuration := range []time.Duration{2 * time.Millisecond, 104 * time.Millisecond} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			for range 20 {
+				f := newFakeService(map[string]*fakeUpstream{"a": {}, "b": {}, "c": {}})
+				fw := f.forwarder(largeBurst)
+				fw.cfg.Prober = slowProber{f, probeDuration}
+				fw.cfg.Lateness = &lateness.Meter{}
+				r := &activeRequest{forwarder: fw, call: request(true), result: &Result{}}
+				views := fw.cfg.EndpointStats.Sample("lotdesk", f.list, func(int) int { return 0 }, time.Now())
+				answered := r.probeRound(&lateContext{t.Context(), 100 * time.Millisecond}, views, []int{0, 1, 2})
+				is.Equal(len(answered), 3)
+				is.Equal(r.result.ProbesUnanswered, 0)
+				is.Equal(fw.cfg.Lateness.Total(), 100*time.Millisecond-firstProbeWait)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// slowProber takes longer for a probe.
+type slowProber struct {
+	*fakeService
+	duration time.Duration
+}
+
+func (p slowProber) ProbeLoad(ctx context.Context, e endpoints.Endpoint, path string) (placement.Load, error) {
+	time.Sleep(p.duration - 2*time.Millisecond)
+	return p.fakeService.ProbeLoad(ctx, e, path)
+}
--- /dev/null
+++ b/internal/coordination/lateness/timer.go
@@ -0,0 +1,55 @@
+package lateness
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep sleeps for the given time or until the context ends, and records how late it wakes up.
+func (m *Meter) Sleep(ctx context.Context, d time.Duration) {
+	due := time.Now().Add(d)
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		m.Observe(due, time.Now())
+	case <-ctx.Done():
+	}
+}
+
+// Timer is a timer whose expiry counts only if it is seen in time. It is not safe for concurrent use.
+type Timer struct {
+	C     <-chan time.Time
+	timer *time.Timer
+	meter *Meter
+	wait  time.Duration
+	due   time.Time
+}
+
+// NewTimer returns a timer that expires after wait. Stop has to be called when it is no longer needed.
+func NewTimer(meter *Meter, wait time.Duration) *Timer {
+	t := &Timer{timer: time.NewTimer(wait), meter: meter, wait: wait, due: time.Now().Add(wait)}
+	t.C = t.timer.C
+	return t
+}
+
+// Expired is to be called after each value from C. It reports whether the time has passed. If the host has seen that late, what it waits for may have arrived:
+// the timer then begins anew.
+func (t *Timer) Expired() bool {
+	if !t.meter.Observe(t.due, time.Now()) {
+		return true
+	}
+	t.Reset(t.wait)
+	return false
+}
+
+// Reset begins the timer anew with another time.
+func (t *Timer) Reset(wait time.Duration) {
+	now := time.Now()
+	t.meter.Observe(t.due, now)
+	t.wait, t.due = wait, now.Add(wait)
+	t.timer.Reset(wait)
+}
+
+// Stop stops the timer.
+func (t *Timer) Stop() { t.timer.Stop() }
--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -106,5 +106,6 @@
 	g.metrics.Gauge("waiting_requests", func() any { return g.waitingRequests() })
 	g.metrics.Gauge("buffered_answer_bytes", func() any { return g.forwarder.BufferedBytes() })
 	g.registerMemoryGauges()
+	g.metrics.Gauge("host_late_ms_total", func() any { return g.lateness.Total().Milliseconds() })
 	g.metrics.Gauge("log_lines_left_out_total", func() any { return g.log.Dropped() })
 }
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -223,7 +223,7 @@
 			g.checkEndpoints(service)
 		}
 		if g.ways.NeedsChecks() {
-			sleep(ctx, detour.CheckInterval/2)
+			g.lateness.Sleep(ctx, detour.CheckInterval/2)
 			continue
 		}
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/placement"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/quarantine"
@@ -78,6 +79,7 @@
 	crashGuard       *quarantine.Guard        // requests that end the endpoints which run them
 	pool             *upstreamconn.Pool
 	ways             *detour.Tracker    // this host's ways to the services' endpoints
+	lateness         lateness.Meter     // when this host had no processor for its timers
 	hopPool          *upstreamconn.Pool // connections to other hosts, for requests that take a detour
 	hops             *ingress.Server    // serves requests that other hosts got from their callers
 	checkWaysNow     chan struct{}      // has the ways checked that need it
@@ -176,7 +178,7 @@
 	g.forwarder = forward.New(forward.Config{Sender: g.pool, Prober: g.pool, EndpointStats: g.endpointStats, RepeatLimiter: repeatLimiter,
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
 		Withdrawn: g.endpoints.Withdrawn, OrderByValue: g.ordersByValue, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
-		OnCut: g.reportCut, OnSilence: g.reportSilence})
+		OnCut: g.reportCut, OnSilence: g.reportSilence, Lateness: &g.lateness})
 	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), PipelinedPerS: s.Cores * pipelinedPerCoreS,
 		OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
@@ -363,13 +365,14 @@
 // endpoints, old encoded states and hosts that have been silent for too long.
 func (g *Gateway) sweep(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		sleep(ctx, sweepInterval/4)
+		g.lateness.Sleep(ctx, sweepInterval/4)
 		now := time.Now()
 		for _, c := range g.endpoints.Expire(now) {
 			g.logEndpointChange(c, sourceStore)
 		}
 		g.coordinateLimits(now)
 		if n%4 == 0 {
+			g.reportLateness(now)
 			g.pool.CloseIdle(now)
 			g.hopPool.CloseIdle(now)
 			g.ways.Evict(now)
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -21,7 +21,7 @@
 		g.storeLost.Store(g.follower.StoreLost())
 		g.updateStatus()
 		g.sendHeartbeat()
-		sleep(ctx, minHeartbeatInterval)
+		g.lateness.Sleep(ctx, minHeartbeatInterval)
 		due := time.NewTimer(schedule.untilNext(g.peers.HeartbeatInterval(), time.Now()))
 		select {
 		case <-due.C:
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -95,7 +95,7 @@
 			g.updateStatus()
 			g.requestHeartbeat()
 		}
-		sleep(ctx, next)
+		g.lateness.Sleep(ctx, next)
 	}
 }
 
