detour: time in which the host was late is no silence of the endpoints

A way counted as lost once no endpoint had answered for 100 ms and three had failed, also if the host had no processor for most of that time, so that answers lay unread. Up to 100 ms in which its own timers were late no longer count. A host that is cut off and not late finds out at the same time as before, one that is always late 100 ms later. msg=way tells the lateness since the last answer in own_delay_ms.

TestLateHostWaitsForAnswers failed before and passes; the other tests of the package are unchanged.

--- a/internal/coordination/detour/detour_test.go
+++ b/internal/coordination/detour/detour_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	_ "github.com/arbutusspan/arbutusspan/internal/fixedseed"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -276,3 +277,22 @@
 		})
 	}
 }
+
+// TestLateHostWaitsForAnswers guards against a host that holds itself for cut off because it could not read answers in the time without any, and against one that
+// never finds out because it is always late.
+func TestLateHostWaitsForAnswers(t *testing.T) {
+	is := is.New(t)
+	tracker, changes := newTracker(8)
+	var late lateness.Meter
+	tracker.cfg.Lateness = &late
+	tracker.Answered(service, endpoint(0), start)
+	now := start.Add(minSilence + 10*time.Millisecond)
+	late.Observe(start.Add(20*time.Millisecond), now)
+	tracker.silence(0, 3, now)
+	is.Equal(tracker.State(service), Reached)
+	now = start.Add(2 * minSilence)
+	late.Observe(start.Add(20*time.Millisecond), now)
+	tracker.silence(0, 1, now)
+	is.Equal(tracker.State(service), Silent)
+	is.Equal((*changes)[0].OwnDelay, 2*minSilence-20*time.Millisecond)
+}
--- a/internal/coordination/detour/reach.go
+++ b/internal/coordination/detour/reach.go
@@ -13,6 +13,7 @@
 
 	"github.com/looplab/fsm"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
@@ -90,6 +91,7 @@
 	FailedEndpoints int           // endpoints at which they occurred
 	Witness         string        // host that was answered meanwhile; empty if there is none
 	WitnessAge      time.Duration // age of its answer
+	OwnDelay        time.Duration // for how long this host itself was late since the last answer of an endpoint
 }
 
 // Config holds what a Tracker needs of the host.
@@ -98,6 +100,8 @@
 	Host, Zone string
 	// Endpoints returns the number of known endpoints of a service.
 	Endpoints func(service string) int
+	// Lateness records when this host was late; nil if that is not known.
+	Lateness *lateness.Meter
 	// OnChange is called for each change of the belief about a service, without locks.
 	OnChange func(Change)
 	// OnUrgent is called when other hosts should be asked, or answered, at once.
@@ -171,9 +175,13 @@
 
 func (w *way) lost() bool { s := w.machine.Current(); return s == Silent || s == Cut }
 
-// unanswered reports whether enough endpoints of a service have failed to answer, for long enough, since the last answer of any. t.mu must be held.
+// unanswered reports whether enough endpoints of a service have failed to answer, for long enough, since the last answer of any. Time in which this host was
+// late does not count, up to minSilence: answers may lie unread. t.mu must be held.
 func (t *Tracker) unanswered(w *way, now time.Time) bool {
-	return len(w.failed) >= min(minFailedEndpoints, max(1, t.cfg.Endpoints(w.service))) && now.Sub(w.answeredAt) >= minSilence
+	if len(w.failed) < min(minFailedEndpoints, max(1, t.cfg.Endpoints(w.service))) || now.Sub(w.answeredAt) < minSilence {
+		return false
+	}
+	return now.Sub(w.answeredAt)-min(minSilence, t.cfg.Lateness.Between(w.answeredAt, now)) >= minSilence
 }
 
 // judge checks whether the way to a service is lost. t.mu must be held.
@@ -209,6 +217,7 @@
 	if !w.answeredAt.IsZero() {
 		c.SinceAnswer = now.Sub(w.answeredAt)
 	}
+	c.OwnDelay = t.cfg.Lateness.Between(w.answeredAt, now)
 	if witness.host != "" {
 		c.WitnessAge = now.Sub(witness.at)
 	}
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -37,7 +37,7 @@
 
 // newTracker returns the tracker of this host's ways to the endpoints.
 func (g *Gateway) newTracker() *detour.Tracker {
-	return detour.NewTracker(detour.Config{Host: g.settings.Host, Zone: g.settings.Zone, OnChange: g.reportWay, OnUrgent: g.requestHeartbeat,
+	return detour.NewTracker(detour.Config{Host: g.settings.Host, Zone: g.settings.Zone, OnChange: g.reportWay, OnUrgent: g.requestHeartbeat, Lateness: &g.lateness,
 		Endpoints: func(service string) int { return len(g.endpoints.Snapshot().Services[service]) }, Random: rand.Float64, RandomIndex: rand.IntN})
 }
 
@@ -204,7 +204,7 @@
 func (g *Gateway) reportWay(c detour.Change) {
 	g.metrics.Add("ways_"+c.State+"_total", 1)
 	g.log.Info("way", "service", c.Service, "state", c.State, "was", c.Was, "held_ms", ms(c.Held), "answered_ago_ms", ms(c.SinceAnswer), "failures", c.Failures,
-		"endpoints", c.FailedEndpoints, "witness", c.Witness, "witness_age_ms", ms(c.WitnessAge))
+		"endpoints", c.FailedEndpoints, "witness", c.Witness, "witness_age_ms", ms(c.WitnessAge), "own_delay_ms", ms(c.OwnDelay))
 	if c.State == detour.Cut {
 		g.forwarder.WakeAll(c.Service)
 	}
