--- a/internal/coordination/detour/detour_test.go
+++ b/internal/coordination/detour/detour_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	_ "github.com/arbutusspan/arbutusspan/internal/fixedseed"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
@@ -247,3 +248,51 @@
 	is.True(answered(time.Hour).Check() != nil)
 	is.True((&Report{Lost: make([]string, maxServices+1)}).Check() != nil)
 }
+
+// TestAnswerWhileSilentIsNoCut guards against a host that holds itself for cut off right after an endpoint has answered it, because another host was answered too.
+func TestAnswerWhileSilentIsNoCut(t *testing.T) {
+	for name, witnessed := range map[string]func(*Tracker, time.Time){
+		"by the next request": func(t *Tracker, now time.Time) { t.reports["a-1"].answered[service] = now },
+		"by a message":        func(t *Tracker, now time.Time) { t.HandleReport(peer(1, "a"), true, answered(0), now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracker, _ := newTracker(8)
+			tracker.HandleReport(peer(1, "a"), true, &Report{}, start)
+			tracker.silence(0, 3, start)
+			is.Equal(tracker.State(service), Silent)
+			tracker.Answered(service, endpoint(4), start.Add(45*time.Millisecond))
+			now := start.Add(53 * time.Millisecond)
+			witnessed(tracker, now)
+			is.Equal(tracker.Decide(service, true, now), Direct)
+			is.Equal(tracker.State(service), Silent)
+			now = start.Add(refuseAfter + time.Second)
+			tracker.Answered(service, endpoint(4), now)
+			is.Equal(tracker.Decide(service, true, now), Direct) // the endpoint is there
+			tracker.silence(0, 3, now.Add(10*time.Millisecond))
+			tracker.silence(0, 1, now.Add(minSilence+10*time.Millisecond))
+			witnessed(tracker, now.Add(minSilence+20*time.Millisecond))
+			is.Equal(tracker.Decide(service, true, now.Add(minSilence+20*time.Millisecond)), Through) // lost again
+			is.Equal(tracker.State(service), Cut)
+		})
+	}
+}
+
+// TestLateHostWaitsForAnswers guards against a host that holds itself for cut off because it could not read answers in the time without any, and against one that
+// never finds out because it is always late.
+func TestLateHostWaitsForAnswers(t *testing.T) {
+	is := is.New(t)
+	tracker, changes := newTracker(8)
+	var late lateness.Meter
+	tracker.cfg.Lateness = &late
+	tracker.Answered(service, endpoint(0), start)
+	now := start.Add(minSilence + 10*time.Millisecond)
+	late.Observe(start.Add(20*time.Millisecond), now)
+	tracker.silence(0, 3, now)
+	is.Equal(tracker.State(service), Reached)
+	now = start.Add(2 * minSilence)
+	late.Observe(start.Add(20*time.Millisecond), now)
+	tracker.silence(0, 1, now)
+	is.Equal(tracker.State(service), Silent)
+	is.Equal((*changes)[0].OwnDelay, 2*minSilence-20*time.Millisecond)
+}
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -37,7 +37,7 @@
 
 // newTracker returns the tracker of this host's ways to the endpoints.
 func (g *Gateway) newTracker() *detour.Tracker {
-	return detour.NewTracker(detour.Config{Host: g.settings.Host, Zone: g.settings.Zone, OnChange: g.reportWay, OnUrgent: g.requestHeartbeat,
+	return detour.NewTracker(detour.Config{Host: g.settings.Host, Zone: g.settings.Zone, OnChange: g.reportWay, OnUrgent: g.requestHeartbeat, Lateness: &g.lateness,
 		Endpoints: func(service string) int { return len(g.endpoints.Snapshot().Services[service]) }, Random: rand.Float64, RandomIndex: rand.IntN})
 }
 
@@ -45,7 +45,7 @@
 func (g *Gateway) newHopPool() *upstreamconn.Pool {
 	cfg := upstreamconn.DefaultConfig()
 	cfg.Dialect, cfg.IdleTimeout, cfg.ConnectTimeout = hopDialect, upstreamIdleTimeout, upstreamConnectTimeout
-	cfg.MaxPerEndpoint = func(endpoints.Endpoint) int { return maxHopConnections }
+	cfg.MaxPerEndpoint, cfg.OnOwnDelay = func(endpoints.Endpoint) int { return maxHopConnections }, g.countOwnDelay
 	cfg.MaxHeaderBytes += hop.MaxHeaderBytes
 	return upstreamconn.NewPool(cfg)
 }
@@ -204,7 +204,7 @@
 func (g *Gateway) reportWay(c detour.Change) {
 	g.metrics.Add("ways_"+c.State+"_total", 1)
 	g.log.Info("way", "service", c.Service, "state", c.State, "was", c.Was, "held_ms", ms(c.Held), "answered_ago_ms", ms(c.SinceAnswer), "failures", c.Failures,
-		"endpoints", c.FailedEndpoints, "witness", c.Witness, "witness_age_ms", ms(c.WitnessAge))
+		"endpoints", c.FailedEndpoints, "witness", c.Witness, "witness_age_ms", ms(c.WitnessAge), "own_delay_ms", ms(c.OwnDelay))
 	if c.State == detour.Cut {
 		g.forwarder.WakeAll(c.Service)
 	}
@@ -223,7 +223,7 @@
 			g.checkEndpoints(service)
 		}
 		if g.ways.NeedsChecks() {
-			sleep(ctx, detour.CheckInterval/2)
+			g.lateness.Sleep(ctx, detour.CheckInterval/2)
 			continue
 		}
 		select {
