sockbuf: read without waiting, room to write, accept queue

Take reads what lies in a connection's receive buffer whatever its deadline is. Writable, Waiting and Unacknowledged ask the kernel for the send buffer and the accept queue. x/sys was an indirect dependency already; poll is not in package syscall.

--- a/internal/transport/sockbuf/sockbuf.go
+++ b/internal/transport/sockbuf/sockbuf.go
@@ -1,4 +1,4 @@
-// Package sockbuf tells what lies in the kernel's buffers of a connection. A process that gets a processor late must not take what it has not read yet
+// Package sockbuf tells what lies in the kernel's buffers of a connection or listener. A process that gets a processor late must not take what it has not read yet
 // for something that has not arrived.
 package sockbuf
 
@@ -6,6 +6,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Unread is what lies unread in the kernel's receive buffer of a connection.
@@ -19,36 +21,90 @@
 	EOF                   // the peer has closed its side, and all bytes before that are read
 )
 
+// Buffered may be implemented by connections that are none of the operating system's and have a receive buffer.
+type Buffered interface {
+	Received() Unread
+	Take(b []byte) (n int)
+}
+
 // Received returns what lies unread in the receive buffer. It does not block, and takes no notice of deadlines.
 func Received(c net.Conn) Unread {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return Unknown
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return Unknown
+	if b, ok := c.(Buffered); ok {
+		return b.Received()
 	}
-	state := Unknown
 	var first [1]byte
-	err = raw.Control(func(fd uintptr) {
+	state, _ := receive(c, first[:], syscall.MSG_PEEK)
+	return state
+}
+
+// Take reads bytes that lie in the receive buffer. It does not block, and takes no notice of deadlines. n is 0 if there are none.
+func Take(c net.Conn, b []byte) (n int) {
+	if buffered, ok := c.(Buffered); ok {
+		return buffered.Take(b)
+	}
+	_, n = receive(c, b, 0)
+	return n
+}
+
+func receive(c net.Conn, b []byte, flags int) (state Unread, n int) {
+	control(c, func(fd int) {
 		for {
-			n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			got, _, err := syscall.Recvfrom(fd, b, flags|syscall.MSG_DONTWAIT)
 			switch {
 			case errors.Is(err, syscall.EINTR):
 				continue
 			case errors.Is(err, syscall.EAGAIN):
 				state = Empty
-			case err == nil && n > 0:
-				state = Bytes
+			case err == nil && got > 0:
+				state, n = Bytes, got
 			case err == nil:
 				state = EOF
 			}
 			return
 		}
 	})
-	if err != nil {
-		return Unknown
+	return state, n
+}
+
+// Writable reports whether the send buffer has room for a write that waits for it. It takes no notice of deadlines.
+func Writable(c net.Conn) bool { return ready(c, unix.POLLOUT) }
+
+// Waiting reports whether a connection lies in the listener's accept queue.
+func Waiting(l net.Listener) bool {
+	if q, ok := l.(interface{ Waiting() bool }); ok {
+		return q.Waiting()
+	}
+	return ready(l, unix.POLLIN)
+}
+
+// Unacknowledged reports whether the peer's system has not acknowledged all that was written.
+func Unacknowledged(c net.Conn) (left bool) {
+	control(c, func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		left = err == nil && n > 0
+	})
+	return left
+}
+
+func ready(c any, events int16) (is bool) {
+	control(c, func(fd int) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		n, err := unix.Poll(polled, 0)
+		for errors.Is(err, syscall.EINTR) {
+			n, err = unix.Poll(polled, 0)
+		}
+		is = err == nil && n == 1 && polled[0].Revents&events != 0
+	})
+	return is
+}
+
+// control calls f with the descriptor of a connection or listener. It does not if there is none, or if it is closed.
+func control(c any, f func(fd int)) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := s.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // an error means that it is closed
 	}
-	return state
 }
