ingress: the reader decides whether a connection ends, by what has arrived

What callers saw: a whole request got neither a response nor a refusal, and the connection ended. On a host without a free processor the request lay in the kernel's receive buffer while the connection was closed as silent, idle or stuck to make room for another, by the idle timeout, or by a planned stop; a header or body whose rest had arrived was refused with 408, or with 503 as stalled.

Cause: these decisions went by what the process had noticed. An eviction was decided by the accepting goroutine from times noted by the reader, and carried out without the connection's lock. The idle timeout and the stop read with a deadline of 0.1 s, and a read whose deadline has passed fails without a look at the buffer, so 0.1 s without a processor was enough.

Change: only the goroutine that reads a connection ends its reading, under the connection's lock, after it has looked at the kernel's buffer. Others ask it through a flag and the read deadline. An evicted connection with a part of a request is refused with 503 ("not run") in place of a cut. The number of connections that were asked and have not closed yet is bounded: maxConns plus twice the spare ones.

--- a/internal/transport/ingress/arriving.go
+++ b/internal/transport/ingress/arriving.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 const (
@@ -28,7 +29,6 @@
 	mu      sync.Mutex
 	kind    membudget.Kind
 	pieceAt time.Time // when its latest piece was begun
-	evicted bool
 	done    bool
 	freed   chan struct{} // closed when it is no longer being read
 }
@@ -78,34 +78,36 @@
 // beginPiece sets the time within which the next piece has to arrive.
 func (b *arrivingBody) beginPiece(c *conn) {
 	now := time.Now()
-	if b == nil {
-		c.netConn.SetReadDeadline(now.Add(bodyTimeout))
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.pieceAt = now
-	if !b.evicted {
-		c.netConn.SetReadDeadline(now.Add(bodyTimeout))
+	if b != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.pieceAt = now
 	}
+	c.setReadDeadline(now.Add(bodyTimeout))
 }
 
-func (b *arrivingBody) wasEvicted() bool {
-	if b == nil {
-		return false
-	}
+// stalls reports whether no piece of the body has arrived lately. One that lies in the kernel's buffer has arrived.
+func (b *arrivingBody) stalls(k membudget.Kind, now time.Time) (stalls bool, since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.evicted
+	if b.kind != k || now.Sub(b.pieceAt) < stalledBodyTime || b.conn.isEvicting() {
+		return false, time.Time{}
+	}
+	if sockbuf.Received(b.conn.netConn) == sockbuf.Bytes {
+		b.pieceAt = now
+		return false, time.Time{}
+	}
+	return true, b.pieceAt
 }
 
-// evict has the reader of the body give up.
-func (b *arrivingBody) evict() {
+// evict asks the reader of the body to give up. settled is closed if it does not, since more of the body has arrived.
+func (b *arrivingBody) evict() (settled <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.evicted = true; !b.done {
-		b.conn.netConn.SetReadDeadline(time.Now())
+	if b.done {
+		return nil
 	}
+	return b.conn.evictBody()
 }
 
 // stalled returns the body of the kind that is evicted first, or nil: of those that are stalled, one of the address that holds most, and of these the one
@@ -117,10 +119,8 @@
 	var bestHeld int64
 	var bestAt time.Time
 	for b := range a.set {
-		b.mu.Lock()
-		candidate, at := b.kind == k && !b.evicted && now.Sub(b.pieceAt) >= stalledBodyTime, b.pieceAt
-		b.mu.Unlock()
-		if !candidate {
+		stalls, at := b.stalls(k, now)
+		if !stalls {
 			continue
 		}
 		held := memory.UsedBy(k, b.address)
@@ -150,18 +150,18 @@
 			p.refuse(http.StatusServiceUnavailable, noBodyMemory)
 			return false
 		}
-		p.server.evictBody(victim)
+		victim.awaitEviction()
 	}
 }
 
-// evictBody evicts a body and waits until its memory is free.
-func (s *Server) evictBody(b *arrivingBody) {
-	b.evict()
-	s.reportEvicted(b.conn, EvictedBody)
+// awaitEviction evicts a body and waits until its memory is free, or more of it has arrived.
+func (b *arrivingBody) awaitEviction() {
+	settled := b.evict()
 	timer := time.NewTimer(evictionTimeout)
 	defer timer.Stop()
 	select {
 	case <-b.freed:
+	case <-settled:
 	case <-timer.C:
 	}
 }
--- a/internal/transport/ingress/closing.go
+++ b/internal/transport/ingress/closing.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/textproto"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 // CloseReason says why the server read no further request from a connection.
@@ -19,7 +21,7 @@
 const (
 	CloseCallerLeft CloseReason = "caller_left" // the caller closed it, or it broke
 	CloseIdle       CloseReason = "idle"        // no request arrived within the idle timeout
-	CloseStopped    CloseReason = "stopped"     // the server stops, or the connection was idle and made room for others
+	CloseStopped    CloseReason = "stopped"     // the server stops
 	CloseResponse   CloseReason = "response"    // a response said that the connection closes after it
 	CloseRequest    CloseReason = "request"     // a request could not be read, or was the last one by its header
 	CloseEvicted    CloseReason = "evicted"     // it made room for others
@@ -54,6 +56,52 @@
 	c.setCloseReason(r)
 }
 
+// linger reads and discards what the caller still sends: unread bytes would make the kernel reset the connection, and the caller could
+// lose the last response. It cancels the handlers when the caller disconnects.
+func (c *conn) linger(br *bufio.Reader) {
+	c.closeIfFinished()
+	c.mu.Lock()
+	c.setReadDeadlineLocked(c.lingerUntil)
+	c.mu.Unlock()
+	if c.discard(br, maxLingerBytes) == maxLingerBytes {
+		<-c.ctx.Done() // the end of the time to read the response, or of the connection
+	}
+	c.cancel(ErrCallerLeft)
+}
+
+// closeIfFinished closes the write side of the connection if no further request is read and all are answered. The reader goes on until the
+// caller closes its side, at most for lingerTimeout. A connection that makes room for others is closed at once.
+func (c *conn) closeIfFinished() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingerUntil.IsZero() || !c.lastRead || c.pending > 0 {
+		return
+	}
+	c.lingerUntil = time.Now().Add(lingerTimeout)
+	if c.closesAtOnce() {
+		c.abort(ErrEvicted)
+		return
+	}
+	c.setReadDeadlineLocked(c.lingerUntil)
+	time.AfterFunc(lingerTimeout, func() { c.abort(ErrCallerLeft) })
+	if closer, ok := c.netConn.(interface{ CloseWrite() error }); ok {
+		// An error means that the connection is already closed.
+		_ = closer.CloseWrite()
+	}
+}
+
+// closesAtOnce reports whether the connection makes room for another and its last response, if there is one, has been delivered. The refusal of a request
+// that did not arrive whole is sent, but not waited for.
+func (c *conn) closesAtOnce() bool {
+	switch c.evicted {
+	case notEvicted, EvictedBody:
+		return false
+	case EvictedIdle:
+		return !sockbuf.Unacknowledged(c.netConn)
+	}
+	return true
+}
+
 // discard reads and discards up to limit bytes. It keeps the first ones for the report.
 func (c *conn) discard(br *bufio.Reader, limit int64) (n int64) {
 	var kept bytes.Buffer
--- /dev/null
+++ b/internal/transport/ingress/evict_test.go
@@ -0,0 +1,155 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+)
+
+// occupyProcessors keeps all processors busy until the function that it returns is called.
+func occupyProcessors() (end func()) {
+	var done atomic.Bool
+	var group sync.WaitGroup
+	for range 2 * runtime.GOMAXPROCS(0) {
+		group.Go(func() {
+			for !done.Load() {
+			}
+		})
+	}
+	return func() {
+		done.Store(true)
+		group.Wait()
+	}
+}
+
+// TestWholeRequestsOutliveNewConnections guards against requests without a response on a host without a free processor: they lay in the kernel's buffers
+// when their connections were closed as silent ones, to make room for others.
+func TestWholeRequestsOutliveNewConnections(t *testing.T) {
+	const rounds, most = 3, 16
+	for range rounds {
+		is := is.New(t)
+		_, dial := memoryServer(t, &sumHandler{}, Config{MaxConnections: most})
+		var conns []net.Conn
+		for range most {
+			conns = append(conns, dial())
+		}
+		time.Sleep(newConnTime + 100*time.Millisecond)
+		release := occupyProcessors()
+		for _, c := range conns {
+			_, err := io.WriteString(c, get("/"))
+			is.NoErr(err)
+		}
+		for range minSpare {
+			dial()
+		}
+		lost := 0
+		for _, c := range conns {
+			is.NoErr(c.SetReadDeadline(time.Now().Add(time.Minute)))
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+				t.Log(resp, err)
+				lost++
+			}
+		}
+		release()
+		is.Equal(lost, 0)
+	}
+}
+
+// TestArrivedRequestOutlivesEviction guards against connections that are closed to make room for others although a request had arrived when they were: the
+// goroutine that reads it was not asked.
+func TestArrivedRequestOutlivesEviction(t *testing.T) {
+	const whole = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	for _, c := range []struct {
+		name, before string
+		sent         int // bytes of the request before the eviction
+		wait         time.Duration
+	}{
+		{"new", "", 0, newConnTime},
+		{"new with a part of the head", "", 20, newConnTime},
+		{"idle", get("/"), 0, idleConnTime},
+		{"stuck in the body", get("/"), len(whole) - 2, stuckTime},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			limits := routing.DefaultLimits
+			limits.HeaderTimeout = time.Minute
+			s, starved, dial := starvedServer(t, Config{Handler: &sumHandler{}, MaxConnections: 1, Limits: func() routing.Limits { return limits }})
+			nc := dial()
+			br := bufio.NewReader(nc)
+			if c.before != "" {
+				send(t, nc, c.before)
+				answer(t, br)
+			}
+			send(t, nc, whole[:c.sent])
+			time.Sleep(c.wait + 100*time.Millisecond)
+			starved.held.Store(true)
+			dial()
+			starved.arrive(t, nc, whole[c.sent:])
+			resp, _ := answer(t, br)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.True(s.Connections() >= 1)
+		})
+	}
+}
+
+// TestEvictedPartIsRefused guards against requests that are cut without a word when their connection makes room for others.
+func TestEvictedPartIsRefused(t *testing.T) {
+	is := is.New(t)
+	evicted := make(chan Eviction, 1)
+	s, _, dial := starvedServer(t, Config{Handler: &sumHandler{}, MaxConnections: 1, OnEvicted: func(_ net.Addr, e Eviction) { evicted <- e }})
+	nc := dial()
+	send(t, nc, get("/")[:10])
+	time.Sleep(newConnTime + 100*time.Millisecond)
+	is.Equal(request(dial(), get("/")), http.StatusOK)
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Close)
+	is.Equal(<-evicted, EvictedNew)
+	waitFor(func() bool { return s.Connections() == 1 })
+}
+
+// TestArrivedBodyOutlivesEviction guards against bodies that count as stalled although the rest of them lies in the kernel's buffer.
+func TestArrivedBodyOutlivesEviction(t *testing.T) {
+	const size = 100
+	for _, late := range []bool{false, true} { // whether the rest arrives only once the body is asked to make room
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			_, starved, dial := starvedServer(t, Config{Handler: &sumHandler{}, MaxConnections: 8, Memory: bodyMemory(size)})
+			nc := dial()
+			send(t, nc, post(size)+strings.Repeat("x", size-1))
+			time.Sleep(stalledBodyTime + 100*time.Millisecond)
+			other := make(chan int, 1)
+			starved.held.Store(true)
+			go func() { other <- request(dial(), post(size)+strings.Repeat("x", size)) }()
+			if late {
+				starved.arrive(t, nc, "x")
+			} else {
+				<-starved.woken
+				close(starved.release)
+			}
+			resp, _ := answer(t, bufio.NewReader(nc))
+			if late {
+				is.Equal(resp.StatusCode, http.StatusOK)
+				<-other
+			} else { // a body that does stall still makes room
+				is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+				is.Equal(<-other, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -115,8 +115,7 @@
 	// bodyTimeout is the time in which each maxReadBytes of the body of a request must arrive.
 	bodyTimeout  = 15 * time.Second
 	maxReadBytes = 64 << 10
-	// arrivedTimeout is how long the server reads from a connection, or accepts connections, to find out whether something had arrived before
-	// it closes. This takes no time, but a busy process may get a processor late.
+	// arrivedTimeout is how long the server accepts connections, to find out whether some had arrived before it stops.
 	arrivedTimeout = 100 * time.Millisecond
 	// cutTimeout is the time that callers get for reading their last responses when the time for stopping is over.
 	cutTimeout = 200 * time.Millisecond
--- a/internal/transport/ingress/overload.go
+++ b/internal/transport/ingress/overload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 const (
@@ -36,7 +37,8 @@
 // Eviction says why a connection or request made room for others.
 type Eviction string
 
-// Evictions, in the order of preference. No request is lost by one: it was not complete, its response could not be written, or there was none.
+// Evictions, in the order of preference. No request is lost by one: it was not complete, its response could not be written, or there was none. The goroutine
+// that reads the connection decides so after it has looked at what has arrived.
 const (
 	EvictedNew    Eviction = "new"    // a new connection without a complete request
 	EvictedUnread Eviction = "unread" // the caller does not read its response
@@ -130,42 +132,43 @@
 	}
 }
 
-// eviction says whether the connection may be closed in favour of a new one, and for how long it has made no progress.
+// eviction says whether the connection may be closed in favour of a new one, and for how long it has made no progress. c.mu must be held.
 func (c *conn) eviction(now time.Time) (Eviction, time.Duration) {
-	c.mu.Lock()
-	pending, waiting, closing := c.pending, c.waiting, c.stopping || c.lastRead
-	c.mu.Unlock()
+	if unwritten := c.unwrittenFor(now); unwritten > unreadTime {
+		return EvictedUnread, unwritten
+	}
 	since := now.Sub(time.Unix(0, c.activity.progressAt.Load()))
-	unwritten := c.unwrittenFor(now)
+	why := notEvicted
 	switch {
-	case unwritten > unreadTime:
-		return EvictedUnread, unwritten
-	case closing || pending > 0:
+	case c.stopping || c.lastRead || c.pending > 0 || c.evicting != notEvicted:
+	case c.activity.requests.Load() == 0 && c.openFor(now) > newConnTime && (c.waiting || since > newConnTime):
+		why = EvictedNew
+	case !c.waiting && since > stuckTime:
+		why = EvictedStuck
+	case c.waiting && since > idleConnTime:
+		why = EvictedIdle
+	}
+	if why != notEvicted && sockbuf.Received(c.netConn) == sockbuf.Bytes {
+		c.progress() // the reader has not got a processor yet
 		return notEvicted, 0
-	case c.activity.requests.Load() == 0 && c.openFor(now) > newConnTime && (waiting || since > newConnTime):
-		return EvictedNew, since
-	case !waiting && since > stuckTime:
-		return EvictedStuck, since
-	case waiting && since > idleConnTime:
-		return EvictedIdle, since
 	}
-	return notEvicted, 0
+	return why, since
 }
 
 func (c *conn) openFor(now time.Time) time.Duration { return now.Sub(c.openedAt) }
 
-// admit adds a connection. If there are too many, another one makes room for it, or its request is refused. It returns false if the connection must be
-// closed, since there are too many to tell their callers.
+// admit adds a connection. If there are too many, another one is asked to make room for it, or its request is refused. It returns false if the connection
+// must be closed, since there are too many to tell their callers.
 func (s *Server) admit(c *conn) bool {
 	now := time.Now()
 	s.mu.Lock()
 	var victim *conn
-	why := notEvicted
 	if n := len(s.conns); n >= s.maxConns {
-		if n >= s.maxConns+max(minSpare, int(float64(s.maxConns)*spareFraction)) {
-			why = Rejected
+		spare := max(minSpare, int(float64(s.maxConns)*spareFraction))
+		if n < s.maxConns+2*spare { // with those that were asked and have not closed yet
+			victim, _ = s.victimLocked(now)
 		}
-		if victim, _ = s.victimLocked(now); victim == nil && why == Rejected {
+		if victim == nil && n >= s.maxConns+spare {
 			s.mu.Unlock()
 			s.reportEvicted(c, Rejected)
 			return false
@@ -186,12 +189,16 @@
 	return true
 }
 
+const tooManyConnections = "this host has too many connections"
+
 // victimLocked returns the connection of a random sample that makes room for a new one, or nil.
 func (s *Server) victimLocked(now time.Time) (best *conn, why Eviction) {
 	var longest time.Duration
 	sampled := 0
 	for c := range s.conns { // in random order
+		c.mu.Lock()
 		e, since := c.eviction(now)
+		c.mu.Unlock()
 		if rank[e] > rank[why] || e == why && e != notEvicted && since > longest {
 			best, why, longest = c, e, since
 		}
@@ -202,18 +209,54 @@
 	return best, why
 }
 
-// evict closes a connection. An idle one is closed as by a planned stop, so that a request that arrives at this moment is answered.
+// evict asks the reader of a connection to end it, or ends it if the caller does not read its response.
 func (s *Server) evict(c *conn, now time.Time) {
+	c.mu.Lock()
 	why, _ := c.eviction(now)
-	switch why {
-	case notEvicted:
-		return // it has made progress meanwhile
-	case EvictedIdle:
-		c.stop()
-	default:
+	if why != notEvicted && why != EvictedUnread {
+		c.evicting = why
+		c.wakeReader()
+	}
+	c.mu.Unlock()
+	if why == EvictedUnread {
 		c.abort(ErrEvicted)
+		s.reportEvicted(c, why)
+	}
+}
+
+// evictBody asks the reader to refuse the request whose body it reads. settled is closed if it does not.
+func (c *conn) evictBody() (settled <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicting == notEvicted {
+		c.evicting, c.settled = EvictedBody, make(chan struct{})
+		c.wakeReader()
+	}
+	return c.settled
+}
+
+func (c *conn) isEvicting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicting != notEvicted
+}
+
+// endEvicted records that the reader does what it was asked for, if it was: nothing more has arrived.
+func (c *conn) endEvicted() Eviction {
+	c.mu.Lock()
+	why := c.evicting
+	c.evicting = notEvicted
+	if why != notEvicted {
+		c.evicted = why
+		if why != EvictedBody {
+			c.setCloseReason(CloseEvicted)
+		}
+	}
+	c.mu.Unlock()
+	if why != notEvicted {
+		c.server.reportEvicted(c, why)
 	}
-	s.reportEvicted(c, why)
+	return why
 }
 
 // remove removes a connection that is closed.
--- a/internal/transport/ingress/parse.go
+++ b/internal/transport/ingress/parse.go
@@ -42,6 +42,22 @@
 	}
 }
 
+// refuseLate refuses a request of which a part did not arrive in time, or before the connection was asked to make room for others.
+func (p *parser) refuseLate(detail string) {
+	evicted := notEvicted
+	if p.conn != nil {
+		evicted = p.conn.endEvicted()
+	}
+	switch evicted {
+	case notEvicted:
+		p.refuse(http.StatusRequestTimeout, detail)
+	case EvictedBody:
+		p.refuse(http.StatusServiceUnavailable, "the body arrived slowly, and others needed its memory")
+	default:
+		p.refuse(http.StatusServiceUnavailable, "the request arrived slowly, and others needed its connection")
+	}
+}
+
 var (
 	errHeaderTooLarge = errors.New("the header is too large")
 	errTooManyHeavy   = errors.New("too many requests with very many header fields arrive")
@@ -63,7 +79,7 @@
 		p.refuse(http.StatusServiceUnavailable, err.Error())
 		return
 	case isTimeout(err):
-		p.refuse(http.StatusRequestTimeout, "the header did not arrive within the time that the configuration in force allows")
+		p.refuseLate("the header did not arrive within the time that the configuration in force allows")
 		return
 	case err != nil:
 		p.disconnected = true
@@ -175,6 +191,9 @@
 }
 
 func isTimeout(err error) bool {
+	if err == nil {
+		return false
+	}
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
 }
--- a/internal/transport/ingress/read_body.go
+++ b/internal/transport/ingress/read_body.go
@@ -39,10 +39,8 @@
 	p.endBody()
 	switch {
 	case p.refusal != nil:
-	case isTimeout(err) && p.arriving.wasEvicted():
-		p.refuse(http.StatusServiceUnavailable, "the body arrived slowly, and others needed its memory")
 	case isTimeout(err):
-		p.refuse(http.StatusRequestTimeout, "the body did not arrive in time")
+		p.refuseLate("the body did not arrive in time")
 	case err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !isNetError(err):
 		p.refuse(http.StatusBadRequest, "the body cannot be parsed: "+err.Error())
 	case err != nil:
