ingress: the writer decides whether a response counts as unread

What callers saw: a response was cut after 2 s although its caller read it, when the host had too many connections. The caller had made room in the send buffer, and only the goroutine that writes had no processor; or the endpoint paused for 2 s, and nothing was there to be written.

Cause: the accepting goroutine went by the time of the last write that it knew of, also between two writes, and closed the connection itself.

Change: writingAt counts only while a write is under way. An eviction asks the writer through a flag and the write deadline. The writer then asks the kernel whether the send buffer has room (the condition by which it would have been woken): if so it writes on, else it gives up. The same holds once for each 64 KiB when writeTimeout has passed, so a caller that reads a little at a time gains at most another writeTimeout for these.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -42,6 +42,7 @@
 	answeredAt      time.Time     // when the latest response was written
 	evicting        Eviction      // the reader is asked to end the connection; it does if nothing has arrived
 	settled         chan struct{} // closed when the reader does not do it; nil unless evicting is EvictedBody
+	evictingWriter  bool          // the writer is asked to end the connection; it does if the caller still does not read
 	evicted         Eviction      // why the connection, or the request being read, has made room for others
 
 	// Used by the reader alone, for the report:
--- a/internal/transport/ingress/evict_test.go
+++ b/internal/transport/ingress/evict_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 // occupyProcessors keeps all processors busy until the function that it returns is called.
@@ -153,3 +154,39 @@
 		})
 	}
 }
+
+// TestReadResponseOutlivesEviction guards against a response that is cut because its caller seems not to read it, when only the host's goroutine has not
+// written more.
+func TestReadResponseOutlivesEviction(t *testing.T) {
+	is := is.New(t)
+	const size = 32 << 20
+	_, starved, dial := starvedServer(t, Config{Handler: &heldHandler{size: size}, MaxConnections: 1})
+	nc := dial()
+	send(t, nc, get("/"))
+	time.Sleep(unreadTime + 200*time.Millisecond)
+	starved.held.Store(true)
+	dial()
+	far := <-starved.woken
+	go func() {
+		for !sockbuf.Writable(far) {
+			time.Sleep(time.Millisecond)
+		}
+		close(starved.release)
+	}()
+	resp, body := answer(t, bufio.NewReader(nc))
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(len(body), size)
+}
+
+// TestPausingStreamIsNotEvicted guards against a response that is cut because the endpoint pauses, as if its caller did not read it.
+func TestPausingStreamIsNotEvicted(t *testing.T) {
+	is := is.New(t)
+	h := &streamHandler{stream: &slowReader{halves: [][]byte{[]byte("one"), []byte("two")}, pause: unreadTime + time.Second}, length: 6}
+	_, _, dial := starvedServer(t, Config{Handler: h, MaxConnections: 1})
+	nc := dial()
+	send(t, nc, get("/"))
+	time.Sleep(unreadTime + 200*time.Millisecond)
+	dial()
+	_, body := answer(t, bufio.NewReader(nc))
+	is.Equal(body, "onetwo")
+}
--- a/internal/transport/ingress/overload.go
+++ b/internal/transport/ingress/overload.go
@@ -38,7 +38,7 @@
 type Eviction string
 
 // Evictions, in the order of preference. No request is lost by one: it was not complete, its response could not be written, or there was none. The goroutine
-// that reads the connection decides so after it has looked at what has arrived.
+// that reads the connection, or writes to it, decides so after it has looked at the kernel's buffers.
 const (
 	EvictedNew    Eviction = "new"    // a new connection without a complete request
 	EvictedUnread Eviction = "unread" // the caller does not read its response
@@ -58,27 +58,12 @@
 // activity records when a connection last made progress.
 type activity struct {
 	progressAt atomic.Int64 // Unix time in nanoseconds at which a request, or a piece of one, arrived, or the latest response was written
-	writingAt  atomic.Int64 // when a write was begun or last made progress; 0 if no response is being written
+	writingAt  atomic.Int64 // when the write of a part of a response was begun; 0 if none is being written
 	requests   atomic.Int64 // complete requests
 }
 
 func (c *conn) progress() { c.activity.progressAt.Store(time.Now().UnixNano()) }
 
-// wrote records that a part of a response was written.
-func (c *conn) wrote() { c.activity.writingAt.Store(time.Now().UnixNano()) }
-
-// writeResponse writes a response and records for how long that makes no progress.
-func (c *conn) writeResponse(bw *bufio.Writer, r *Request, resp *Response, last bool) error {
-	c.wrote()
-	return writeResponse(bw, r, resp, last)
-}
-
-// endWrite records that no response is being written.
-func (c *conn) endWrite() {
-	c.activity.writingAt.Store(0)
-	c.progress()
-}
-
 // unwrittenFor returns for how long the response that is being written has made no progress.
 func (c *conn) unwrittenFor(now time.Time) time.Duration {
 	if at := c.activity.writingAt.Load(); at > 0 {
@@ -134,8 +119,11 @@
 
 // eviction says whether the connection may be closed in favour of a new one, and for how long it has made no progress. c.mu must be held.
 func (c *conn) eviction(now time.Time) (Eviction, time.Duration) {
-	if unwritten := c.unwrittenFor(now); unwritten > unreadTime {
-		return EvictedUnread, unwritten
+	if unwritten := c.unwrittenFor(now); unwritten > unreadTime && !c.evictingWriter {
+		if !sockbuf.Writable(c.netConn) {
+			return EvictedUnread, unwritten
+		}
+		c.activity.writingAt.Store(now.UnixNano())
 	}
 	since := now.Sub(time.Unix(0, c.activity.progressAt.Load()))
 	why := notEvicted
@@ -184,7 +172,7 @@
 		_ = tcp.SetWriteBuffer(sendBufferBytes)
 	}
 	if victim != nil {
-		s.evict(victim, now)
+		victim.evict(now)
 	}
 	return true
 }
@@ -209,19 +197,19 @@
 	return best, why
 }
 
-// evict asks the reader of a connection to end it, or ends it if the caller does not read its response.
-func (s *Server) evict(c *conn, now time.Time) {
+// evict asks the reader or the writer of a connection to end it.
+func (c *conn) evict(now time.Time) {
 	c.mu.Lock()
-	why, _ := c.eviction(now)
-	if why != notEvicted && why != EvictedUnread {
+	defer c.mu.Unlock()
+	switch why, _ := c.eviction(now); why {
+	case notEvicted: // it has made progress meanwhile
+	case EvictedUnread:
+		c.evictingWriter = true
+		c.netConn.SetWriteDeadline(now)
+	default:
 		c.evicting = why
 		c.wakeReader()
 	}
-	c.mu.Unlock()
-	if why == EvictedUnread {
-		c.abort(ErrEvicted)
-		s.reportEvicted(c, why)
-	}
 }
 
 // evictBody asks the reader to refuse the request whose body it reads. settled is closed if it does not.
--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -5,13 +5,14 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 // write sends the responses in the order of the requests. It returns when the reader has ended and all requests are answered.
 func (c *conn) write() {
-	bw := bufio.NewWriterSize(deadlineWriter{c.netConn, c.wrote}, 4<<10)
+	bw := bufio.NewWriterSize(connWriter{c}, 4<<10)
 	for x := range c.queue {
 		resp := <-x.response
 		if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, ErrStopped) {
@@ -19,11 +20,11 @@
 				resp.Stream.Close()
 			}
 			c.reportUndelivered(x, resp, cause)
-		} else if err := c.writeResponse(bw, x.request, resp, c.decideLast(resp)); err != nil {
+		} else if err := writeResponse(bw, x.request, resp, c.decideLast(resp)); err != nil {
 			c.reportUndelivered(x, resp, err)
 			c.abort(err)
 		}
-		c.endWrite()
+		c.progress()
 		x.release()
 		x.unreserve()
 		c.answered()
@@ -40,24 +41,54 @@
 // maxWriteBytes is the number of bytes that a caller has to read within writeTimeout.
 const maxWriteBytes = 64 << 10
 
-// deadlineWriter writes to a connection. It fails if the caller does not read for writeTimeout, but not because a long response takes longer.
-type deadlineWriter struct {
-	conn  net.Conn
-	wrote func() // is called after each write
-}
+// connWriter writes to a connection. It fails if the caller does not read for writeTimeout, but not because a long response takes longer.
+type connWriter struct{ *conn }
 
 // Write implements io.Writer.
-func (w deadlineWriter) Write(b []byte) (written int, err error) {
+func (c connWriter) Write(b []byte) (written int, err error) {
 	for written < len(b) && err == nil {
-		w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		var n int
-		n, err = w.conn.Write(b[written:min(len(b), written+maxWriteBytes)])
+		n, err = c.writePart(b[written:min(len(b), written+maxWriteBytes)])
 		written += n
-		w.wrote()
 	}
 	return written, err
 }
 
+// writePart writes at most maxWriteBytes. If the deadline has passed, or the connection is asked to make room, and the caller has read meanwhile, then the
+// process got no processor for writing more.
+func (c *conn) writePart(b []byte) (written int, err error) {
+	defer c.activity.writingAt.Store(0)
+	for renewed := false; ; {
+		c.activity.writingAt.Store(time.Now().UnixNano())
+		c.mu.Lock()
+		c.evictingWriter = false
+		c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		c.mu.Unlock()
+		n, err := c.netConn.Write(b[written:])
+		if written += n; !isTimeout(err) {
+			return written, err
+		}
+		reads := sockbuf.Writable(c.netConn)
+		c.mu.Lock()
+		asked := c.evictingWriter
+		if asked && !reads {
+			c.evicted = EvictedUnread
+			c.setCloseReason(CloseEvicted)
+		}
+		c.mu.Unlock()
+		switch {
+		case asked && !reads:
+			c.server.reportEvicted(c, EvictedUnread)
+			return written, ErrEvicted
+		case asked:
+		case reads && !renewed:
+			renewed = true
+		default:
+			return written, err
+		}
+	}
+}
+
 // decideLast reports whether the connection closes after this response. During a planned stop it does so if no other request that has
 // arrived is unanswered.
 func (c *conn) decideLast(r *Response) bool {
