ingress: a stop accepts until the accept queue is empty

What callers saw: their connection was reset with a whole request on it while a host without a free processor stopped. Accept was called with a deadline of 0.1 s; once that had passed it failed without a look at the queue, and the listener was closed.

Change: the deadline only wakes Serve, which then asks the kernel whether connections wait and accepts them until there are none, at most as many as an accept queue holds. arrivedTimeout is gone, so a stop takes up to 0.1 s less; TestStopSchedules holds Close to that.

Evidence: TestStopAcceptsWhatHasArrived holds the accepting goroutine back while three callers connect; before, all were reset.

--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -20,6 +20,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 // Request is one request with its complete body.
@@ -115,8 +116,6 @@
 	// bodyTimeout is the time in which each maxReadBytes of the body of a request must arrive.
 	bodyTimeout  = 15 * time.Second
 	maxReadBytes = 64 << 10
-	// arrivedTimeout is how long the server accepts connections, to find out whether some had arrived before it stops.
-	arrivedTimeout = 100 * time.Millisecond
 	// cutTimeout is the time that callers get for reading their last responses when the time for stopping is over.
 	cutTimeout = 200 * time.Millisecond
 	// closePollInterval is the interval at which Close checks whether all connections are closed.
@@ -165,6 +164,9 @@
 	return s
 }
 
+// maxAcceptQueue is the usual maximum length of an accept queue. It bounds what a stopping server accepts while more connections arrive.
+const maxAcceptQueue = 4096
+
 // acceptBackoff is the delay after a failed accept, which usually means that the process has no file descriptors left.
 const acceptBackoff = 20 * time.Millisecond
 
@@ -182,7 +184,11 @@
 	defer s.serving.Done()
 	for {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			s.acceptRest(l)
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
@@ -193,6 +199,17 @@
 	}
 }
 
+// acceptRest accepts the connections that lie in the accept queue, which the kernel would reset.
+func (s *Server) acceptRest(l net.Listener) {
+	d, ok := l.(interface{ SetDeadline(time.Time) error })
+	for n := 0; ok && n < maxAcceptQueue && sockbuf.Waiting(l); n++ {
+		_ = d.SetDeadline(time.Now().Add(time.Second)) // Accept does not wait; an error means that the listener is closed
+		if nc, err := l.Accept(); err == nil {
+			s.serveConn(nc)
+		}
+	}
+}
+
 // handle calls the handler. A panic of the handler becomes a response with status 500, so that the process goes on.
 func (s *Server) handle(ctx context.Context, r *Request) (resp *Response) {
 	defer func() {
@@ -291,7 +308,7 @@
 	for _, l := range s.listeners {
 		if d, ok := l.(interface{ SetDeadline(time.Time) error }); ok {
 			// An error means that the listener is already closed.
-			_ = d.SetDeadline(time.Now().Add(arrivedTimeout))
+			_ = d.SetDeadline(time.Now())
 		} else {
 			l.Close()
 		}
--- a/internal/transport/ingress/starved_test.go
+++ b/internal/transport/ingress/starved_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -152,3 +153,32 @@
 	c.Close()
 	<-closed
 }
+
+// TestStopAcceptsWhatHasArrived guards against a stop that resets connections in the accept queue, because the process got no processor in the time for
+// accepting them.
+func TestStopAcceptsWhatHasArrived(t *testing.T) {
+	is := is.New(t)
+	s, starved, dial := starvedServer(t, Config{Handler: newHandler(), MaxConnections: 8, Memory: bodyMemory(1)})
+	starved.accept.Store(true)
+	answer(t, bufio.NewReader(withRequest(t, dial(), "/1"))) // Serve accepts
+	go s.Close(context.Background())
+	<-starved.woken
+	var callers []net.Conn
+	for n := range 3 {
+		callers = append(callers, withRequest(t, dial(), fmt.Sprint("/", n)))
+	}
+	close(starved.release)
+	for n, c := range callers {
+		resp, body := answer(t, bufio.NewReader(c))
+		is.Equal(body, fmt.Sprint("/", n))
+		is.True(resp.Close)
+		c.Close()
+	}
+}
+
+// withRequest sends a request on a connection.
+func withRequest(t *testing.T, c net.Conn, path string) net.Conn {
+	t.Helper()
+	send(t, c, get(path))
+	return c
+}
--- a/internal/transport/ingress/stop_property_test.go
+++ b/internal/transport/ingress/stop_property_test.go
@@ -331,7 +331,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), r.begin.Add(p.endAt))
 	defer cancel()
 	r.server.Close(ctx)
-	end := min(max(p.endAt, p.stopAt+arrivedTimeout)+cutTimeout, p.stopAt+stopLimit)
+	end := min(p.endAt+cutTimeout, p.stopAt+stopLimit)
 	if late := time.Since(r.begin) - end; late > closePollInterval {
 		r.violate("Close returned %v late", late)
 	}
