ingress: refuse the request of a connection beyond the hard limit

What callers saw: beyond MaxConnections and the spare ones, a connection was closed at once, also with a whole request on it, without a response.

Change: what has arrived is read without waiting, the 503 written to the empty send buffer, and the connection closed, all by the accepting goroutine. So it takes no memory, no goroutine and no time, and without unread bytes the close does not reset the connection. A connection without a byte yet is still closed (why=rejected).

--- a/internal/transport/ingress/evict_test.go
+++ b/internal/transport/ingress/evict_test.go
@@ -190,3 +190,44 @@
 	_, body := answer(t, bufio.NewReader(nc))
 	is.Equal(body, "onetwo")
 }
+
+// readyListener accepts connections once their requests have arrived.
+type readyListener struct{ net.Listener }
+
+func (l readyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		waitFor(func() bool { return sockbuf.Received(c) == sockbuf.Bytes })
+	}
+	return c, err
+}
+
+// TestRejectedRequestIsRefused guards against whole requests that get no response because their connections are beyond the hard limit.
+func TestRejectedRequestIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := &heldHandler{release: make(chan struct{}), size: 1}
+	defer close(h.release)
+	refused := make(chan string, 64)
+	s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: minSpare,
+		OnRefused: func(_ net.Addr, _ http.Header, status int, why string) { refused <- fmt.Sprint(status, " ", why) }})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.Serve(readyListener{l})
+	defer l.Close()
+	var conns []net.Conn
+	for range 2 * minSpare {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+		conns = append(conns, withRequest(t, c, "/held"))
+	}
+	waitFor(func() bool { return s.Connections() == 2*minSpare })
+	for range 10 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		is.Equal(request(c, get("/held")), http.StatusServiceUnavailable)
+		is.Equal(<-refused, "503 "+tooManyConnections)
+		c.Close()
+	}
+	runtime.KeepAlive(conns)
+}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -239,7 +239,7 @@
 func (s *Server) serveConn(nc net.Conn) {
 	c := newConn(s, nc)
 	if !s.admit(c) {
-		nc.Close()
+		s.reject(c)
 		return
 	}
 	go func() {
--- a/internal/transport/ingress/overload.go
+++ b/internal/transport/ingress/overload.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -146,7 +147,7 @@
 func (c *conn) openFor(now time.Time) time.Duration { return now.Sub(c.openedAt) }
 
 // admit adds a connection. If there are too many, another one is asked to make room for it, or its request is refused. It returns false if the connection
-// must be closed, since there are too many to tell their callers.
+// must be rejected, since there are too many to wait for their requests.
 func (s *Server) admit(c *conn) bool {
 	now := time.Now()
 	s.mu.Lock()
@@ -158,7 +159,6 @@
 		}
 		if victim == nil && n >= s.maxConns+spare {
 			s.mu.Unlock()
-			s.reportEvicted(c, Rejected)
 			return false
 		}
 		c.overloaded = victim == nil
@@ -179,6 +179,26 @@
 
 const tooManyConnections = "this host has too many connections"
 
+// reject closes a connection that was not admitted. Its request is refused if it has arrived: the response fits in the empty send buffer, and without unread
+// bytes the kernel does not reset the connection.
+func (s *Server) reject(c *conn) {
+	defer c.abort(ErrEvicted)
+	var b [4 << 10]byte
+	arrived := 0
+	for n := sockbuf.Take(c.netConn, b[:]); n > 0 && arrived < maxReadBytes; n = sockbuf.Take(c.netConn, b[:]) {
+		arrived += n
+	}
+	if arrived == 0 {
+		s.reportEvicted(c, Rejected)
+		return
+	}
+	p := &parser{}
+	p.refuse(http.StatusServiceUnavailable, tooManyConnections)
+	c.reportRefusal(p)
+	// If the write fails, the caller has left.
+	_ = writeResponse(bufio.NewWriterSize(c.netConn, 512), nil, p.refusal, true)
+}
+
 // victimLocked returns the connection of a random sample that makes room for a new one, or nil.
 func (s *Server) victimLocked(now time.Time) (best *conn, why Eviction) {
 	var longest time.Duration
