ingress: a raised idle timeout holds for connections that wait already

What callers saw: after a configuration had raised the idle timeout, a request on a connection that had been idle for longer than the old limit ended without a response. The limit was read once, when the wait began; callers go by the one in force and reuse connections for up to four fifths of it.

Change: the limit is looked up again when the wait has reached it, and the larger one holds. A lower limit does not cut a wait short, since callers may still go by the older one; it holds from the next wait on. A limit that is raised and lowered again within one wait is not noticed.

Evidence: TestIdleTimeoutOfNewConfiguration (5 s raised to 20 s, request after 15 s) failed before with "unexpected EOF".

--- a/internal/transport/ingress/closing_test.go
+++ b/internal/transport/ingress/closing_test.go
@@ -1,13 +1,17 @@
 package ingress
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
@@ -61,3 +65,39 @@
 		})
 	}
 }
+
+// TestIdleTimeoutOfNewConfiguration guards against connections that are closed by the idle timeout of an older configuration while their callers go by the
+// newer one, and the other way round.
+func TestIdleTimeoutOfNewConfiguration(t *testing.T) {
+	for _, c := range []struct{ before, after, use time.Duration }{
+		{5 * time.Second, 20 * time.Second, 15 * time.Second}, // raised
+		{20 * time.Second, 5 * time.Second, 15 * time.Second}, // lowered
+	} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var idleTimeout atomic.Int64
+			idleTimeout.Store(int64(c.before))
+			network := newMemNetwork(time.Millisecond)
+			s := New(Config{Handler: echoHandler{}, Limits: func() routing.Limits { return idleLimits(time.Duration(idleTimeout.Load())) }, MaxConnections: 1, Memory: bodyMemory(1)})
+			go func() { _ = s.Serve(network) }() // returns when Close has closed the listener
+			nc := network.dial()
+			defer nc.Close()
+			br := bufio.NewReader(nc)
+			send(t, nc, get("/"))
+			answer(t, br)
+			begin := time.Now()
+			time.Sleep(time.Second)
+			idleTimeout.Store(int64(c.after))
+			time.Sleep(c.use - time.Second)
+			send(t, nc, get("/"))
+			answer(t, br)
+			is.True(time.Since(begin) < c.use+time.Second)
+			begin = time.Now()
+			_, err := br.ReadByte()
+			is.Equal(err, io.EOF)
+			is.True(time.Since(begin) <= c.after+time.Second) // the next wait goes by the new limit
+			nc.Close()
+			s.Close(context.Background())
+		})
+	}
+}
--- a/internal/transport/ingress/reading.go
+++ b/internal/transport/ingress/reading.go
@@ -96,8 +96,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if first {
-		c.idleLimit = idleTimeout
+		c.idleLimit = 0
 	}
+	c.idleLimit = max(c.idleLimit, idleTimeout) // callers may go by the limit of an older configuration, or by that of a newer one
 	until := c.waitUntil()
 	c.waiting = !c.lastRead && (first || !c.endWait(until))
 	if c.waiting {
