ingress: reset a request that crosses the close of an idle connection

What callers saw: a request that crossed the close was read and discarded for up to 1 s. To the caller's system it was received, and only the end of the stream, or the caller's own timeout, told that no response would come.

Lingering protects the last response from a reset. If that was written a second ago or more and the caller's system has acknowledged it, nothing is left to protect. The write side is still closed first, and the reader still waits for what crosses, so that OnClosed reports it with its request id; but then the connection is reset at once. A connection whose response is recent or unacknowledged lingers as before. Closing both sides at once would reset a crossing request a moment earlier, but leave no trace of it for operators.

--- a/internal/transport/ingress/closing.go
+++ b/internal/transport/ingress/closing.go
@@ -56,15 +56,26 @@
 	c.setCloseReason(r)
 }
 
-// linger reads and discards what the caller still sends: unread bytes would make the kernel reset the connection, and the caller could
-// lose the last response. It cancels the handlers when the caller disconnects.
+// linger closes the connection once all requests that were read are answered. It cancels the handlers when the caller disconnects. Until the caller closes
+// its side, at most for lingerTimeout, it reads what still arrives: unread bytes would make the kernel reset the connection, and the caller could lose the
+// last response. If that has long been delivered, such bytes do reset the connection, so that the caller learns at once that they are not answered.
 func (c *conn) linger(br *bufio.Reader) {
+	c.mu.Lock()
+	protects := c.pending > 0 || time.Since(c.answeredAt) < lingerTimeout || sockbuf.Unacknowledged(c.netConn)
+	c.mu.Unlock()
 	c.closeIfFinished()
 	c.mu.Lock()
 	c.setReadDeadlineLocked(c.lingerUntil)
 	c.mu.Unlock()
-	if c.discard(br, maxLingerBytes) == maxLingerBytes {
-		<-c.ctx.Done() // the end of the time to read the response, or of the connection
+	if protects {
+		if c.discard(br, maxLingerBytes) == maxLingerBytes {
+			<-c.ctx.Done() // the end of the time to read the response, or of the connection
+		}
+	} else if _, err := br.Peek(1); err == nil {
+		c.discard(br, int64(br.Buffered()))
+		if tcp, ok := c.netConn.(interface{ SetLinger(int) error }); ok {
+			_ = tcp.SetLinger(0) // has Close reset the connection; an error means that it is closed
+		}
 	}
 	c.cancel(ErrCallerLeft)
 }
