ingress: answer what has arrived before a drain closes the connection

What callers saw: during a drain, a response announced the close, and the next request, which had arrived in the kernel's buffer before that, was read and dropped. The decision went by what the reader had noticed.

Change: while draining, the decision also asks the kernel; this costs one system call for a response during a drain. With this, countRequest drops a request only behind a response that announced the close: lastRead is set while a request is being read by decideLast alone, whose last response says "Connection: close".

Evidence: TestDrainAnswersWhatHasArrived failed before: /2 was not answered.

--- a/internal/transport/ingress/starved_test.go
+++ b/internal/transport/ingress/starved_test.go
@@ -154,6 +154,23 @@
 	<-closed
 }
 
+// TestDrainAnswersWhatHasArrived guards against a drain that announces the close, and drops the next request, although that has arrived: its bytes were not
+// read yet.
+func TestDrainAnswersWhatHasArrived(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	s, starved, dial := starvedServer(t, Config{Handler: h, MaxConnections: 1, Memory: bodyMemory(1)})
+	starved.delay.Store(int64(300 * time.Millisecond))
+	c := dial()
+	send(t, c, get("/hold/1"))
+	<-h.started
+	time.Sleep(50 * time.Millisecond) // until the reader is held back
+	send(t, c, get("/2"))
+	s.Drain()
+	close(h.hold("/hold/1"))
+	is.Equal(readAnswers(c), map[string]bool{"/hold/1": true, "/2": true})
+}
+
 // TestStopAcceptsWhatHasArrived guards against a stop that resets connections in the accept queue, because the process got no processor in the time for
 // accepting them.
 func TestStopAcceptsWhatHasArrived(t *testing.T) {
--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -90,11 +90,11 @@
 }
 
 // decideLast reports whether the connection closes after this response. During a planned stop it does so if no other request that has
-// arrived is unanswered.
+// arrived is unanswered. Then a request that is read later is not answered, as the response has announced.
 func (c *conn) decideLast(r *Response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.CloseConnection || c.server.draining.Load() && c.pending == 1 && !c.arrived {
+	if r.CloseConnection || c.server.draining.Load() && c.pending == 1 && !c.arrived && sockbuf.Received(c.netConn) != sockbuf.Bytes {
 		c.lastRead = true
 		c.setCloseReason(CloseResponse)
 	}
