ingress: no body timeout while the caller waits for 100 Continue

What callers saw: a request with "Expect: 100-continue" behind a slow one was refused with 408, "the body did not arrive in time", although the server had not asked for the body yet: 100 Continue follows the earlier responses, and the time for the body ran from the header on.

Change: there is no deadline for the body until 100 Continue is sent, from where the existing one runs. A body that stalls meanwhile still makes room for others.

Evidence: TestBodyTimeoutBeginsWithContinue failed before with 408 in place of 100.

--- a/internal/transport/ingress/arriving.go
+++ b/internal/transport/ingress/arriving.go
@@ -83,7 +83,13 @@
 		defer b.mu.Unlock()
 		b.pieceAt = now
 	}
-	c.setReadDeadline(now.Add(bodyTimeout))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := now.Add(bodyTimeout)
+	if c.continueDue {
+		deadline = time.Time{} // the caller waits for the server; answered sets the deadline
+	}
+	c.setReadDeadlineLocked(deadline)
 }
 
 // stalls reports whether no piece of the body has arrived lately. One that lies in the kernel's buffer has arrived.
--- a/internal/transport/ingress/slow_caller_test.go
+++ b/internal/transport/ingress/slow_caller_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -206,3 +207,28 @@
 		is.Equal(resp.ContentLength, want)
 	}
 }
+
+// TestBodyTimeoutBeginsWithContinue guards against a body that is refused as late while its caller waits for the server's 100 Continue.
+func TestBodyTimeoutBeginsWithContinue(t *testing.T) {
+	faketime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &recordingHandler{ran: map[string]bool{}, delay: func() time.Duration { return bodyTimeout + 5*time.Second }}
+		network := newMemNetwork(time.Millisecond)
+		s := New(Config{Handler: h, Limits: func() routing.Limits { return routing.DefaultLimits }, MaxConnections: 1, Memory: bodyMemory(100)})
+		go func() { _ = s.Serve(network) }() // returns when Close has closed the listener
+		c := network.dial()
+		br := bufio.NewReader(c)
+		send(t, c, get("/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n")
+		_, body := answer(t, br)
+		is.Equal(body, "/1")
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusContinue)
+		time.Sleep(bodyTimeout - time.Second)
+		send(t, c, strings.Repeat("x", 100))
+		_, body = answer(t, br)
+		is.Equal(body, "/2")
+		c.Close()
+		s.Close(context.Background())
+	})
+}
