--- a/internal/transport/ingress/closing_test.go
+++ b/internal/transport/ingress/closing_test.go
@@ -1,13 +1,19 @@
 package ingress
 
 import (
+	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusspan/arbutusspan/internal/faketime"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
@@ -61,3 +67,66 @@
 		})
 	}
 }
+
+// TestIdleTimeoutOfNewConfiguration guards against connections that are closed by the idle timeout of an older configuration while their callers go by the
+// newer one, and the other way round.
+func TestIdleTimeoutOfNewConfiguration(t *testing.T) {
+	for _, c := range []struct{ before, after, use time.Duration }{
+		{5 * time.Second, 20 * time.Second, 15 * time.Second}, // raised
+		{20 * time.Second, 5 * time.Second, 15 * time.Second}, // lowered
+	} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var idleTimeout atomic.Int64
+			idleTimeout.Store(int64(c.before))
+			network := newMemNetwork(time.Millisecond)
+			s := New(Config{Handler: echoHandler{}, Limits: func() routing.Limits { return idleLimits(time.Duration(idleTimeout.Load())) }, MaxConnections: 1, Memory: bodyMemory(1)})
+			go func() { _ = s.Serve(network) }() // returns when Close has closed the listener
+			nc := network.dial()
+			defer nc.Close()
+			br := bufio.NewReader(nc)
+			send(t, nc, get("/"))
+			answer(t, br)
+			begin := time.Now()
+			time.Sleep(time.Second)
+			idleTimeout.Store(int64(c.after))
+			time.Sleep(c.use - time.Second)
+			send(t, nc, get("/"))
+			answer(t, br)
+			is.True(time.Since(begin) < c.use+time.Second)
+			begin = time.Now()
+			_, err := br.ReadByte()
+			is.Equal(err, io.EOF)
+			is.True(time.Since(begin) <= c.after+time.Second) // the next wait goes by the new limit
+			nc.Close()
+			s.Close(context.Background())
+		})
+	}
+}
+
+// TestRequestBehindIdleCloseIsReset guards against a request that crosses the close of an idle connection and is read and discarded without a sign to its
+// caller.
+func TestRequestBehindIdleCloseIsReset(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan ClosedConn, 1)
+	limits := idleLimits(lingerTimeout + 200*time.Millisecond)
+	_, _, dial := starvedServer(t, Config{Handler: newHandler(), Limits: func() routing.Limits { return limits }, MaxConnections: 8,
+		OnClosed: func(c ClosedConn) { closed <- c }})
+	nc := dial()
+	send(t, nc, get("/1"))
+	br := bufio.NewReader(nc)
+	answer(t, br)
+	_, err := br.ReadByte()
+	is.Equal(err, io.EOF) // closed for idleness
+	begin := time.Now()
+	send(t, nc, "GET /2 HTTP/1.1\r\nHost: h\r\nX-Id: r-1\r\n\r\n")
+	got := <-closed
+	is.Equal(got.Reason, CloseIdle)
+	is.Equal(got.Header.Get("X-Id"), "r-1")
+	waitFor(func() bool {
+		_, err = io.WriteString(nc, "x")
+		return err != nil
+	})
+	is.True(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+	is.True(time.Since(begin) < lingerTimeout/2)
+}
