quota: time in which a host was late is no silence of the coordinator

Such a host has no processor for up to 84 ms of each 100 ms. Its request for permits counted as lost after 30 ms and its wait as over after 200 ms while the grant lay in the socket's buffer; each lost request went to two hosts and cost further messages.

The limiter records that it is late if Tick is overdue, before anything else is judged.

--- a/internal/coordination/lateness/timer.go
+++ b/internal/coordination/lateness/timer.go
@@ -36,13 +36,16 @@
 // Expired is to be called after each value from C. It reports whether the time has passed. If the host has seen that late, what it waits for may have arrived:
 // the timer then begins anew.
 func (t *Timer) Expired() bool {
-	if !t.meter.Observe(t.due, time.Now()) {
+	if !t.Observe(time.Now()) {
 		return true
 	}
 	t.Reset(t.wait)
 	return false
 }
 
+// Observe records that the timer is seen now, and reports whether that is late.
+func (t *Timer) Observe(now time.Time) bool { return t.meter.Observe(t.due, now) }
+
 // Reset begins the timer anew with another time.
 func (t *Timer) Reset(wait time.Duration) {
 	now := time.Now()
--- a/internal/coordination/quota/exchange.go
+++ b/internal/coordination/quota/exchange.go
@@ -20,6 +20,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.noticePause(now)
+	defer func() { l.tickDue = now.Add(next) }()
 	l.lastTick = now
 	if len(l.holdings) == 0 && len(l.coordinated) == 0 && len(l.cfg.Limited()) == 0 {
 		return idleTickInterval
@@ -64,7 +65,7 @@
 // attend repeats a request without a response while others wait for it, and gives back permits that are not needed. l.mu must be held.
 func (l *Limiter) attend(h *holding, now time.Time) {
 	h.dropExpired(now)
-	if n := len(h.asked); n > 0 && h.asked[n-1].current && now.Sub(h.asked[n-1].at) >= requestTimeout {
+	if n := len(h.asked); n > 0 && h.asked[n-1].current && l.elapsed(h.asked[n-1].at, now) >= requestTimeout {
 		h.asked[n-1].current = false
 		h.failures++
 	}
@@ -75,7 +76,7 @@
 		l.serveSelf(h, now)
 		return
 	}
-	if !h.awaitsGrant(now) {
+	if !l.awaitsGrant(h, now) {
 		l.request(h, now, false)
 	}
 }
@@ -100,7 +101,7 @@
 // topUp requests permits if this host holds less than half of what it holds in advance. The request goes with the next message to that host. l.mu must
 // be held.
 func (l *Limiter) topUp(h *holding, now time.Time) {
-	if target := h.target(now); target > 0 && h.held(now) <= target/2 && !now.Before(h.refusedUntil) && !h.awaitsGrant(now) && !l.coordinates(h, now) {
+	if target := h.target(now); target > 0 && h.held(now) <= target/2 && !now.Before(h.refusedUntil) && !l.awaitsGrant(h, now) && !l.coordinates(h, now) {
 		l.request(h, now, false)
 	}
 }
@@ -182,7 +183,7 @@
 	case g.Permits < a.want && granted.Version >= h.Version:
 		h.refusedUntil, h.scarceUntil = now.Add(milliseconds(g.AfterMS)), now.Add(scarceTime)
 		h.refuseWaiters(l.cfg.Tolerance.Window, now)
-	case len(h.waiters) > 0 && !h.awaitsGrant(now):
+	case len(h.waiters) > 0 && !l.awaitsGrant(h, now):
 		l.request(h, now, true)
 	}
 }
--- a/internal/coordination/quota/holding.go
+++ b/internal/coordination/quota/holding.go
@@ -142,9 +142,9 @@
 	return list
 }
 
-// awaitsGrant reports whether a request for permits has no response yet and has not timed out.
-func (h *holding) awaitsGrant(now time.Time) bool {
-	return len(h.asked) > 0 && h.asked[len(h.asked)-1].current && now.Sub(h.asked[len(h.asked)-1].at) < requestTimeout
+// awaitsGrant reports whether a request for permits has no response yet and has not timed out. l.mu must be held.
+func (l *Limiter) awaitsGrant(h *holding, now time.Time) bool {
+	return len(h.asked) > 0 && h.asked[len(h.asked)-1].current && l.elapsed(h.asked[len(h.asked)-1].at, now) < requestTimeout
 }
 
 // serveWaiters gives the permits of this host to those that wait for them, in order.
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 )
 
@@ -70,6 +71,8 @@
 	Quorum func(now time.Time) (heard, known int)
 	// QuorumWindow returns the time in which a host must have sent a message to count as heard from.
 	QuorumWindow func() time.Duration
+	// Lateness records when this host was late; nil if that is not known.
+	Lateness *lateness.Meter
 	// Send sends a message to the address of a host, without waiting. Messages may be lost.
 	Send func(address string, requests []Request, grants []Grant)
 	// OnEvent reports a change of what this host coordinates. Fields are pairs of names and values, as for eventlog.
@@ -92,6 +95,7 @@
 	quorumAt     time.Time
 	maintainedAt time.Time
 	lastTick     time.Time
+	tickDue      time.Time // when Tick is to be called next
 	resumedAt    time.Time
 }
 
@@ -106,7 +110,7 @@
 // New returns a limiter.
 func New(cfg Config, now time.Time) *Limiter {
 	return &Limiter{cfg: cfg, holdings: map[string]*holding{}, coordinated: map[string]*coordinated{}, awaited: map[string]*awaited{}, views: map[string]*view{},
-		outbox: map[string][]Request{}, lastNumber: uint64(now.UnixMicro()) << 10, lastTick: now}
+		outbox: map[string][]Request{}, lastNumber: uint64(now.UnixMicro()) << 10, lastTick: now, tickDue: now.Add(idleTickInterval)}
 }
 
 // Outcome says whether a request may run.
@@ -136,24 +140,39 @@
 	returned  bool
 }
 
-// Acquire uses a permit of the customer, or waits for one for at most maxWait. It refuses at once if the limit is used up.
+// Acquire uses a permit of the customer, or waits for one for at most maxWait. Time in which this host was late does not count, up to mostWait in all: the grant
+// may have arrived. It refuses at once if the limit is used up.
 // A late request, one that can no longer be answered within its target latency, gets none while the customer exceeds its limit: the permit is worth more to
 // one that can.
-func (l *Limiter) Acquire(ctx context.Context, customer string, late bool, maxWait time.Duration) Result {
-	result, w := l.begin(customer, late, time.Now())
+func (l *Limiter) Acquire(ctx context.Context, customer string, late bool, maxWait, mostWait time.Duration) Result {
+	start := time.Now()
+	result, w := l.begin(customer, late, start)
 	if w == nil {
 		return result
 	}
-	timer := time.NewTimer(maxWait)
+	timer := lateness.NewTimer(l.cfg.Lateness, maxWait)
 	defer timer.Stop()
-	select {
-	case result = <-w.done:
-	case <-timer.C:
-		result = l.abandon(customer, w)
-	case <-ctx.Done():
-		result = l.abandon(customer, w)
+	for {
+		select {
+		case result = <-w.done:
+			return result
+		case <-timer.C:
+			now := time.Now()
+			timer.Observe(now)
+			left := min(maxWait-l.elapsed(start, now), mostWait-now.Sub(start))
+			if left <= 0 {
+				return l.abandon(customer, w)
+			}
+			timer.Reset(left)
+		case <-ctx.Done():
+			return l.abandon(customer, w)
+		}
 	}
-	return result
+}
+
+// elapsed returns the time between two times in which this host was not late, so that it could see what arrived.
+func (l *Limiter) elapsed(from, to time.Time) time.Duration {
+	return to.Sub(from) - l.cfg.Lateness.Between(from, to)
 }
 
 // begin does the work of Acquire without waiting. If the waiter is not nil, it gets the result.
@@ -185,7 +204,7 @@
 	}
 	w := &waiter{done: make(chan Result, 1)}
 	h.waiters = append(h.waiters, w)
-	if h.awaitsGrant(now) {
+	if l.awaitsGrant(h, now) {
 		l.flush(h.asked[len(h.asked)-1].address)
 	} else if !l.request(h, now, true) {
 		h.waiters = h.waiters[:len(h.waiters)-1]
@@ -236,8 +255,9 @@
 // unavailableRetryAfter returns the delay stated if there is no coordinator.
 func unavailableRetryAfter() time.Duration { return unavailableDelay + rand.N(unavailableDelay) }
 
-// noticePause forgets what this host coordinates if the process was suspended. l.mu must be held.
+// noticePause records that this host is late if Tick is overdue, and forgets what this host coordinates if the process was suspended. l.mu must be held.
 func (l *Limiter) noticePause(now time.Time) {
+	l.cfg.Lateness.Observe(l.tickDue, now)
 	paused := now.Sub(l.lastTick)
 	if paused <= pauseLimit {
 		return
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	return quota.New(quota.Config{Tolerance: tolerance, Host: g.settings.Host, Zone: g.settings.Zone, Limit: g.customerLimit, Limited: g.limitedCustomers,
-		Hosts: g.peers.QuotaHosts, LastMessage: g.peers.LastMessage, Quorum: g.peers.Quorum, QuorumWindow: g.peers.QuorumWindow, Send: g.sendQuota,
+		Lateness: &g.lateness, Hosts: g.peers.QuotaHosts, LastMessage: g.peers.LastMessage, Quorum: g.peers.Quorum, QuorumWindow: g.peers.QuorumWindow, Send: g.sendQuota,
 		OnEvent: func(event string, fields ...any) {
 			g.metrics.Add(event+"_changes_total", 1)
 			g.log.Info(event, fields...)
@@ -62,7 +62,7 @@
 		return nil, nil
 	}
 	start := time.Now()
-	result := g.quota.Acquire(ctx, c.Customer, g.forwarder.CanOnlyBeLate(c, start), min(quotaWait, c.Due.Sub(start)))
+	result := g.quota.Acquire(ctx, c.Customer, g.forwarder.CanOnlyBeLate(c, start), min(quotaWait, c.Due.Sub(start)), min(2*quotaWait, c.Due.Sub(start)))
 	g.metrics.Observe("quota_wait_duration", time.Since(start))
 	l := result.Limit
 	r := &refusals.Refusal{Ran: refusals.RanNo, Operation: c.Route.Name, Revision: table.Version, Customer: c.Customer, RetryAfter: result.RetryAfter,
