forward: judge a silent endpoint anew if the host was late

Where endpoints drop requests, a request counted as dropped, and was sent elsewhere, once its response was due, also if the host had no processor to read it meanwhile. Time in which the host was late no longer counts; the judgement comes later by that time.

TestLateSilenceIsJudgedAnew failed before and passes.

--- a/internal/coordination/forward/owndelay_test.go
+++ b/internal/coordination/forward/owndelay_test.go
@@ -106,3 +106,31 @@
 	time.Sleep(p.duration - 2*time.Millisecond)
 	return p.fakeService.ProbeLoad(ctx, e, path)
 }
+
+// TestLateSilenceIsJudgedAnew guards against requests that count as dropped by their endpoint because this host had no processor to read the response.
+func TestLateSilenceIsJudgedAnew(t *testing.T) {
+	for _, responds := range []bool{false, true} {
+		faketime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeService(map[string]*fakeUpstream{"a": {}})
+			fw := f.forwarder(largeBurst)
+			fw.cfg.Lateness = &lateness.Meter{}
+			fw.cfg.EndpointStats.RecordUnanswered("lotdesk", time.Now())
+			r := &activeRequest{forwarder: fw, call: request(true), result: &Result{}, silences: make(chan struct{}, 1)}
+			view, sentAt := fw.cfg.EndpointStats.View(*f.list[0], time.Now()), time.Now()
+			fw.cfg.EndpointStats.ReserveSend(view.ID, sentAt)
+			a := r.await(&view, usualDuration, sentAt)
+			after := fw.cfg.EndpointStats.SilentAfter(view.ID, usualDuration, sentAt)
+			time.Sleep(after - time.Millisecond)
+			fw.cfg.Lateness.Observe(sentAt.Add(after-50*time.Millisecond), time.Now())
+			time.Sleep(40 * time.Millisecond)
+			is.Equal(a.state.Load(), awaiting)
+			if responds {
+				a.state.Store(ended)
+			}
+			time.Sleep(20 * time.Millisecond)
+			is.Equal(a.state.Load() == silent, !responds)
+			is.Equal(len(r.silences) == 1, !responds)
+		})
+	}
+}
--- a/internal/coordination/forward/silence.go
+++ b/internal/coordination/forward/silence.go
@@ -45,17 +45,30 @@
 	if !stats.DropsRequests(v.Service, now) {
 		return a
 	}
-	a.timer = time.AfterFunc(stats.SilentAfter(v.ID, expected, now), func() {
-		if a.state.CompareAndSwap(awaiting, silent) {
-			stats.RecordSilent(v.ID, time.Now())
-			r.forwarder.reportSilence(Silence{RequestID: r.call.RequestID, Service: v.Service, Endpoint: v.Name, Elapsed: time.Since(now), Expected: expected})
-			r.forwarder.queue(v.Service).WakeNext() // the endpoint may have a free slot
-			r.silences <- struct{}{}
-		}
-	})
+	wait := stats.SilentAfter(v.ID, expected, now)
+	a.timer = time.AfterFunc(wait, func() { r.judgeSilence(a, v, expected, now, wait, now.Add(wait)) })
 	return a
 }
 
+// judgeSilence makes a send count as dropped whose response is due after wait, unless this host was late: then it waits for as long again. due is when this
+// call was due.
+func (r *activeRequest) judgeSilence(a *awaitedResponse, v *placement.EndpointView, expected time.Duration, sentAt time.Time, wait time.Duration, due time.Time) {
+	now, meter := time.Now(), r.forwarder.cfg.Lateness
+	meter.Observe(due, now)
+	if left := wait - meter.Elapsed(sentAt, now); left > 0 {
+		if a.state.Load() == awaiting {
+			time.AfterFunc(left, func() { r.judgeSilence(a, v, expected, sentAt, wait, now.Add(left)) })
+		}
+		return
+	}
+	if a.state.CompareAndSwap(awaiting, silent) {
+		r.forwarder.cfg.EndpointStats.RecordSilent(v.ID, now)
+		r.forwarder.reportSilence(Silence{RequestID: r.call.RequestID, Service: v.Service, Endpoint: v.Name, Elapsed: now.Sub(sentAt), Expected: expected})
+		r.forwarder.queue(v.Service).WakeNext() // the endpoint may have a free slot
+		r.silences <- struct{}{}
+	}
+}
+
 // end records the end of a send, and reports whether its request counted as dropped before.
 func (a *awaitedResponse) end(ctx context.Context, f *Forwarder, v *placement.EndpointView, got *sendResult, took, expected time.Duration, requestID string) (wasSilent bool) {
 	now := time.Now()
--- a/internal/coordination/lateness/lateness.go
+++ b/internal/coordination/lateness/lateness.go
@@ -78,6 +78,9 @@
 	return late
 }
 
+// Elapsed returns the time between two times in which this host was not late, so that it could see what arrived.
+func (m *Meter) Elapsed(from, to time.Time) time.Duration { return to.Sub(from) - m.Between(from, to) }
+
 // Total returns for how long this host was late since it started.
 func (m *Meter) Total() time.Duration {
 	m.mu.Lock()
--- a/internal/coordination/quota/coordinator.go
+++ b/internal/coordination/quota/coordinator.go
@@ -107,7 +107,7 @@
 // silent reports whether a host has sent nothing since it was asked, for so long that another one takes its place. l.mu must be held.
 func (l *Limiter) silent(host string, now time.Time) bool {
 	a := l.awaited[host]
-	return a != nil && l.elapsed(a.since, now) >= max(minTakeoverTime, time.Duration(takeoverWindow*float64(l.cfg.QuorumWindow()))) && !l.cfg.LastMessage(host).After(a.since)
+	return a != nil && l.cfg.Lateness.Elapsed(a.since, now) >= max(minTakeoverTime, time.Duration(takeoverWindow*float64(l.cfg.QuorumWindow()))) && !l.cfg.LastMessage(host).After(a.since)
 }
 
 // await notes that a host of this zone is asked. l.mu must be held.
--- a/internal/coordination/quota/exchange.go
+++ b/internal/coordination/quota/exchange.go
@@ -65,7 +65,7 @@
 // attend repeats a request without a response while others wait for it, and gives back permits that are not needed. l.mu must be held.
 func (l *Limiter) attend(h *holding, now time.Time) {
 	h.dropExpired(now)
-	if n := len(h.asked); n > 0 && h.asked[n-1].current && l.elapsed(h.asked[n-1].at, now) >= requestTimeout {
+	if n := len(h.asked); n > 0 && h.asked[n-1].current && l.cfg.Lateness.Elapsed(h.asked[n-1].at, now) >= requestTimeout {
 		h.asked[n-1].current = false
 		h.failures++
 	}
--- a/internal/coordination/quota/holding.go
+++ b/internal/coordination/quota/holding.go
@@ -144,7 +144,7 @@
 
 // awaitsGrant reports whether a request for permits has no response yet and has not timed out. l.mu must be held.
 func (l *Limiter) awaitsGrant(h *holding, now time.Time) bool {
-	return len(h.asked) > 0 && h.asked[len(h.asked)-1].current && l.elapsed(h.asked[len(h.asked)-1].at, now) < requestTimeout
+	return len(h.asked) > 0 && h.asked[len(h.asked)-1].current && l.cfg.Lateness.Elapsed(h.asked[len(h.asked)-1].at, now) < requestTimeout
 }
 
 // serveWaiters gives the permits of this host to those that wait for them, in order.
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -159,7 +159,7 @@
 		case <-timer.C:
 			now := time.Now()
 			timer.Observe(now)
-			left := min(maxWait-l.elapsed(start, now), mostWait-now.Sub(start))
+			left := min(maxWait-l.cfg.Lateness.Elapsed(start, now), mostWait-now.Sub(start))
 			if left <= 0 {
 				return l.abandon(customer, w)
 			}
@@ -170,11 +170,6 @@
 	}
 }
 
-// elapsed returns the time between two times in which this host was not late, so that it could see what arrived.
-func (l *Limiter) elapsed(from, to time.Time) time.Duration {
-	return to.Sub(from) - l.cfg.Lateness.Between(from, to)
-}
-
 // begin does the work of Acquire without waiting. If the waiter is not nil, it gets the result.
 func (l *Limiter) begin(customer string, late bool, now time.Time) (Result, *waiter) {
 	limit, limited := l.cfg.Limit(customer)
