gateway: lose the way in tests before the upstream is checked

TestKeys failed once in a run with the race detector: silent != cut. loseWay recorded a failure and then the witness. The witness is recorded first now, so that the failure makes the way cut at once; the test expects the same as before.

--- a/internal/gateway/detour_test.go
+++ b/internal/gateway/detour_test.go
@@ -26,12 +26,13 @@
 	return 0, false, false
 }
 
-// loseWay makes a host believe that it alone has lost its way to the upstream.
+// loseWay makes a host believe that it alone has lost its way to the upstream. The witness comes first: after the failure the host checks the upstream, which
+// answers.
 func (h *testHost) loseWay(witness *testHost) {
 	now := time.Now()
-	h.gateway.ways.Unanswered("lotdesk", endpoints.ID{Address: "127.0.0.1:1"}, now)
 	self, _ := witness.gateway.peers.Self()
 	h.gateway.ways.HandleReport(self, true, &detour.Report{Answered: []detour.ServiceAge{{Service: "lotdesk"}}}, now.Add(time.Millisecond))
+	h.gateway.ways.Unanswered("lotdesk", endpoints.ID{Address: "127.0.0.1:1"}, now)
 }
 
 // knows reports whether a host gets messages of another one.
