host: a planned stop of the older daemon answers what it cuts

What callers saw: at drain_deadline_ms, or after a second SIGTERM, the connections of the requests that were still running just ended. A request of the last moment with a longer deadline was taken and sent, and cut the same way, although another host could have served it.

Cause: the stop closed the server. Nothing ended the requests before, and those with a key go on without their callers. Nothing compared a request's deadline with the end of the stop, as the gateway does.

Change: from the begin of the stop, a request whose deadline lies behind the cut is refused as not run. At the cut, nine tenths of the deadline or a second signal, the contexts of all requests end with ErrStopped, also of those with a key: one that was not sent is refused as not run, and one that was sent gets a response that says that it may have run. Then the server is closed.

Not changed: a request with a key that another host relayed is cut at the end; its caller gets that host's answer, which says that it may have run.

--- a/internal/coordination/executor/executor.go
+++ b/internal/coordination/executor/executor.go
@@ -344,7 +344,13 @@
 		r.Detail = fmt.Sprintf("endpoint %s gave no whole answer: %v", grant.Endpoint.Address, err)
 		r.Remedy = remedyCheckOutcome
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil && stopped(ctx):
+		outcome.Result = dispatch.ResultCancelled
+		if !written {
+			r = stopRefusal()
+		}
+	case ctx.Err() != nil:
 		outcome.Result = dispatch.ResultCancelled
 		r = x.expiredRefusal(c, "the request had not been sent when "+contextEndReason(ctx))
 		if written {
--- a/internal/coordination/executor/keyed.go
+++ b/internal/coordination/executor/keyed.go
@@ -61,9 +61,15 @@
 }
 
 // sendAndRecord sends a call that the key table has accepted and records the outcome. It continues if the caller disconnects, so
-// that a repeat gets the recorded response.
-func (x *Executor) sendAndRecord(ctx context.Context, c *Call, request keys.Request) (*GrantedResponse, *refusals.Refusal) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
+// that a repeat gets the recorded response, but not if this host stops.
+func (x *Executor) sendAndRecord(caller context.Context, c *Call, request keys.Request) (*GrantedResponse, *refusals.Refusal) {
+	unlessStopped, stop := context.WithCancelCause(context.WithoutCancel(caller))
+	context.AfterFunc(caller, func() {
+		if stopped(caller) {
+			stop(ErrStopped)
+		}
+	})
+	ctx, cancel := context.WithDeadline(unlessStopped, c.Deadline)
 	response, refusal := x.send(ctx, c)
 	if refusal != nil {
 		cancel()
--- a/internal/coordination/executor/refusal.go
+++ b/internal/coordination/executor/refusal.go
@@ -9,8 +9,23 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 )
 
+// ErrStopped is the cause of the context of a call that ends because this host stops.
+var ErrStopped = errors.New("this host stops and did not wait any longer")
+
+// stopped reports whether a context ended because this host stops.
+func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopped) }
+
+// stopRefusal returns the refusal of a call that had not been sent when this host stopped.
+func stopRefusal() *refusals.Refusal {
+	return &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, RetryAfter: minRetryAfter,
+		Detail: "this host stops and has not sent the request", Remedy: "send the request to another host"}
+}
+
 // contextEndReason tells for a refusal's detail why the context ended.
 func contextEndReason(ctx context.Context) string {
+	if stopped(ctx) {
+		return "this host stopped"
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return "the caller went away"
 	}
@@ -29,6 +44,9 @@
 func (x *Executor) acquireRefusal(ctx context.Context, c *Call, err error) *refusals.Refusal {
 	var d *dispatch.DeniedError
 	if !errors.As(err, &d) {
+		if stopped(ctx) {
+			return stopRefusal()
+		}
 		return x.expiredRefusal(c, "the request was waiting for a slot when "+contextEndReason(ctx))
 	}
 	return &refusals.Refusal{Reason: d.Reason, Ran: refusals.RanNo, Detail: d.Detail, Limit: d.Limit, Observed: d.Observed,
--- a/internal/host/drain.go
+++ b/internal/host/drain.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/membership"
 )
 
@@ -20,6 +21,10 @@
 	// lifetimeMargin allows for the network delay of an address response to the caller and of the caller's last request.
 	lifetimeMargin  = 250 * time.Millisecond
 	ackPollInterval = 5 * time.Millisecond
+	// cutFraction is the part of the drain deadline after which the requests that are left are cut, and answerTime the time for the responses that
+	// tell so. The platform may end the process at the drain deadline.
+	cutFraction = 0.9
+	answerTime  = 500 * time.Millisecond
 )
 
 // drainState holds what a Host needs for planned stops.
@@ -28,6 +33,8 @@
 	active      atomic.Bool   // the host is draining; responses ask callers to close their connections
 	stopNow     chan struct{} // closed when the planned stop must end at once
 	stopNowOnce sync.Once
+	cutAt       atomic.Pointer[time.Time] // when a planned stop cuts the requests that are left; nil before it
+	cutRequests context.CancelCauseFunc   // ends the contexts of all requests on the caller port
 
 	mu             sync.Mutex
 	stopping       bool               // the process is stopping; Undrain is no longer possible
@@ -168,11 +175,35 @@
 	return h.drain.unlisted, nil
 }
 
+// beginCut notes when this host cuts the requests that are left.
+func (h *Host) beginCut(at time.Time) { h.drain.cutAt.Store(&at) }
+
+// mayBeCut reports whether this host stops before the deadline of a request, so that another host has to serve it.
+func (h *Host) mayBeCut(deadline time.Time) bool {
+	at := h.drain.cutAt.Load()
+	return at != nil && deadline.After(*at)
+}
+
+// answerCut ends the requests on the caller port, each with a response that says whether it may have run, and closes all connections.
+func (h *Host) answerCut(within time.Duration) {
+	h.drain.cutRequests(executor.ErrStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if err := h.callers.Shutdown(ctx); err != nil {
+		h.log.Error("drain_unanswered", "requests", h.drain.inFlight.Load(), "error", err)
+	}
+	h.closing.Wait(ctx)
+	h.callers.Close()
+}
+
 // stop performs a planned stop. It drains the host unless that has begun already, waits until no caller may use the host's address any
-// longer, closes idle connections and waits for requests in flight, including those that other hosts relayed. It ends early at the drain
+// longer, closes idle connections and waits for requests in flight, including those that other hosts relayed. It cuts them before the drain
 // deadline or when StopNow is called.
 func (h *Host) stop() error {
-	bounded, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.DrainDeadlineMS)*time.Millisecond)
+	deadline := time.Duration(h.settings.DrainDeadlineMS) * time.Millisecond
+	cutAt := time.Now().Add(time.Duration(cutFraction * float64(deadline)))
+	h.beginCut(cutAt)
+	bounded, cancel := context.WithDeadline(context.Background(), cutAt)
 	defer cancel()
 	go func() {
 		select {
@@ -194,7 +225,7 @@
 	if shutdownErr != nil || relayed > 0 {
 		inFlight := h.drain.inFlight.Load() + int64(relayed)
 		h.log.Error("drain_cut", "requests", inFlight, "relayed", relayed, "error", cmp.Or(shutdownErr, bounded.Err()))
-		h.callers.Close()
+		h.answerCut(min(answerTime, deadline-time.Duration(cutFraction*float64(deadline))))
 		h.operators.Close()
 		if inFlight == 0 {
 			return nil // the connections still open had no request in flight
--- a/internal/transport/frontend/frontend.go
+++ b/internal/transport/frontend/frontend.go
@@ -41,6 +41,8 @@
 	Refusals  *refusals.Store
 	// Admit returns the refusal of a host that accepts no requests now, or nil if it accepts them. A nil function always accepts.
 	Admit func() *refusals.Refusal
+	// MayBeCut reports whether this host stops too soon for a request with the given deadline. A nil function always returns false.
+	MayBeCut func(deadline time.Time) bool
 	// Metrics counts responses and refusals. It may be nil.
 	Metrics *metrics.Registry
 	// MaxTotalBodyBytes limits the memory for request bodies of all callers. 0 means 64 MiB.
@@ -58,6 +60,9 @@
 	if cfg.Admit == nil {
 		cfg.Admit = func() *refusals.Refusal { return nil }
 	}
+	if cfg.MayBeCut == nil {
+		cfg.MayBeCut = func(time.Time) bool { return false }
+	}
 	if cfg.MaxTotalBodyBytes == 0 {
 		cfg.MaxTotalBodyBytes = defaultMaxTotalBodyBytes
 	}
@@ -237,6 +242,9 @@
 
 func noRelease() {}
 
+// stopRetryAfter is the delay stated in refusals of requests that this host may cut: another host can serve them at once.
+const stopRetryAfter = 20 * time.Millisecond
+
 // newCall checks the request against the contract and reads its body. release must be called once the call has ended.
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, customer *Customer, arrived time.Time) (call *executor.Call, release func(), refusal *refusals.Refusal) {
 	escaped := r.URL.EscapedPath()
@@ -271,6 +279,10 @@
 		return nil, noRelease, refusal
 	}
 	release, refusal = s.readBody(w, r, call)
+	if refusal == nil && s.cfg.MayBeCut(call.Deadline) {
+		refusal = &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, RetryAfter: stopRetryAfter,
+			Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"}
+	}
 	return call, release, refusal
 }
 
--- a/internal/transport/frontend/frontend_test.go
+++ b/internal/transport/frontend/frontend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -12,6 +13,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,7 +38,7 @@
 func (noDirectory) Addresses(string) callerapi.Addresses { return callerapi.Addresses{} }
 
 // newFrontend starts a frontend for one service, whose only endpoint runs the handler upstream.
-func newFrontend(tb testing.TB, upstream http.HandlerFunc) (s *httptest.Server, x *executor.Executor) {
+func newFrontend(tb testing.TB, upstream http.HandlerFunc, configure ...func(*Config)) (s *httptest.Server, x *executor.Executor) {
 	tb.Helper()
 	up := httptest.NewServer(upstream)
 	tb.Cleanup(up.Close)
@@ -53,7 +55,11 @@
 	table.SetService("svc", []endpoints.Endpoint{{ID: endpoints.ID{Address: up.Listener.Addr().String()}, Service: "svc", Slots: 100}})
 	x = executor.New(executor.Config{Granter: balancer.NewGranter(table, random.Picker{}), Sender: upstreamconn.NewPool(upstreamconn.DefaultConfig()),
 		Leaving: table, Keys: keys.NewTable(keys.Config{Host: "h", Incarnation: strings.Repeat("0", 16), Origin: time.Now()})})
-	s = httptest.NewUnstartedServer(New(Config{Host: "h", Customers: func() *Customers { return customers }, Executor: x, Directory: noDirectory{}, Refusals: refusals.NewStore(100)}))
+	cfg := Config{Host: "h", Customers: func() *Customers { return customers }, Executor: x, Directory: noDirectory{}, Refusals: refusals.NewStore(100)}
+	for _, f := range configure {
+		f(&cfg)
+	}
+	s = httptest.NewUnstartedServer(New(cfg))
 	s.Config.ConnContext, s.Listener = framing.ConnContext, framing.NewListener(s.Listener)
 	s.Start()
 	tb.Cleanup(s.Close)
@@ -267,3 +273,49 @@
 	is.True(strings.Contains(body, "Content-Length"))
 	is.Equal(len(ran), 0)
 }
+
+// TestStopIsTold guards against requests that are taken although the host stops before their deadline, and against requests that a stop cuts without a
+// response or with one that says something else, also those with a key, which outlive their callers.
+func TestStopIsTold(t *testing.T) {
+	is := is.New(t)
+	waiting, release := make(chan bool, 4), make(chan bool)
+	var end atomic.Pointer[time.Time]
+	s, x := newFrontend(t, func(http.ResponseWriter, *http.Request) {
+		waiting <- true
+		<-release
+	}, func(c *Config) {
+		c.MayBeCut = func(deadline time.Time) bool { return end.Load() != nil && deadline.After(*end.Load()) }
+	})
+	defer close(release)
+	requests, cut := context.WithCancelCause(t.Context())
+	stopping := httptest.NewUnstartedServer(s.Config.Handler)
+	stopping.Config.ConnContext, stopping.Config.BaseContext = framing.ConnContext, func(net.Listener) context.Context { return requests }
+	stopping.Listener = framing.NewListener(stopping.Listener)
+	stopping.Start()
+	defer stopping.Close()
+	texts := []string{"GET /s/svc/a/1 HTTP/1.1\r\nHost: h\r\n" + auth + "\r\n", "POST /s/svc/a/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nIdempotency-Key: " +
+		x.KeyPrefix() + "." + strings.Repeat("k", 16) + "\r\n" + auth + "\r\n"}
+	bodies := make(chan string, len(texts))
+	send := func(text string) {
+		_, body, err := sendRaw(t, stopping, "GET", text)
+		is.NoErr(err)
+		bodies <- body
+	}
+	for _, text := range texts {
+		go send(text)
+		<-waiting
+	}
+	now := time.Now()
+	end.Store(&now)
+	for _, text := range texts {
+		send(strings.ReplaceAll(text, "kkkk", "late"))
+		body := <-bodies
+		is.True(strings.Contains(body, `"reason":"host_draining"`) && strings.Contains(body, `"ran":"no"`))
+	}
+	is.Equal(len(waiting), 0) // nothing was sent
+	cut(executor.ErrStopped)
+	for range texts {
+		body := <-bodies
+		is.True(strings.Contains(body, `"reason":"upstream_lost"`) && strings.Contains(body, `"ran":"unknown"`))
+	}
+}
