platform, dispatch: one odd entry of the host list stops no host of the older daemon

What callers saw: nothing yet; shown by tests. One entry with slots of another type, a number too large or deep nesting made the whole list unreadable: hosts did not learn of new or leaving upstreams any more. An entry with very many slots was counted through one by one, under the lock of its service's queue: with 2^31 slots the test did not end in 20 s, and with 2^63 it never does. Requests of that service then hang on all hosts.

Cause: the list was decoded as one document, and assignSlots counted.

Change: if the list does not decode as a whole, its entries are decoded one by one, by tokens, since decoders give up a document at deep nesting. Entries that do not decode, or state a port or slots that no upstream has, are left out and logged. assignSlots computes its part.

Evidence: TestOddEntryOfList failed ("not valid JSON") and TestSlotsOfParts did not end; both pass. Their packages, host and configlog pass with -race.

--- a/internal/coordination/dispatch/queue_capacity.go
+++ b/internal/coordination/dispatch/queue_capacity.go
@@ -135,15 +135,14 @@
 // assignSlots computes the slots of this queue's part. Slots are assigned to the parts in turn, so the parts of all hosts add up to
 // all slots if the hosts have the same membership view and the same endpoints.
 func (q *Queue) assignSlots() {
-	next := 0
+	next, count := 0, q.part.count() // next is the part that the next slot goes to
 	for _, e := range q.usableEndpoints {
+		n, own := max(1, e.Slots), (q.part.Index-next+count)%count // own is the first slot of this part
 		e.slots = 0
-		for range max(1, e.Slots) {
-			if next%q.part.count() == q.part.Index {
-				e.slots++
-			}
-			next++
+		if n > own {
+			e.slots = (n-own-1)/count + 1
 		}
+		next = (next + n%count) % count
 	}
 }
 
--- a/internal/coordination/dispatch/queue_test.go
+++ b/internal/coordination/dispatch/queue_test.go
@@ -80,6 +80,31 @@
 	return q, now
 }
 
+// TestSlotsOfParts guards against a queue that counts to the number of slots that an endpoint states, and so never ends at a great one, and against parts
+// that do not add up to all slots.
+func TestSlotsOfParts(t *testing.T) {
+	for _, count := range []int{1, 2, 3, 7} {
+		for _, slots := range []int{0, 1, 2, 3, 8, math.MaxInt32} {
+			list := append(endpointsOf(1, 5), endpointsOf(3, slots)[1:]...)
+			total := 0
+			for index := range count {
+				q := &Queue{part: Part{Index: index, Count: count}}
+				for _, e := range list {
+					q.usableEndpoints = append(q.usableEndpoints, &endpoint{Endpoint: e})
+				}
+				q.assignSlots()
+				own := 0
+				for _, e := range q.usableEndpoints {
+					own += e.slots
+				}
+				is.New(t).True(own >= (5+2*max(1, slots))/count && own <= (5+2*max(1, slots))/count+1)
+				total += own
+			}
+			is.New(t).Equal(total, 5+2*max(1, slots))
+		}
+	}
+}
+
 // violatedInvariant describes an invariant that the queue's state violates, or returns an empty string. Grants from AddOpenGrants may
 // exceed slots and limits.
 func (q *Queue) violatedInvariant(now time.Time) string {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 	"github.com/arbutusspan/arbutusspan/internal/transport/admin"
+	"github.com/arbutusspan/arbutusspan/internal/transport/errtext"
 	"github.com/arbutusspan/arbutusspan/internal/transport/framing"
 	"github.com/arbutusspan/arbutusspan/internal/transport/frontend"
 	"github.com/arbutusspan/arbutusspan/internal/transport/lingering"
@@ -81,6 +82,9 @@
 		hostList: platform.NewHostList(s.HostListURL), metrics: metrics.New(), started: time.Now(),
 		member: newMembershipState(time.Now()), drain: drainState{stopNow: make(chan struct{})}}
 	h.table.OnLeaving(h.disseminateMark)
+	h.hostList.OnInvalid = func(n int, first error) {
+		h.log.Warn("host_list", "left_out", n, "error", errtext.Bound(first))
+	}
 	h.customers.Store(&frontend.Customers{})
 	h.dispatch = newDispatch(s, h.table, h.pool, logger, h.dispatchMembers, h.peerAddress, func(host string) { h.member.node.Probe(host) })
 	h.member.peers = h.dispatch.peers
--- a/internal/transport/platform/hostlist_test.go
+++ b/internal/transport/platform/hostlist_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -39,6 +40,33 @@
 	w.Write(s.body)
 }
 
+// TestOddEntryOfList guards against one odd entry that keeps hosts from reading the list, or that is used although its figures are not possible.
+func TestOddEntryOfList(t *testing.T) {
+	const whole = `{"role":"upstream","name":"u","address":"10.0.0.1:80","zone":"z","service":"s","slots":2,"incarnation":"1","state":"live"}`
+	with := func(old, new string) string { return strings.Replace(whole, old, new, 1) }
+	for name, odd := range map[string]string{
+		"deep": strings.Repeat(`{"x":`, 100_000) + "1" + strings.Repeat("}", 100_000), "deep list": strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000),
+		"number too large": with(`"slots":2`, `"slots":1e30`), "slots near the limit": with(`"slots":2`, `"slots":9223372036854775807`),
+		"negative slots": with(`"slots":2`, `"slots":-1`), "text": with(`"slots":2`, `"slots":"2"`), "no entry": "7", "port too large": with(":80", ":65536"),
+		"port 0": with(":80", ":0"), "no port": with(":80", "")} {
+		for _, hosts := range []string{odd, whole + "," + odd, odd + "," + whole, odd + "," + odd + "," + whole + "," + odd} {
+			is := is.New(t)
+			server := &listServer{tag: "1", body: gzipped([]byte(`{"version":[{"hosts":[1]}],"hosts":[` + hosts + `],"more":{}}`))}
+			s := httptest.NewServer(server)
+			list := NewHostList(s.URL)
+			var invalid int
+			list.OnInvalid = func(n int, err error) { invalid = n; is.True(err != nil) }
+			got, err := list.Fetch(t.Context())
+			is.NoErr(err) // the other entries are valid
+			t.Log(name)
+			is.Equal(len(got), strings.Count(hosts, whole))
+			is.Equal(invalid, strings.Count(hosts, odd))
+			list.client.CloseIdleConnections()
+			s.Close()
+		}
+	}
+}
+
 // TestMalformedListKeepsLastList guards against a compressed list that is truncated or not gzip and yet replaces the last list. It also
 // guards against storing the entity tag of such a list: a later response with status 304 would then confirm a list that was never read.
 func TestMalformedListKeepsLastList(t *testing.T) {
--- a/internal/transport/platform/platform.go
+++ b/internal/transport/platform/platform.go
@@ -78,7 +78,7 @@
 }
 
 func roundTrip(ctx context.Context, client *http.Client, method, target string, body []byte, out any) error {
-	_, err := exchange(ctx, client, method, target, http.Header{}, body, out)
+	_, err := exchange(ctx, client, method, target, http.Header{}, body, func(data []byte) error { return json.Unmarshal(data, out) })
 	return err
 }
 
@@ -88,9 +88,9 @@
 	header http.Header
 }
 
-// exchange sends a request and decodes the JSON body of the response into out. It changes out only after the response was read to its
-// end. If the status is 304 (Not Modified), which only a conditional request allows, it leaves out unchanged.
-func exchange(ctx context.Context, client *http.Client, method, target string, header http.Header, body []byte, out any) (head responseHead, err error) {
+// exchange sends a request and calls decode with the JSON body of the response after it was read to its end. If the status is 304 (Not Modified),
+// which only a conditional request allows, it does not call decode.
+func exchange(ctx context.Context, client *http.Client, method, target string, header http.Header, body []byte, decode func([]byte) error) (head responseHead, err error) {
 	// NopCloser hides the reader's type, so that net/http cannot rewind the body and resend an append.
 	var reader io.Reader
 	if body != nil {
@@ -128,63 +128,8 @@
 	case resp.StatusCode != http.StatusOK:
 		return head, trace.ConnectionProblem(nil, "platform answered with status %d; it is tried again", resp.StatusCode)
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if err := decode(data); err != nil {
 		return head, trace.ConnectionProblem(err, "platform's answer is not valid JSON; it is tried again")
 	}
 	return responseHead{resp.StatusCode, resp.Header}, nil
 }
-
-// Values of Host.Role.
-const (
-	RoleEntry    = "entry"
-	RoleUpstream = "upstream"
-)
-
-// Host is one entry of the host list.
-type Host struct {
-	Role        string `json:"role"` // RoleEntry or RoleUpstream
-	Name        string `json:"name"`
-	Address     string `json:"address"` // IP:port; the port of an entry host is its peer port
-	Zone        string `json:"zone"`
-	Service     string `json:"service,omitempty"` // upstreams only
-	Slots       int    `json:"slots,omitempty"`   // upstreams only: how many requests it executes at the same time
-	Incarnation string `json:"incarnation"`
-	State       string `json:"state"` // live or leaving
-}
-
-// HostList reads the platform's list of hosts. It is not safe for concurrent use.
-type HostList struct {
-	base   string
-	client *http.Client
-	traffic
-	etag string // entity tag of last
-	last []Host // the list that was fetched last
-}
-
-// NewHostList returns the client of the host list. base is the URL before the path /v1/hosts.
-func NewHostList(base string) *HostList {
-	h := &HostList{base: base}
-	h.client = h.newClient()
-	return h
-}
-
-// Fetch returns the platform's current list, which may be out of date. If the platform sends entity tags (RFC 9110, section 13), an
-// unchanged list is not transferred again: 3,000 endpoints cost 490 KB a second if the whole list is transferred each second. The
-// result must not be modified.
-func (h *HostList) Fetch(ctx context.Context) ([]Host, error) {
-	header := http.Header{}
-	if h.etag != "" {
-		header.Set("If-None-Match", h.etag)
-	}
-	var answer struct {
-		Hosts []Host `json:"hosts"`
-	}
-	got, err := exchange(ctx, h.client, http.MethodGet, h.base+"/v1/hosts", header, nil, &answer)
-	if err != nil {
-		return nil, err
-	}
-	if got.status != http.StatusNotModified {
-		h.etag, h.last = got.header.Get("ETag"), answer.Hosts
-	}
-	return h.last, nil
-}
