upstreamconn: the memory for unfinished heads of responses is bounded

Each head of a response is bounded (64 KiB, 256 lines), but not all of them together: 200 requests to an endpoint that sends 60 KiB of a head and does not end it took up to 18 MB, and nothing bounds their number but the slots that the endpoints state. The smallest host has 184 MB.

Cause: bodies of responses have a budget; their heads had none.

Change: what has arrived of unfinished heads, without the first 8 KiB of each, counts for a limit of the pool: 3% of the memory for endpoints, and the same for other hosts. A request whose response exceeds it fails like one with a head that is too large. Smaller heads are never refused.

--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -47,6 +47,7 @@
 	cfg.Dialect, cfg.IdleTimeout, cfg.ConnectTimeout = hopDialect, upstreamIdleTimeout, upstreamConnectTimeout
 	cfg.MaxPerEndpoint = func(endpoints.Endpoint) int { return maxHopConnections }
 	cfg.MaxHeaderBytes += hop.MaxHeaderBytes
+	cfg.MaxUnfinishedHeads = maxUnfinishedHeads(g.settings.MemoryMB)
 	return upstreamconn.NewPool(cfg)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,6 +163,7 @@
 	poolConfig := upstreamconn.DefaultConfig()
 	poolConfig.Dialect, poolConfig.IdleTimeout, poolConfig.ConnectTimeout = a.Dialect, upstreamIdleTimeout, upstreamConnectTimeout
 	poolConfig.MaxPerEndpoint, poolConfig.SourceIP = g.maxConnections, s.upstreamSourceIP
+	poolConfig.MaxUnfinishedHeads = maxUnfinishedHeads(s.MemoryMB)
 	poolConfig.OnResponse, poolConfig.Leaving = g.recordResponse, g.endpoints.Withdrawn
 	poolConfig.Unchecked, poolConfig.OnContactLost = g.unchecked, g.recordContactLost
 	poolConfig.Rejecting = func(id endpoints.ID) bool {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -19,6 +19,9 @@
 	smallBodyFraction  = 0.08
 	largeBodyFraction  = 0.36
 	responseFraction   = 0.15
+	// responseHeadFraction is for what has arrived of large heads of endpoints' responses that are not complete, and the same of other hosts' responses.
+	// Decoded, it takes up to twice the memory.
+	responseHeadFraction = 0.03
 	// hopBodyFraction is for the bodies of requests that other hosts got, small and large ones each, and hopHeadFraction for their heads.
 	hopBodyFraction = 0.05
 	hopHeadFraction = 0.02
@@ -50,6 +53,11 @@
 		NoShares: true})
 }
 
+// maxUnfinishedHeads returns the limit on unfinished heads of responses, in bytes, of a process with the given memory in MiB.
+func maxUnfinishedHeads(memoryMB float64) int64 {
+	return int64(memoryMB * responseHeadFraction * mebibyte)
+}
+
 // reserveResponse reserves memory for n more bytes of responses that are read before they are passed on. It returns false if there is none left.
 func (g *Gateway) reserveResponse(n int64) bool {
 	return g.memory.Reserve(membudget.Responses, netip.Addr{}, g.memory.Limit(membudget.Responses), n)
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -76,6 +77,12 @@
 	s.column, s.onlyCR = 0, false
 }
 
+// smallHeadBytes is the size in bytes up to which a response's head does not count for Config.MaxUnfinishedHeads.
+const smallHeadBytes = 8 << 10
+
+// errUnfinishedHeads is returned by Read of a connection on which more of a head arrives while Config.MaxUnfinishedHeads is reached.
+var errUnfinishedHeads = errors.New("the heads of too many responses are large and not complete")
+
 // errUnsolicited is returned by Read and Write of a connection on which bytes arrived that belong to no request.
 var errUnsolicited = errors.New("bytes arrived that belong to no request")
 
@@ -90,17 +97,27 @@
 	onClose   func()
 	closeOnce sync.Once
 
+	unfinishedHeads *atomic.Int64 // of the pool
+	maxUnfinished   int64         // limit of unfinishedHeads; 0 for none
+
 	mu      sync.Mutex
 	state   connState
 	head    headScanner // of the current response
-	reading bool        // a Read is in progress
-	written bool        // a byte of the current request may have been passed to the kernel
-	onIdle  func()      // called once when the connection becomes idle
+	size    int64       // of what has arrived of the head
+	counted int64       // the part of size that unfinishedHeads has
+	closed  bool
+	reading bool   // a Read is in progress
+	written bool   // a byte of the current request may have been passed to the kernel
+	onIdle  func() // called once when the connection becomes idle
 }
 
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.notifyClosed()
+	c.mu.Lock()
+	c.closed = true
+	c.uncountLocked()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -146,9 +163,35 @@
 	if !c.head.scan(b[:n]) {
 		return 0, errHeaderLines
 	}
+	if !c.countLocked(n) {
+		return 0, errUnfinishedHeads
+	}
 	return n, err
 }
 
+// countLocked counts n more bytes of an unfinished head. It returns false if there are too many on all connections.
+func (c *guardedConn) countLocked(n int) bool {
+	if c.head.ended || c.closed {
+		c.uncountLocked()
+		return true
+	}
+	c.size += int64(n)
+	more := max(0, c.size-smallHeadBytes) - c.counted
+	if more == 0 {
+		return true
+	}
+	c.counted += more
+	return c.unfinishedHeads.Add(more) <= c.maxUnfinished || c.maxUnfinished == 0
+}
+
+// uncountLocked ends the count of the head, which is complete or given up.
+func (c *guardedConn) uncountLocked() {
+	if c.counted > 0 {
+		c.unfinishedHeads.Add(-c.counted)
+	}
+	c.size, c.counted = 0, 0
+}
+
 // finishResponse records that the current response was read to its end. It has onIdle called when the connection may be reused. That
 // never happens if net/http still holds unread bytes or the connection ends.
 func (c *guardedConn) finishResponse(onIdle func()) {
@@ -186,6 +229,7 @@
 		return false
 	}
 	c.state, c.written, c.head = readyForRequest, false, headScanner{}
+	c.uncountLocked()
 	return true
 }
 
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
@@ -40,6 +41,9 @@
 	MaxIdlePerEndpoint int
 	// MaxHeaderBytes is the maximum size of a response's status line and headers, including those of interim (1xx) responses.
 	MaxHeaderBytes int64
+	// MaxUnfinishedHeads bounds, in bytes, what has arrived of all response heads that are not complete, without the first smallHeadBytes of each. A
+	// request whose response exceeds it fails. 0 means no limit.
+	MaxUnfinishedHeads int64
 	// OnResponse is called with the status and headers of each response, before Send returns. It must not use Response.Body. Nil means no
 	// call.
 	OnResponse func(e endpoints.Endpoint, r *executor.Response)
@@ -70,6 +74,8 @@
 	dialer    *net.Dialer
 	transport *http.Transport
 	shards    [shardCount]poolShard
+
+	unfinishedHeads atomic.Int64 // bytes that MaxUnfinishedHeads bounds
 }
 
 type poolShard struct {
@@ -189,7 +195,8 @@
 		return nil, executor.ErrConnectionLimit
 	}
 	openedAt := time.Now()
-	guarded := &guardedConn{writeTimeout: p.cfg.WriteTimeout, onClose: func() { p.release(e.ID) }}
+	guarded := &guardedConn{writeTimeout: p.cfg.WriteTimeout, onClose: func() { p.release(e.ID) }, unfinishedHeads: &p.unfinishedHeads,
+		maxUnfinished: p.cfg.MaxUnfinishedHeads}
 	hc, err := p.transport.NewClientConn(context.WithValue(ctx, guardedConnKey{}, guarded), "http", e.Address)
 	if err != nil {
 		guarded.notifyClosed()
