upstreamconn: the older daemon bounds the memory for unfinished heads too

Cause: the limit is set by the gateway, by the memory that its settings state. The daemon has no such setting and takes the default, which was none.

The gateway sets its own.

--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -61,7 +61,8 @@
 // DefaultConfig returns the configuration used in production.
 func DefaultConfig() Config {
 	return Config{Dialect: defaultDialect, IdleTimeout: 10 * time.Second, ConnectTimeout: 500 * time.Millisecond,
-		WriteTimeout: 2 * time.Second, MaxIdlePerEndpoint: 16, MaxHeaderBytes: 64 << 10, MaxBodyBytes: 1 << 30}
+		WriteTimeout: 2 * time.Second, MaxIdlePerEndpoint: 16, MaxHeaderBytes: 64 << 10, MaxUnfinishedHeads: 8 << 20,
+		MaxBodyBytes: 1 << 30}
 }
 
 const shardCount = 16
