--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/metrics"
 	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
 	"github.com/arbutusspan/arbutusspan/internal/transport/admin"
+	"github.com/arbutusspan/arbutusspan/internal/transport/errtext"
 	"github.com/arbutusspan/arbutusspan/internal/transport/framing"
 	"github.com/arbutusspan/arbutusspan/internal/transport/frontend"
 	"github.com/arbutusspan/arbutusspan/internal/transport/lingering"
@@ -81,6 +82,9 @@
 		hostList: platform.NewHostList(s.HostListURL), metrics: metrics.New(), started: time.Now(),
 		member: newMembershipState(time.Now()), drain: drainState{stopNow: make(chan struct{})}}
 	h.table.OnLeaving(h.disseminateMark)
+	h.hostList.OnInvalid = func(n int, first error) {
+		h.log.Warn("host_list", "left_out", n, "error", errtext.Bound(first))
+	}
 	h.customers.Store(&frontend.Customers{})
 	h.dispatch = newDispatch(s, h.table, h.pool, logger, h.dispatchMembers, h.peerAddress, func(host string) { h.member.node.Probe(host) })
 	h.member.peers = h.dispatch.peers
@@ -89,8 +93,11 @@
 	h.follower = newFollower(s, contracts, logger, configPeers{live: h.livePeers, call: h.dispatch.peers.Call}, h.applyState)
 	h.executor = h.newExecutor(h.dispatch.granter, wire.RelayClient{Caller: relayCaller{h.dispatch.peers}})
 	h.callers = newServer(h.trackRequests(frontend.New(frontend.Config{Host: s.Host, Customers: h.customers.Load,
-		Executor: h.executor, Directory: h, Refusals: h.refusals, Admit: h.admit, Metrics: h.metrics})))
+		Executor: h.executor, Directory: h, Refusals: h.refusals, Admit: h.admit, MayBeCut: h.mayBeCut, Metrics: h.metrics})))
 	h.callers.ConnContext = framing.ConnContext
+	var requests context.Context
+	requests, h.drain.cutRequests = context.WithCancelCause(context.Background())
+	h.callers.BaseContext = func(net.Listener) context.Context { return requests }
 	view := operatorView{h}
 	operators := admin.New(admin.Config{Operators: s.Operators, Follower: h.follower, LocalHost: view, PeerHosts: view, Metrics: h.metrics,
 		Upstreams: h.upstreams, Members: h.members, Ready: func() bool { return h.lifecycle.Is(StateServing) }})
