eventlog: name what is left out, and keep room for rare events

On the busiest hosts, the lines that would name a lost request are the ones left out. While the output is blocked, request lines filled the buffer of 2,048 lines, and everything after them was dropped: with masses of request and refused lines, 0 of 20 connection_closed lines were written, and no log_lines_left_out either, since that was queued like others (its count was lost then). The limit of 300 a second applied to all request lines together, so that those of lost requests were left out with those of served ones.

The limit now applies to each kind: the event, and for request, refused and refused_unread also the outcome, reason or status.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -96,7 +96,7 @@
 	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
 	deadline := r.HeaderReadAt.Add(timeout)
 	if g.mayBeCut(deadline) {
-		g.log.Info("refused", "id", id, "reason", refusals.HostDraining, "path", r.Path, "version", table.Version)
+		g.log.InfoOf(string(refusals.HostDraining), "refused", "id", id, "reason", refusals.HostDraining, "path", r.Path, "version", table.Version)
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
@@ -241,7 +241,7 @@
 		if refusal.Customer != "" || refusal.Reason == refusals.CredentialsWrong {
 			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail, "retry_after_ms", ms(refusal.RetryAfter))
 		}
-		g.log.Info("refused", fields...)
+		g.log.InfoOf(string(refusal.Reason), "refused", fields...)
 	}
 	g.countCustomerRefusal(refusal)
 	return &ingress.Response{Status: doc.Status, Header: h, Body: body}
@@ -309,7 +309,7 @@
 	if res.RetryAfter > 0 {
 		fields = append(fields, "retry_after_ms", ms(res.RetryAfter))
 	}
-	g.log.Info("request", fields...)
+	g.log.InfoOf(string(res.Outcome), "request", fields...)
 }
 
 // reportCut counts and logs an answer that ended early, or that made no progress before it was given up. The line of its request tells how the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -228,7 +228,7 @@
 func (g *Gateway) reportUnreadRequest(caller net.Addr, header http.Header, status int, reason string) {
 	reason = g.withoutKey(reason)
 	g.metrics.Add("requests_unread_"+strconv.Itoa(status)+"_total", 1)
-	g.log.Info("refused_unread", "id", header.Get(g.adapter.Dialect.RequestID), "caller", caller.String(), "status", status,
+	g.log.InfoOf(strconv.Itoa(status), "refused_unread", "id", header.Get(g.adapter.Dialect.RequestID), "caller", caller.String(), "status", status,
 		"reason", reason[:min(maxLoggedReason, len(reason))], "connections", g.callers.Connections())
 }
 
