follow: let no response wait while a configuration is applied or passed on

Each request asks for the age of the copy before its response goes out, for its log line, and so did the check of readiness. Both waited for the follower's lock, which is held while a configuration is applied, and also while updates are sent to all hosts of the zone: a datagram of up to 24 KB for each, which blocks where the host's link is full. So beside each change, the finished responses of a host waited for its link; heartbeats waited too. A caller whose time passed meanwhile got nothing.

The age is read without the lock, and updates are sent after it was released, in their order, with their age at the time of sending. store_age_ms is -1 before the first copy, as in the dump.

That responses were lost by this on a deployment is suspected, not shown.

--- a/internal/coordination/follow/apply.go
+++ b/internal/coordination/follow/apply.go
@@ -7,10 +7,11 @@
 	"time"
 )
 
-// applyReads applies what a refresh read, calls the callbacks for failure and recovery, and sends the changes to the peers. err is the
+// applyReads applies what a refresh read, calls the callbacks for failure and recovery, and then sends the changes to the peers. err is the
 // refresh's error if a feed could not be read; the other feeds are applied nevertheless. An answer of a higher epoch begins that epoch.
 // Answers of lower epochs are dropped; the error is then errEarlierEpoch, and the store does not count as lost.
 func (f *Follower) applyReads(start time.Time, reads []feedRead, err error) error {
+	defer f.sendUpdates()
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -91,16 +92,17 @@
 		if !f.lastGap.After(start) {
 			clear(f.announced) // the read covers all that was announced
 		}
-		f.asOf, f.behind, f.announceEpoch = later(f.asOf, start), f.lacksAnnounced(), false
+		f.setAsOf(later(f.asOf, start))
+		f.behind, f.announceEpoch = f.lacksAnnounced(), false
 		f.settleEpoch(now)
 	}
 	if !f.behind && f.cancelCatchUp != nil {
 		f.cancelCatchUp()
 	}
 	for _, u := range split(changes) {
-		u.AgeMS, u.RecentOutage, u.Epoch, u.EpochAgeMS = now.Sub(start).Milliseconds(), recentOutage, f.epoch, f.epochAgeMS(now)
+		u.RecentOutage, u.Epoch, u.EpochAgeMS = recentOutage, f.epoch, f.epochAgeMS(now)
 		u.Partial = u.Partial || partial
-		f.cfg.SendUpdate(u)
+		f.unsent = append(f.unsent, unsentUpdate{u, start, now})
 	}
 	return nil
 }
--- a/internal/coordination/follow/catchup.go
+++ b/internal/coordination/follow/catchup.go
@@ -230,7 +230,7 @@
 		return trace.CompareFailed("the peer has not read all topics in epoch %d of the store", f.epoch)
 	}
 	f.recordEpochAnswer(asOf)
-	f.asOf = later(f.asOf, asOf)
+	f.setAsOf(later(f.asOf, asOf))
 	if f.behind = f.lacksAnnounced(); f.behind {
 		return trace.CompareFailed("the peer's state lacks changes that were announced")
 	}
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -10,6 +10,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -170,7 +171,7 @@
 	epochChanged        bool                   // the epoch has changed while this host or the peer from which it has its copy had a copy
 	epochSince          time.Time              // when the store first answered in this epoch, if epochChanged; zero if it has not
 	announceEpoch       bool                   // this host learned the epoch from the store and has not told its peers yet
-	asOf                time.Time              // the copy contains all changes up to this time; zero if there is no copy yet
+	asOf                time.Time              // the copy contains all changes up to this time; zero if there is no copy yet; changed by setAsOf
 	lastFailure         time.Time              // end of this host's last failed refresh
 	lastOutageEnd       time.Time              // end of the last outage of the store, as observed by this host or reported by a peer
 	lastHealthyPeerRead time.Time              // start of the newest read after which a peer reported no recent outage
@@ -186,7 +187,12 @@
 	catchUpBegin        time.Time              // of the last catch-up
 	catchUpFailed       bool                   // the last catch-up failed, and no refresh has ended since
 	failures            int                    // refreshes that have failed since the last one that succeeded, or the last catch-up that did
+	unsent              []unsentUpdate         // updates that are not yet passed to SendUpdate, in order
 
+	// age is asOf, nil if that is zero, for those who must not wait for f.mu: it is held while changes are applied.
+	age atomic.Pointer[time.Time]
+	// sendMu is held while updates are sent, so that they keep their order. It is locked before mu.
+	sendMu     sync.Mutex
 	background sync.WaitGroup // reads and the catch-up in progress
 }
 
@@ -300,11 +306,21 @@
 	return slices.ContainsFunc(f.cancelRead, func(cancel context.CancelFunc) bool { return cancel != nil })
 }
 
-// Age returns the age of the copy, and false if there is none yet.
+// Age returns the age of the copy, and false if there is none yet. It does not wait while changes are applied.
 func (f *Follower) Age(now time.Time) (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Sub(f.asOf), !f.asOf.IsZero()
+	asOf := f.age.Load()
+	if asOf == nil {
+		return 0, false
+	}
+	return now.Sub(*asOf), true
+}
+
+// setAsOf sets asOf. f.mu must be held.
+func (f *Follower) setAsOf(t time.Time) {
+	f.asOf = t
+	if !t.IsZero() {
+		f.age.Store(&t)
+	}
 }
 
 // FailingFor returns for how long this host's reads of the store have failed, or 0 if the last one succeeded.
--- a/internal/coordination/follow/state.go
+++ b/internal/coordination/follow/state.go
@@ -80,7 +80,7 @@
 	for n, i := range feeds {
 		f.installFeed(i, *states[n], received)
 	}
-	f.asOf = received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
+	f.setAsOf(received.Add(-time.Duration(s.AgeMS) * time.Millisecond))
 	if known > s.Epoch {
 		f.beginEpoch(known, true)
 	}
--- a/internal/coordination/follow/update.go
+++ b/internal/coordination/follow/update.go
@@ -91,6 +91,36 @@
 	return sum
 }
 
+// unsentUpdate is an update that is still to be sent.
+type unsentUpdate struct {
+	Update
+	readAt time.Time // begin of the read
+	madeAt time.Time // when EpochAgeMS was set
+}
+
+// sendUpdates sends the updates that are not yet sent, in their order. A send may block, so f.mu must not be held.
+func (f *Follower) sendUpdates() {
+	f.sendMu.Lock()
+	defer f.sendMu.Unlock()
+	for {
+		f.mu.Lock()
+		list := f.unsent
+		f.unsent = nil
+		f.mu.Unlock()
+		if len(list) == 0 {
+			return
+		}
+		for _, u := range list {
+			now := time.Now()
+			u.AgeMS = now.Sub(u.readAt).Milliseconds()
+			if u.EpochAgeMS > 0 {
+				u.EpochAgeMS += now.Sub(u.madeAt).Milliseconds()
+			}
+			f.cfg.SendUpdate(u.Update)
+		}
+	}
+}
+
 // ApplyUpdate applies a peer's update. It returns false if the update is not newer than this host's copy or the host has no copy yet. If
 // records between the copy and the update are missing, or the update begins a higher epoch of the store, Run fetches a peer's copy or reads
 // the store.
@@ -125,7 +155,7 @@
 		return true
 	}
 	if !u.Partial && len(u.Feeds) > 0 {
-		f.asOf = asOf
+		f.setAsOf(asOf)
 		f.settleEpoch(now)
 		if f.failures > 0 { // ends the pause after a failed read: the age of the copy decides again
 			f.failures = 0
--- a/internal/gateway/auxservers.go
+++ b/internal/gateway/auxservers.go
@@ -91,7 +91,13 @@
 		}
 		return 0
 	})
-	g.metrics.Gauge("store_age_ms", func() any { age, _ := g.follower.Age(time.Now()); return age.Milliseconds() })
+	g.metrics.Gauge("store_age_ms", func() any {
+		age, ok := g.follower.Age(time.Now())
+		if !ok {
+			return -1
+		}
+		return age.Milliseconds()
+	})
 	g.metrics.Gauge("endpoints", func() any { return g.endpoints.Snapshot().Total })
 	g.metrics.Gauge("endpoints_limited", func() any { return len(g.rateLimits.Limited()) })
 	g.metrics.Gauge("endpoints_cold", func() any { return g.rateLimits.CountCold(time.Now()) })
