quota: no panic when a limit changes beside requests that wait

What callers saw: beside a configuration that changes a customer's limit, a request got 500 and its connection was closed; where the same happens in a message of another host, the process ends ("index out of range"), and whole requests at that host get neither an answer nor a refusal.

Cause: the coordinator's bucket counts time in slots from its origin. A changed limit, or share of it, begins a new bucket with the present as its origin. Requests and messages take their time before the coordinator's lock, so those that wait for it come with an earlier time: once that is 25 ms or more before the origin, the slot's index is negative. Hosts without a free processor wait for so long, and that is when a change arrives. The panic of a request is caught by the server, that of a message is not.

A time before the oldest slot now counts as that slot's.

TestChangedLimitBesideEarlierRequest panicked before, with index -8 in Acquire and, without its line for that, with -6 in HandleRequest, which runs in the goroutine of messages; it passes 4 times with the race detector, as does the package.

--- a/internal/coordination/quota/bucket.go
+++ b/internal/coordination/quota/bucket.go
@@ -26,7 +26,16 @@
 
 func (b *bucket) slot(at time.Time) int64 { return int64(at.Sub(b.origin) / slotTime) }
 
-// advance drops slots that are too old to be remembered.
+// clamp returns the time at which a call counts that was made at the given one. A caller may have waited for the lock while the terms changed, or while
+// slots were dropped.
+func (b *bucket) clamp(now time.Time) time.Time {
+	if oldest := b.origin.Add(time.Duration(b.first) * slotTime); now.Before(oldest) {
+		return oldest
+	}
+	return now
+}
+
+// advance drops slots that are too old to be remembered. now must be clamped.
 func (b *bucket) advance(now time.Time) {
 	last := b.slot(now)
 	oldest := last - slotCount + 1
@@ -45,6 +54,7 @@
 // tokens returns the number of permits that may be granted now. What was granted in a slot counts from the end of the slot, so that the depth is
 // never exceeded.
 func (b *bucket) tokens(now time.Time) float64 {
+	now = b.clamp(now)
 	b.advance(now)
 	last := b.slot(now)
 	t, perSlot := b.base, b.rate*slotTime.Seconds()
@@ -58,7 +68,7 @@
 // grant takes up to n permits and returns their number.
 func (b *bucket) grant(n int, now time.Time) int {
 	n = max(0, min(n, int(b.tokens(now))))
-	b.granted[b.slot(now)%slotCount] += float64(n)
+	b.granted[b.slot(b.clamp(now))%slotCount] += float64(n)
 	return n
 }
 
@@ -68,6 +78,7 @@
 // giveBack takes back permits that were requested some time ago, granted soon after that, and not used. It ignores those of which it remembers no
 // grant.
 func (b *bucket) giveBack(n float64, age time.Duration, now time.Time) {
+	now = b.clamp(now)
 	b.advance(now)
 	requested := now.Add(-max(0, age))
 	if requested.Before(b.origin) {
