--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,9 @@
 	refusals *refusals.Store
 	recent   *recentRequests
 
-	routes           atomic.Pointer[routing.Table] // nil until a configuration is in force
+	routes           atomic.Pointer[routing.Table] // nil until a configuration is in force; changed by setRoutes
+	routesChanged    atomic.Pointer[chan struct{}] // is closed at the next change of routes
+	earlierIdle      atomic.Pointer[earlierIdle]   // nil before an idle timeout was lowered
 	endpoints        *registry.Table
 	endpointStats    *placement.EndpointStats // load and failure statistics of endpoints
 	rateLimits       *ratelimits.Table        // limits that endpoints have named
@@ -150,6 +152,7 @@
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
 		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), decodedEntries: map[string]decodedEntry{}, heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+	g.routesChanged.Store(new(make(chan struct{})))
 	g.memory = newMemoryBudget(s.MemoryMB)
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
@@ -180,7 +183,7 @@
 		ProbeBudget: placement.NewProbeBudget(g.probeRate), RateLimiter: g.rateLimiter, CrashGuard: g.crashGuard, Detour: detourSender{g.ways, g}, Endpoints: g.endpoints.Snapshot, OnPanic: g.reportPanic,
 		Withdrawn: g.endpoints.Withdrawn, OrderByValue: g.ordersByValue, Stopped: g.drainEnded, MayBeCut: g.mayBeCut, ReserveMemory: g.reserveResponse, ReleaseMemory: g.releaseResponse,
 		OnCut: g.reportCut, OnSilence: g.reportSilence, Lateness: &g.lateness})
-	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.limits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
+	g.callers = ingress.New(ingress.Config{Handler: g, Limits: g.callerLimits, MaxConnections: int(float64(s.MaxDescriptors) * callerDescriptorFraction),
 		Memory: g.memory, MaxPipelined: max(minPipelined, int(s.Cores*pipelinedPerCore)), PipelinedPerS: s.Cores * pipelinedPerCoreS,
 		OnEvicted: g.reportEvicted, OnRefused: g.reportUnreadRequest, OnPanic: g.reportRequestPanic,
 		OnUndelivered: g.reportUndelivered, OnClosed: g.reportClosed})
@@ -231,7 +234,7 @@
 func (g *Gateway) reportUnreadRequest(caller net.Addr, header http.Header, status int, reason string) {
 	reason = g.withoutKey(reason)
 	g.metrics.Add("requests_unread_"+strconv.Itoa(status)+"_total", 1)
-	g.log.Info("refused_unread", "id", header.Get(g.adapter.Dialect.RequestID), "caller", caller.String(), "status", status,
+	g.log.InfoOf(strconv.Itoa(status), "refused_unread", "id", header.Get(g.adapter.Dialect.RequestID), "caller", caller.String(), "status", status,
 		"reason", reason[:min(maxLoggedReason, len(reason))], "connections", g.callers.Connections())
 }
 
@@ -271,14 +274,6 @@
 	return max(minConnectionsPerEndpoint, s.MaxConnections/g.peers.HostCount())
 }
 
-// limits returns the limits on callers' requests in the configuration in force, or the defaults if there is none.
-func (g *Gateway) limits() routing.Limits {
-	if t := g.routes.Load(); t != nil {
-		return t.Limits
-	}
-	return routing.DefaultLimits
-}
-
 // Run serves until the context ends, then drains and stops. It returns early with an error if it cannot listen on one of its addresses.
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(g.settings.MemoryMB * heapFraction * mebibyte))
