test: daemons listen in a network that the test process has reserved

The tests that start daemons asked the kernel for a port on a fixed address such as 127.0.0.3, released it, and passed its number to a process that they started later. Anything could take it in between: a second test process, which uses the same addresses, or a connection, since the port is from the range of the local ports.

Each test process now reserves a loopback network, as deployments do (testbed.TakeNetwork), and numbers its ports there below the local ones. The bare server of "spanload bench" has a fixed port in the network of its deployment.

--- a/cmd/spanload/bench.go
+++ b/cmd/spanload/bench.go
@@ -157,11 +157,7 @@
 		return err
 	}
 	host, upstream := b.dep.Hosts[0], b.dep.Upstreams["booking-desk"][0]
-	port, err := testbed.FreePort(host.Settings.Address)
-	if err != nil {
-		return err
-	}
-	bare := net.JoinHostPort(host.Settings.Address, fmt.Sprint(port))
+	bare := net.JoinHostPort(host.Settings.Address, fmt.Sprint(testbed.BarePort))
 	if b.bare, err = testbed.Start("bare", bin["standin"], "bare", "--listen", bare, "--upstream", upstream); err != nil {
 		return err
 	}
--- a/internal/testbed/deployment.go
+++ b/internal/testbed/deployment.go
@@ -99,6 +99,7 @@
 	operatorPort   = 7081
 	peerPort       = 7082
 	advertisedPort = 7083
+	BarePort       = 7084 // of a server beside a host that forwards without its work, for measurements
 	platformPort   = 7090
 	upstreamPort   = 7100 // port of a service's first endpoint; the others have the next ones
 	lockPort       = 7099 // TakeNetwork listens on it to reserve the network
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -125,16 +124,6 @@
 	return paths, nil
 }
 
-// FreePort returns a TCP port that was free on the address at the time of the call. It does not reserve the port.
-func FreePort(address string) (int, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // WriteJSON writes v as JSON to a file in dir, replacing an existing one, and returns its path.
 func WriteJSON(dir, name string, v any) (string, error) {
 	data, err := json.MarshalIndent(v, "", "  ")
--- a/test/at_most_once_test.go
+++ b/test/at_most_once_test.go
@@ -40,13 +40,13 @@
 	bin, err := testbed.Build(dir, "arbutusspan", "arbutusctl", "standin")
 	is.NoErr(err)
 	hosts := startUpstreams(t, bin, 30, 3, 2, "5ms")
-	platformURL := startPlatform(t, ctx, bin, "127.0.0.3", hosts)
+	platformURL := startPlatform(t, ctx, bin, loopback(t, 3), hosts)
 	contractPath, err := writeLowRateContract(dir)
 	is.NoErr(err)
 	var urls, paths []string
 	var daemons []*testbed.Process
 	for i := range 2 {
-		ip := fmt.Sprintf("127.0.0.%d", 13+i)
+		ip := loopback(t, 13+i)
 		s := settingsFor(t, fmt.Sprintf("burton-%d", i), "burton-hall", ip, platformURL)
 		path, err := testbed.WriteJSON(dir, s.Host+".json", s)
 		is.NoErr(err)
--- a/test/common_test.go
+++ b/test/common_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/arbutusspan/arbutusspan/internal/host"
@@ -36,26 +38,41 @@
 	return p
 }
 
-func freePort(t *testing.T, ip string) int {
+// takeNetwork reserves the loopback network of this test process, so that no other process listens on its addresses. The listener keeps it reserved.
+var takeNetwork = sync.OnceValues(func() (reserved struct {
+	number byte
+	lock   net.Listener
+}, err error) {
+	reserved.number, reserved.lock, err = testbed.TakeNetwork()
+	return reserved, err
+})
+
+// firstPort is the first port that freePort returns. Ports from 32768 on are the local ones of connections.
+const firstPort = 20000
+
+var portsTaken atomic.Int64
+
+// loopback returns an address of this test process's network.
+func loopback(t *testing.T, last int) string {
 	t.Helper()
-	p, err := testbed.FreePort(ip)
+	n, err := takeNetwork()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return p
+	return fmt.Sprintf("127.%d.0.%d", n.number, last)
 }
 
-func freeAddress(t *testing.T, ip string) string {
-	t.Helper()
-	return net.JoinHostPort(ip, strconv.Itoa(freePort(t, ip)))
-}
+// freePort returns a port that this process has not returned before.
+func freePort() int { return firstPort + int(portsTaken.Add(1)) }
+
+func freeAddress(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(freePort())) }
 
-// startUpstreams starts n upstreams of the service lotdesk on consecutive addresses, the first being 127.0.0.(first).
+// startUpstreams starts n upstreams of the service lotdesk on consecutive addresses, the first being loopback(t, first).
 func startUpstreams(t *testing.T, bin map[string]string, first, n, slots int, work string) []platform.Host {
 	t.Helper()
 	var hosts []platform.Host
 	for i := range n {
-		address := freeAddress(t, fmt.Sprintf("127.0.0.%d", first+i))
+		address := freeAddress(loopback(t, first+i))
 		start(t, "upstream", bin["standin"], "upstream", "--listen", address, "--work", work, "--slots", strconv.Itoa(slots))
 		hosts = append(hosts, platform.Host{Role: platform.RoleUpstream, Address: address, Service: "lotdesk", Slots: slots, Incarnation: "1", State: "live"})
 	}
@@ -65,7 +82,7 @@
 // startPlatform starts a platform stand-in with the given host list and returns its URL.
 func startPlatform(t *testing.T, ctx context.Context, bin map[string]string, ip string, hosts []platform.Host) string {
 	t.Helper()
-	address := freeAddress(t, ip)
+	address := freeAddress(ip)
 	start(t, "platform", bin["standin"], "platform", "--listen", address)
 	url := "http://" + address
 	if err := testbed.Eventually(ctx, func() error {
@@ -80,7 +97,7 @@
 func settingsFor(t *testing.T, name, zone, ip, platformURL string) host.Settings {
 	t.Helper()
 	token := sha256.Sum256([]byte(testbed.OperatorToken))
-	return host.Settings{Host: name, Zone: zone, Site: zone, Address: ip, CallerPort: freePort(t, ip), OperatorPort: freePort(t, ip), PeerPort: freePort(t, ip),
+	return host.Settings{Host: name, Zone: zone, Site: zone, Address: ip, CallerPort: freePort(), OperatorPort: freePort(), PeerPort: freePort(),
 		LogURL: platformURL, HostListURL: platformURL, ClusterSecret: testbed.ClusterSecret,
 		Operators: []admin.Operator{{Name: "demo", SHA256: hex.EncodeToString(token[:])}}}
 }
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -47,7 +47,7 @@
 	dir := t.TempDir()
 	bin, err := testbed.Build(dir, "arbutusspan", "standin")
 	is.NoErr(err)
-	address := freeAddress(t, "127.0.0.3")
+	address := freeAddress(loopback(t, 3))
 	start(t, "platform", bin["standin"], "platform", "--listen", address)
 	faults := func(f standin.LogFaults) {
 		t.Helper()
@@ -78,7 +78,7 @@
 	}
 
 	faults(standin.LogFaults{})
-	first := daemon("tamworth-1", "127.0.0.41")
+	first := daemon("tamworth-1", loopback(t, 41))
 	is.NoErr(testbed.Eventually(ctx, func() error { return checkReadyz(first, http.StatusOK) }))
 
 	faults(standin.LogFaults{LoseAnswers: 1})
@@ -87,7 +87,7 @@
 	is.Equal([]any{response.Outcome, response.Revision}, []any{admin.OutcomeAccepted, uint64(1)})
 
 	faults(standin.LogFaults{Down: true})
-	second := daemon("tamworth-2", "127.0.0.42")
+	second := daemon("tamworth-2", loopback(t, 42))
 	is.NoErr(testbed.Eventually(ctx, func() error { return checkReadyz(second, http.StatusServiceUnavailable) }))
 	var refused admin.ErrorDocument
 	is.NoErr(testbed.Eventually(ctx, func() error { // the first host may not have detected the outage yet
--- a/test/membership_test.go
+++ b/test/membership_test.go
@@ -49,15 +49,15 @@
 	dir := t.TempDir()
 	bin, err := testbed.Build(dir, "arbutusspan", "arbutusctl", "standin")
 	is.NoErr(err)
-	platformAddress := freeAddress(t, "127.0.0.2")
+	platformAddress := freeAddress(loopback(t, 2))
 	platformProcess := start(t, "platform", bin["standin"], "platform", "--listen", platformAddress)
-	otherAddress := freeAddress(t, "127.0.0.2")
+	otherAddress := freeAddress(loopback(t, 2))
 	start(t, "other list", bin["standin"], "platform", "--listen", otherAddress)
 	d := &deployment{t: t, ctx: ctx, bin: bin, platformURL: "http://" + platformAddress, otherHostListURL: "http://" + otherAddress,
 		platform: platformProcess}
 	d.hostList = startUpstreams(t, bin, 20, upstreams, 64, work)
 	for i := range hosts {
-		ip := fmt.Sprintf("127.0.0.%d", 51+i)
+		ip := loopback(t, 51+i)
 		s := settingsFor(t, fmt.Sprintf("tamworth-%d", i), "tamworth-hall", ip, d.platformURL)
 		s.AddressLifetimeMS = shortAddressLifetimeMS
 		if i > 0 {
--- a/test/regions_test.go
+++ b/test/regions_test.go
@@ -38,9 +38,9 @@
 	dir := t.TempDir()
 	bin, err := testbed.Build(dir, "arbutusspan", "standin")
 	is.NoErr(err)
-	logAddress := freeAddress(t, "127.0.0.3")
+	logAddress := freeAddress(loopback(t, 3))
 	start(t, "log", bin["standin"], "platform", "--listen", logAddress)
-	link, err := testbed.NewRelay(netip.MustParseAddrPort("127.0.0.5:0"), netip.MustParseAddrPort(logAddress), func(netip.Addr) time.Duration { return 0 })
+	link, err := testbed.NewRelay(netip.MustParseAddrPort(freeAddress(loopback(t, 5))), netip.MustParseAddrPort(logAddress), func(netip.Addr) time.Duration { return 0 })
 	is.NoErr(err)
 	defer link.Close()
 	logURLs := []string{"http://" + logAddress, "http://" + link.Address().String()} // the second region reaches the log through link
@@ -48,7 +48,7 @@
 	regions := make([]*region, 2)
 	addHost := func(r, k int) {
 		t.Helper()
-		ip := fmt.Sprintf("127.0.0.%d", 60+10*r+k)
+		ip := loopback(t, 60+10*r+k)
 		s := settingsFor(t, fmt.Sprintf("region%d-%d", r, k), fmt.Sprintf("zone%d", r), ip, logURLs[r])
 		s.HostListURL = regions[r].hostListURL
 		regions[r].hosts = append(regions[r].hosts, s)
@@ -59,7 +59,7 @@
 	}
 	for r := range regions {
 		upstreams := startUpstreams(t, bin, 80+10*r, 2, 8, "1ms")
-		regions[r] = &region{hostList: upstreams, hostListURL: startPlatform(t, ctx, bin, "127.0.0.4", upstreams)}
+		regions[r] = &region{hostList: upstreams, hostListURL: startPlatform(t, ctx, bin, loopback(t, 4), upstreams)}
 		for k := range 2 {
 			addHost(r, k)
 		}
@@ -114,7 +114,7 @@
 		}
 		resp.Body.Close()
 		upstream := resp.Header.Get(callerapi.HeaderUpstream)
-		if resp.StatusCode != http.StatusOK || !strings.HasPrefix(upstream, fmt.Sprintf("127.0.0.%d", 8+r)) {
+		if resp.StatusCode != http.StatusOK || !strings.HasPrefix(upstream, loopback(t, 8+r)) {
 			return fmt.Errorf("%s: %s from upstream %q", s.Host, resp.Status, upstream)
 		}
 		return nil
--- a/test/reload_test.go
+++ b/test/reload_test.go
@@ -20,10 +20,10 @@
 	is := is.New(t)
 	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
 	is.NoErr(err)
-	const ip = "127.0.9.1"
-	path, err := testbed.WriteJSON(t.TempDir(), "settings.json", gateway.Settings{Host: "a-1", Zone: "a", CallerAddress: freeAddress(t, ip),
-		ReadyAddress: freeAddress(t, ip), DirectoryAddress: freeAddress(t, ip), PeerAddress: freeAddress(t, ip), StateAddress: freeAddress(t, ip),
-		StoreAddress: freeAddress(t, ip), RepeatRatio: 0.2, RepeatBurst: 10, GraceS: 1})
+	ip := loopback(t, 101)
+	path, err := testbed.WriteJSON(t.TempDir(), "settings.json", gateway.Settings{Host: "a-1", Zone: "a", CallerAddress: freeAddress(ip),
+		ReadyAddress: freeAddress(ip), DirectoryAddress: freeAddress(ip), PeerAddress: freeAddress(ip), StateAddress: freeAddress(ip),
+		StoreAddress: freeAddress(ip), RepeatRatio: 0.2, RepeatBurst: 10, GraceS: 1})
 	is.NoErr(err)
 	p := start(t, "a-1", bin["arbutusspan"], "gateway", "--settings", path)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -29,10 +29,10 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			const ip = "127.0.9.2"
-			path, err := testbed.WriteJSON(t.TempDir(), "settings.json", gateway.Settings{Host: "a-1", Zone: "a", CallerAddress: freeAddress(t, ip),
-				ReadyAddress: freeAddress(t, ip), DirectoryAddress: freeAddress(t, ip), PeerAddress: freeAddress(t, ip), StateAddress: freeAddress(t, ip),
-				StoreAddress: freeAddress(t, ip), RepeatRatio: 0.2, RepeatBurst: 10, GraceS: 1})
+			ip := loopback(t, 102)
+			path, err := testbed.WriteJSON(t.TempDir(), "settings.json", gateway.Settings{Host: "a-1", Zone: "a", CallerAddress: freeAddress(ip),
+				ReadyAddress: freeAddress(ip), DirectoryAddress: freeAddress(ip), PeerAddress: freeAddress(ip), StateAddress: freeAddress(ip),
+				StoreAddress: freeAddress(ip), RepeatRatio: 0.2, RepeatBurst: 10, GraceS: 1})
 			is.NoErr(err)
 			output, stdout, err := os.Pipe()
 			is.NoErr(err)
--- a/test/whole_path_test.go
+++ b/test/whole_path_test.go
@@ -26,8 +26,8 @@
 	bin, err := testbed.Build(dir, "arbutusspan", "arbutusctl", "standin")
 	is.NoErr(err)
 
-	platformURL := startPlatform(t, ctx, bin, "127.0.0.2", startUpstreams(t, bin, 20, 2, 2, "2ms"))
-	settings := settingsFor(t, "tamworth-1", "tamworth-hall", "127.0.0.11", platformURL)
+	platformURL := startPlatform(t, ctx, bin, loopback(t, 2), startUpstreams(t, bin, 20, 2, 2, "2ms"))
+	settings := settingsFor(t, "tamworth-1", "tamworth-hall", loopback(t, 11), platformURL)
 	daemon := startDaemon(t, bin, dir, settings)
 	ctl := func(args ...string) error {
 		all := append([]string{"--host", operatorURL(settings), "--token", testbed.OperatorToken}, args...)
@@ -40,7 +40,7 @@
 
 	var body string
 	is.NoErr(testbed.Eventually(ctx, func() error {
-		status, text, err := get(ctx, fmt.Sprintf("http://127.0.0.11:%d/s/lotdesk/lots/17", settings.CallerPort))
+		status, text, err := get(ctx, fmt.Sprintf("http://%s:%d/s/lotdesk/lots/17", settings.Address, settings.CallerPort))
 		if err != nil || status != http.StatusOK {
 			return fmt.Errorf("status %d, error %v, body %s", status, err, text)
 		}
