ingress: responses state for how long their connection may be idle

Cause: callers could only guess when a host closes an idle connection. What has arrived before the close is answered since the reader decides by it; what crosses the close cannot be.

Change: responses carry Keep-Alive with four fifths of the timeout in whole seconds. It is left out below one second, and when the connection closes.

TestIdleTimeoutIsStated failed before and passes; ingress and gateway pass with the race detector.

--- a/internal/transport/ingress/overload.go
+++ b/internal/transport/ingress/overload.go
@@ -196,7 +196,7 @@
 	p.refuse(http.StatusServiceUnavailable, tooManyConnections)
 	c.reportRefusal(p)
 	// If the write fails, the caller has left.
-	_ = writeResponse(bufio.NewWriterSize(c.netConn, 512), nil, p.refusal, true)
+	_ = writeResponse(bufio.NewWriterSize(c.netConn, 512), nil, p.refusal, connectionClose)
 }
 
 // victimLocked returns the connection of a random sample that makes room for a new one, or nil.
--- a/internal/transport/ingress/respond.go
+++ b/internal/transport/ingress/respond.go
@@ -10,8 +10,25 @@
 	"time"
 )
 
-// writeResponse writes one response. last says that the connection closes after it. After an error the connection must be closed.
-func writeResponse(bw *bufio.Writer, r *Request, resp *Response, last bool) error {
+// connectionClose is the header field of a response after which the connection closes.
+const connectionClose = "Connection: close\r\n"
+
+// statedIdleFraction is the fraction of the idle timeout that responses state. The rest is for the way of a response and of the next request: one that crosses
+// the close of its connection is not answered.
+const statedIdleFraction = 0.8
+
+// keepAlive returns the header field by which a response states for how long its connection may be idle, or "" if that is less than a second.
+func keepAlive(idleTimeout time.Duration) string {
+	seconds := int64(idleTimeout.Seconds() * statedIdleFraction)
+	if seconds < 1 {
+		return ""
+	}
+	return "Keep-Alive: timeout=" + strconv.FormatInt(seconds, 10) + "\r\n"
+}
+
+// writeResponse writes one response. connection is the header field that says how long its connection stays open. After an error the connection must be
+// closed.
+func writeResponse(bw *bufio.Writer, r *Request, resp *Response, connection string) error {
 	head := r != nil && r.Method == http.MethodHead
 	length := resp.Length
 	switch {
@@ -35,9 +52,7 @@
 	default:
 		bw.WriteString("Transfer-Encoding: chunked\r\n")
 	}
-	if last {
-		bw.WriteString("Connection: close\r\n")
-	}
+	bw.WriteString(connection)
 	bw.WriteString("\r\n")
 	if bodyless || head {
 		return bw.Flush()
--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -20,7 +20,7 @@
 				resp.Stream.Close()
 			}
 			c.reportUndelivered(x, resp, cause)
-		} else if err := writeResponse(bw, x.request, resp, c.decideLast(resp)); err != nil {
+		} else if err := writeResponse(bw, x.request, resp, c.connectionField(resp)); err != nil {
 			c.reportUndelivered(x, resp, err)
 			c.abort(err)
 		}
@@ -101,6 +101,14 @@
 	return c.lastRead && c.pending == 1
 }
 
+// connectionField returns the header field that says how long the connection stays open after this response.
+func (c *conn) connectionField(r *Response) string {
+	if c.decideLast(r) {
+		return connectionClose
+	}
+	return keepAlive(c.server.cfg.Limits().IdleTimeout)
+}
+
 func (c *conn) writeContinue() {
 	c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	// If the write fails, so does the next read.
