forward: an unread body is no stalled answer

An answer whose body made no progress for 50 ms when its request ended counted as a failure of the endpoint, also if the host had no processor to read it. Time in which the host was late no longer counts.

TestLateBodyIsNotStalled failed before and passes.

--- a/internal/coordination/forward/cut.go
+++ b/internal/coordination/forward/cut.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
 )
 
 const (
@@ -39,9 +40,9 @@
 	f.cfg.OnCut(cut)
 }
 
-// stalled reports whether the header of the answer has arrived and its body has made no progress for stallTime.
-func (s *sendResult) stalled(now time.Time) bool {
-	return s.resp != nil && now.Sub(s.progressAt) >= stallTime
+// stalled reports whether the header of the answer has arrived and its body has made no progress for stallTime, apart from time in which this host was late.
+func (s *sendResult) stalled(meter *lateness.Meter, now time.Time) bool {
+	return s.resp != nil && meter.Elapsed(s.progressAt, now) >= stallTime
 }
 
 // watchedStream is the rest of an answer that is passed on while it is read. It reports an early end, except if the caller has left.
--- a/internal/coordination/forward/owndelay_test.go
+++ b/internal/coordination/forward/owndelay_test.go
@@ -134,3 +134,15 @@
 		})
 	}
 }
+
+// TestLateBodyIsNotStalled guards against a failure that counts against an endpoint because this host had no processor to read the body of its answer.
+func TestLateBodyIsNotStalled(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	got := sendResult{resp: &executor.Response{}, progressAt: now.Add(-stallTime)}
+	var meter lateness.Meter
+	is.True(got.stalled(&meter, now))
+	meter.Observe(now.Add(-10*time.Millisecond), now)
+	is.True(!got.stalled(&meter, now))
+	is.True(got.stalled(&meter, now.Add(10*time.Millisecond)))
+}
--- a/internal/coordination/forward/send.go
+++ b/internal/coordination/forward/send.go
@@ -31,7 +31,7 @@
 		got.written = sendErr.Written
 	}
 	switch {
-	case got.err != nil && ctx.Err() != nil && (got.stalled(now) || sendErr != nil && sendErr.Partial && !sendErr.OwnDelay):
+	case got.err != nil && ctx.Err() != nil && (got.stalled(f.cfg.Lateness, now) || sendErr != nil && sendErr.Partial && !sendErr.OwnDelay):
 		f.cfg.EndpointStats.RecordEnd(v.ID, true, now)
 		f.reportCut(c, v.Name, &got, int64(len(got.body)), errStalled)
 	case got.err != nil && ctx.Err() != nil, errors.Is(got.err, executor.ErrWithdrawn):
