forward: a late host does not hedge for answers that have arrived

If the host had no processor until the time to hedge had passed, the answer and the timer were both ready, one of them was taken at random, and half of such requests were sent a second time: more work for the host that has no time, and for the endpoints. The hedge timer begins anew if it is seen late.

A Timer that begins anew waits for as long as it was late, at most for its own time. Reset records no lateness any more: a timer that expires while its user does something else shows none, and the hedge timer's user does.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -265,7 +265,7 @@
 	if !r.findAndSend(ctx, false) {
 		return
 	}
-	hedgeTimer := time.NewTimer(r.hedgeDelay())
+	hedgeTimer := lateness.NewTimer(nil, r.hedgeDelay())
 	defer hedgeTimer.Stop()
 	for {
 		select {
@@ -292,6 +292,9 @@
 				hedgeTimer.Reset(delay)
 			}
 		case <-hedgeTimer.C:
+			if !hedgeTimer.Expired() {
+				continue
+			}
 			if delay := r.hedge(ctx); delay > 0 {
 				hedgeTimer.Reset(delay)
 			}
--- a/internal/coordination/lateness/timer.go
+++ b/internal/coordination/lateness/timer.go
@@ -26,7 +26,8 @@
 	due   time.Time
 }
 
-// NewTimer returns a timer that expires after wait. Stop has to be called when it is no longer needed.
+// NewTimer returns a timer that expires after wait. Stop has to be called when it is no longer needed. The meter must be nil if its user may do something else
+// than wait for C while the timer runs, since that is not lateness.
 func NewTimer(meter *Meter, wait time.Duration) *Timer {
 	t := &Timer{timer: time.NewTimer(wait), meter: meter, wait: wait, due: time.Now().Add(wait)}
 	t.C = t.timer.C
@@ -34,12 +35,13 @@
 }
 
 // Expired is to be called after each value from C. It reports whether the time has passed. If the host has seen that late, what it waits for may have arrived:
-// the timer then begins anew.
+// the timer then begins anew, with the time by which it was late or, if that is less, its own.
 func (t *Timer) Expired() bool {
-	if !t.Observe(time.Now()) {
+	now := time.Now()
+	if !t.Observe(now) {
 		return true
 	}
-	t.Reset(t.wait)
+	t.Reset(min(t.wait, now.Sub(t.due)))
 	return false
 }
 
@@ -48,9 +50,7 @@
 
 // Reset begins the timer anew with another time.
 func (t *Timer) Reset(wait time.Duration) {
-	now := time.Now()
-	t.meter.Observe(t.due, now)
-	t.wait, t.due = wait, now.Add(wait)
+	t.wait, t.due = wait, time.Now().Add(wait)
 	t.timer.Reset(wait)
 }
 
