host: a planned stop answers the requests that other hosts relayed, and repeats

What callers saw: a request whose key is bound to a stopping host, and that another host relayed, was taken although its deadline lay behind the stop, and cut with no reply to that host.

Change: relayed requests are refused as not run, or ended with a reply, as those of the host's own callers. A request with a key is refused only if no attempt with it may have run; otherwise it gets the recorded response, or is told that the first one runs.

--- a/internal/host/drain.go
+++ b/internal/host/drain.go
@@ -34,7 +34,8 @@
 	stopNow     chan struct{} // closed when the planned stop must end at once
 	stopNowOnce sync.Once
 	cutAt       atomic.Pointer[time.Time] // when a planned stop cuts the requests that are left; nil before it
-	cutRequests context.CancelCauseFunc   // ends the contexts of all requests on the caller port
+	requests    context.Context           // of all requests on the caller port and those that other hosts relayed
+	cutRequests context.CancelCauseFunc   // ends requests
 
 	mu             sync.Mutex
 	stopping       bool               // the process is stopping; Undrain is no longer possible
@@ -184,7 +185,7 @@
 	return at != nil && deadline.After(*at)
 }
 
-// answerCut ends the requests on the caller port, each with a response that says whether it may have run, and closes all connections.
+// answerCut ends the requests on the caller port and those that other hosts relayed, each with a response that says whether it may have run, and closes all connections.
 func (h *Host) answerCut(within time.Duration) {
 	h.drain.cutRequests(executor.ErrStopped)
 	ctx, cancel := context.WithTimeout(context.Background(), within)
@@ -192,6 +193,9 @@
 	if err := h.callers.Shutdown(ctx); err != nil {
 		h.log.Error("drain_unanswered", "requests", h.drain.inFlight.Load(), "error", err)
 	}
+	if relayed := h.dispatch.server.DrainCalls(ctx); relayed > 0 {
+		h.log.Error("drain_unanswered", "relayed", relayed)
+	}
 	h.closing.Wait(ctx)
 	h.callers.Close()
 }
--- a/internal/host/execution.go
+++ b/internal/host/execution.go
@@ -20,7 +20,7 @@
 	h.keys = keys.NewTable(keys.Config{Host: h.settings.Host, Incarnation: h.Incarnation(), Origin: h.member.started})
 	x := executor.New(executor.Config{Granter: granter, Sender: h.pool, Leaving: h.table, Keys: h.keys, Relay: relay,
 		Hedge: h.settings.Hedge, Metrics: h.metrics})
-	h.relayServer = &wire.RelayServer{Executor: x, Resolve: h.resolve}
+	h.relayServer = &wire.RelayServer{Executor: x, Resolve: h.resolve, MayBeCut: h.mayBeCut}
 	return x
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -95,9 +95,8 @@
 	h.callers = newServer(h.trackRequests(frontend.New(frontend.Config{Host: s.Host, Customers: h.customers.Load,
 		Executor: h.executor, Directory: h, Refusals: h.refusals, Admit: h.admit, MayBeCut: h.mayBeCut, Metrics: h.metrics})))
 	h.callers.ConnContext = framing.ConnContext
-	var requests context.Context
-	requests, h.drain.cutRequests = context.WithCancelCause(context.Background())
-	h.callers.BaseContext = func(net.Listener) context.Context { return requests }
+	h.drain.requests, h.drain.cutRequests = context.WithCancelCause(context.Background())
+	h.callers.BaseContext = func(net.Listener) context.Context { return h.drain.requests }
 	view := operatorView{h}
 	operators := admin.New(admin.Config{Operators: s.Operators, Follower: h.follower, LocalHost: view, PeerHosts: view, Metrics: h.metrics,
 		Upstreams: h.upstreams, Members: h.members, Ready: func() bool { return h.lifecycle.Is(StateServing) }})
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -60,6 +60,9 @@
 		if err := wire.Unmarshal(body, &in); err != nil {
 			return nil, err
 		}
+		ctx, cut := context.WithCancelCause(ctx)
+		defer cut(nil)
+		defer context.AfterFunc(h.drain.requests, func() { cut(context.Cause(h.drain.requests)) })()
 		return h.relayServer.Serve(ctx, &in), nil
 	})
 	registerPeerMethod(h, wire.MethodOperator, func(q *wire.OperatorQuery) (any, error) { return operators.HandleQuery(*q), nil })
--- a/internal/protocol/wire/relay.go
+++ b/internal/protocol/wire/relay.go
@@ -98,11 +98,16 @@
 	return executor.ResponseFromRecord(&keys.RecordedResponse{Status: out.Status, Header: out.Header, Body: out.Body, Upstream: out.Upstream}), nil, nil
 }
 
+// stopRetryAfter is the delay stated in refusals of requests that a stopping host may cut.
+const stopRetryAfter = 20 * time.Millisecond
+
 // RelayServer executes relayed requests at the host that their keys name.
 type RelayServer struct {
 	Executor *executor.Executor
 	// Resolve returns the operation and the limits in force, or nil if the contract does not contain them.
 	Resolve func(customer, service, operation string) (*contract.Operation, *limits.ServiceLimits)
+	// MayBeCut reports whether this host stops too soon for a request with the given deadline. Nil means that it does not stop.
+	MayBeCut func(deadline time.Time) bool
 }
 
 // Serve executes one relayed request.
@@ -123,6 +128,10 @@
 	if c.Header == nil {
 		c.Header = http.Header{}
 	}
+	if s.MayBeCut != nil && s.MayBeCut(c.Deadline) && s.Executor.ConfirmNotRun(in.Customer, in.Key, attempt) { // otherwise its outcome may be known
+		return replyFromRefusal(&refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, RetryAfter: stopRetryAfter,
+			Detail: "the host to which the key is bound stops before the deadline of the request", Remedy: "send the request to another host"})
+	}
 	answer, refusal := s.Executor.ExecuteRelayed(ctx, c)
 	if refusal != nil {
 		return replyFromRefusal(refusal)
--- a/internal/protocol/wire/relay_test.go
+++ b/internal/protocol/wire/relay_test.go
@@ -61,6 +61,31 @@
 	return &executor.Response{Status: 201, Header: http.Header{"A": {"b"}}, Body: io.NopCloser(strings.NewReader(text)), Length: int64(len(text))}, nil
 }
 
+// TestRelayDuringStop guards against a relayed call that a stopping host takes and cuts: it is refused as not run. A repeat of a request
+// that ran gets its response.
+func TestRelayDuringStop(t *testing.T) {
+	is := is.New(t)
+	l := &limits.ServiceLimits{Customer: "c", Name: "s", KeysPerHost: 100, KeyWindow: time.Hour}
+	peer := &fakePeer{}
+	x := executor.New(executor.Config{Granter: peer, Sender: peer, Leaving: peer,
+		Keys: keys.NewTable(keys.Config{Host: "far", Incarnation: strings.Repeat("0", 16), Origin: time.Now()})})
+	end := time.Now().Add(10 * time.Second)
+	server := &RelayServer{Executor: x, MayBeCut: func(deadline time.Time) bool { return deadline.After(end) },
+		Resolve: func(string, string, string) (*contract.Operation, *limits.ServiceLimits) {
+			return &contract.Operation{Name: "reserve", DeadlineMS: 60_000}, l
+		}}
+	send := func(key string, attempt uint16, remaining time.Duration) *RelayReply {
+		return server.Serve(t.Context(), &RelayRequest{Customer: "c", Service: "s", Operation: "reserve", Key: x.KeyPrefix() + "." + strings.Repeat(key, 16),
+			RemainingMS: remaining.Milliseconds(), Attempt: attempt, HasAttempt: true})
+	}
+	is.Equal(send("a", 0, 5*time.Second).Status, 201)
+	refusal := send("b", 1, time.Minute).Refusal
+	is.Equal(refusal.Reason, string(refusals.HostDraining))
+	is.Equal(refusal.Ran, string(refusals.RanNo))
+	is.Equal(send("a", 1, time.Minute).Status, 201)
+	is.Equal(peer.runs, 1)
+}
+
 // TestRelay guards against a relayed call that loses a field, runs twice, is relayed again or reports "not run" after the reply
 // was lost.
 func TestRelay(t *testing.T) {
--- a/internal/transport/frontend/frontend.go
+++ b/internal/transport/frontend/frontend.go
@@ -279,13 +279,18 @@
 		return nil, noRelease, refusal
 	}
 	release, refusal = s.readBody(w, r, call)
-	if refusal == nil && s.cfg.MayBeCut(call.Deadline) {
+	if refusal == nil && s.cfg.MayBeCut(call.Deadline) && s.mayRefuseForStop(call, customer) {
 		refusal = &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, RetryAfter: stopRetryAfter,
 			Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"}
 	}
 	return call, release, refusal
 }
 
+// mayRefuseForStop reports whether a request may be refused as not run. If it has a key with which an earlier attempt may have run, its outcome may be known.
+func (s *Server) mayRefuseForStop(c *executor.Call, customer *Customer) bool {
+	return c.Operation.Idempotent || s.cfg.Executor.ConfirmNotRun(customer.Contract.Customer, c.Key, c.Attempt)
+}
+
 func deadlineOf(r *http.Request, contractMS int, l *limits.ServiceLimits) (time.Duration, *refusals.Refusal) {
 	deadline := time.Duration(contractMS) * time.Millisecond
 	text := r.Header.Get(callerapi.HeaderDeadlineMS)
--- a/internal/transport/frontend/frontend_test.go
+++ b/internal/transport/frontend/frontend_test.go
@@ -313,6 +313,8 @@
 		is.True(strings.Contains(body, `"reason":"host_draining"`) && strings.Contains(body, `"ran":"no"`))
 	}
 	is.Equal(len(waiting), 0) // nothing was sent
+	send(texts[1])
+	is.True(strings.Contains(<-bodies, `"reason":"idempotency_in_progress"`)) // a repeat of a request that runs
 	cut(executor.ErrStopped)
 	for range texts {
 		body := <-bodies
