gateway: a hop keeps the configuration of the callers' host

Cause: a host sends requests through another one while it has lost its way to a service. If that one has a newer configuration, it chose the service anew by that, while the first host went on with its older one for all other requests. Callers of the first host so saw the newer configuration and then the older one again. The audit is right: it says what callers of one host see.

Change: a request from a host with an older configuration goes to the service that this host has chosen. If the newer configuration does not have the service any more, the hop is refused without being run. Keys are still checked by the newer configuration, and a request whose route is gone is still refused.

TestHopKeepsConfigurationOfCallersHost: the other host ran the request at the service of its newer configuration before, 2 of 2 runs; 10 of 10 pass with -race.

--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -162,7 +162,13 @@
 		return h.refuse(r, id, request, forward.RefusedRevoked, who.refusal.Detail)
 	}
 	service := request.Service
-	if !route.GoesTo(service) {
+	switch {
+	case request.Version < table.Version:
+		// The other host goes on with its older configuration. By the newer one, its callers would see that and then the older one again.
+		if table.Service(service) == nil {
+			return h.refuse(r, id, request, forward.RefusedNoEndpoint, "a newer configuration does not have the service")
+		}
+	case !route.GoesTo(service):
 		service = route.ServiceAt(g.nextSplitPosition(route.Name))
 	}
 	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.HeaderReadAt.Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
