gateway, follow: hosts fetch a newer configuration that another host has

Cause: a host learns of a configuration only from its own reads and from updates of hosts that have just read the store. After the store returned from a copy two ways to stay behind without end exist, until the operator writes again or the store answers this host: - a host that has read the store itself at its start (a seed waits for no peer) has all that the store has. Peers keep the newer configuration as an inherited record, but only hosts that fetch a whole state get those. - a host has read the configuration of the new epoch, but not all other topics (the store hangs or refuses). It uses it, sends no update, and answers fetches of changes with 503.

Change: messages and results of hops state the version of the configuration in force (peers.Status 9, detour.HopResult 6). InstallTopic applies inherited records and records ahead of the store too, and leaves the age of the copy as it is.

--- a/internal/coordination/detour/hop.go
+++ b/internal/coordination/detour/hop.go
@@ -46,6 +46,8 @@
 	Sends   int          `cbor:"3,keyasint,omitempty"` // endpoints that the request may have reached
 	ID      endpoints.ID `cbor:"4,keyasint"`           // endpoint that answered
 	Detail  string       `cbor:"5,keyasint,omitempty"` // cause of a failure
+	// Version is that of the host's configuration. 0 from hosts that do not state it.
+	Version uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // RetryAfter returns Retry as a duration.
--- a/internal/coordination/follow/catchup.go
+++ b/internal/coordination/follow/catchup.go
@@ -172,6 +172,13 @@
 	return p
 }
 
+// CatchingUp reports whether this host is fetching changes from a peer.
+func (f *Follower) CatchingUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cancelCatchUp != nil
+}
+
 func (f *Follower) fetchAndInstall(ctx context.Context) error {
 	s, err := f.cfg.FetchChanges(ctx, f.position())
 	if err != nil {
--- a/internal/coordination/follow/state.go
+++ b/internal/coordination/follow/state.go
@@ -52,6 +52,45 @@
 	return f.stateSince(Position{}, now), true
 }
 
+// StateOf returns this host's copy of a topic alone, or false if it has no copy yet.
+func (f *Follower) StateOf(topic string, now time.Time) (*State, bool) {
+	s, ok := f.State(now)
+	if ok {
+		s.Feeds = slices.DeleteFunc(s.Feeds, func(fs FeedState) bool { return fs.Topic != topic })
+	}
+	return s, ok
+}
+
+// InstallTopic applies what a peer has of a topic to this host's copy of it. The peer may have newer records although this host has read all that the
+// store has: a store that returned from a copy lacks them. The peer's copy of the other topics does not count, and need not be complete. InstallTopic
+// does nothing if this host has no copy yet, or the peer does not know the store's epoch yet.
+func (f *Follower) InstallTopic(s *State, topic string, received time.Time) {
+	f.prepareState(s)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asOf.IsZero() || s.Epoch < f.epoch {
+		return
+	}
+	if s.Epoch > f.epoch {
+		f.beginEpoch(s.Epoch, true)
+		f.behind = true
+		f.wakeRun()
+	}
+	f.recordEpochAge(s.EpochAgeMS, s.inherits(), received)
+	states, feeds := inApplyOrder(f, s.Feeds, (*FeedState).topic)
+	for n, i := range feeds {
+		fs := *states[n]
+		if fs.Topic != topic {
+			continue
+		}
+		if fs.Next == f.nextOffsets[i] { // the records are the same, except for those of earlier epochs
+			f.installAhead(i, fs, f.recentOutage(received), received)
+		} else {
+			f.installFeed(i, fs, f.recentOutage(received), received)
+		}
+	}
+}
+
 func sortByOffset(records []Record) {
 	slices.SortStableFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 }
@@ -78,7 +117,7 @@
 	f.recordEpochAge(s.EpochAgeMS, s.inherits(), received)
 	states, feeds := inApplyOrder(f, s.Feeds, (*FeedState).topic)
 	for n, i := range feeds {
-		f.installFeed(i, *states[n], received)
+		f.installFeed(i, *states[n], false, received)
 	}
 	f.asOf = received.Add(-time.Duration(s.AgeMS) * time.Millisecond)
 	if known > s.Epoch {
@@ -89,15 +128,21 @@
 
 // installFeed makes a feed of a peer's state this host's copy, unless this host has read the feed later. What the peer has of earlier epochs counts in
 // any case. f.mu must be held.
-func (f *Follower) installFeed(i int, fs FeedState, received time.Time) {
-	f.installInherited(i, fs, false, received)
-	if fs.Next >= f.nextOffsets[i] && fs.Next >= 0 {
-		f.applyRead(i, feedRead{complete: true, copyEnd: fs.CopyEnd, next: fs.Next, records: fs.Records}, false, received)
+func (f *Follower) installFeed(i int, fs FeedState, recentOutage bool, received time.Time) {
+	if fs.Next < f.nextOffsets[i] || fs.Next < 0 {
+		f.installAhead(i, fs, recentOutage, received)
 		return
 	}
+	f.installInherited(i, fs, recentOutage, received)
+	f.applyRead(i, feedRead{complete: true, copyEnd: fs.CopyEnd, next: fs.Next, records: fs.Records}, recentOutage, received)
+}
+
+// installAhead applies what a peer has of a feed from earlier epochs. f.mu must be held.
+func (f *Follower) installAhead(i int, fs FeedState, recentOutage bool, received time.Time) {
+	f.installInherited(i, fs, recentOutage, received)
 	for _, rec := range fs.Records {
 		if _, listed := f.newest[i][rec.Key]; listed && rec.Ahead && !f.invalid(i, rec) {
-			f.apply(i, rec, false, received)
+			f.apply(i, rec, recentOutage, received)
 		}
 	}
 }
--- a/internal/coordination/peers/host.go
+++ b/internal/coordination/peers/host.go
@@ -57,11 +57,13 @@
 	// Quotas is set while the host may grant permits for the requests of customers: its build supports them, and it hears from half of its zone.
 	// Earlier builds leave it out.
 	Quotas bool `cbor:"8,keyasint,omitempty"`
+	// Version is that of the configuration in force on the host. 0 if there is none; earlier builds leave it out.
+	Version uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // sameForCallers reports whether two statuses differ at most in what does not concern callers: the rate, which changes with nearly every
-// message, whether the store answers, whether the host coordinates, and what its build supports.
+// message, whether the store answers, whether the host coordinates, what its build supports, and the configuration.
 func (s Status) sameForCallers(other Status) bool {
-	s.Rate, s.StoreFailing, s.Coordinates, s.Quotas = other.Rate, other.StoreFailing, other.Coordinates, other.Quotas
+	s.Rate, s.StoreFailing, s.Coordinates, s.Quotas, s.Version = other.Rate, other.StoreFailing, other.Coordinates, other.Quotas, other.Version
 	return s == other
 }
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -246,6 +246,16 @@
 	return list
 }
 
+// Host returns the other host with a name, and false if this host does not know it.
+func (t *Table) Host(name string) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.hosts[name]; p != nil && name != t.cfg.Self.Name {
+		return p.Host, true
+	}
+	return Host{}, false
+}
+
 // HostCount returns the number of hosts in the table, plus one for this host.
 func (t *Table) HostCount() int {
 	t.mu.Lock()
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -91,6 +91,9 @@
 		return nil, nil, &executor.SendError{Written: true, Err: err}
 	}
 	resp.Header = callerapi.EndToEndHeaders(resp.Header, hop.IsHeader)
+	if result != nil {
+		g.recordVersion(h, result.Version)
+	}
 	if result != nil && forward.Outcome(result.Outcome) == forward.Answered {
 		g.recordPassedOn(result.ID, resp)
 	}
@@ -143,6 +146,9 @@
 	}
 	table := g.routes.Load()
 	if table == nil || table.Version < request.Version {
+		if from, ok := g.peers.Host(request.From); ok {
+			g.recordVersion(from, request.Version)
+		}
 		return h.refuse(r, id, request, forward.RefusedNoEndpoint, "this host has an older configuration")
 	}
 	route := table.Match(r.Host, r.Path)
@@ -196,7 +202,7 @@
 	if res.Outcome == forward.Answered {
 		out = responseOf(res)
 	}
-	result := &detour.HopResult{Outcome: string(res.Outcome), Retry: ms(res.RetryAfter), Sends: res.Sends(), ID: res.ID, Detail: res.Detail}
+	result := &detour.HopResult{Outcome: string(res.Outcome), Retry: ms(res.RetryAfter), Sends: res.Sends(), ID: res.ID, Detail: res.Detail, Version: h.g.version()}
 	if err := hop.SetResult(out.Header, result); err != nil {
 		panic(err) // strings and numbers only
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -234,13 +234,9 @@
 	if c.FromPeer {
 		source = "message"
 	}
-	version := uint64(0)
-	if t := g.routes.Load(); t != nil {
-		version = t.Version
-	}
 	g.metrics.Add("store_epochs_total", 1)
 	g.log.Warn("store_epoch", "old", c.Old, "new", c.New, "source", source, "kept_records", c.Kept,
-		"kept_version", version, "kept_endpoints", g.endpoints.Snapshot().Total)
+		"kept_version", g.version(), "kept_endpoints", g.endpoints.Snapshot().Total)
 }
 
 // updateStatus sets the status that this host's messages to other hosts carry.
@@ -248,7 +244,7 @@
 	leaving := g.draining.Load()
 	_, old := g.peers.Self()
 	coordinates := !leaving && g.mayCoordinate()
-	g.peers.SetStatus(peers.Status{Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, HasStoreCopy: g.hasStoreCopy.Load(),
+	g.peers.SetStatus(peers.Status{Version: g.version(), Ready: g.routes.Load() != nil && !leaving, Leaving: leaving, HasStoreCopy: g.hasStoreCopy.Load(),
 		Rate: int(math.Round(g.requestRate())), StoreFailing: g.storeLost.Load(),
 		CutOff: g.ways.AnyCut(), Coordinates: coordinates, Quotas: g.hearsZone()})
 	if coordinates && !old.Coordinates && g.quota != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,7 @@
 	hasStoreCopy     atomic.Bool               // this host has a copy of the store's topics, from a peer or by reading the store
 	storeLost        atomic.Bool               // this host's reads of the store fail, at the last heartbeat
 	updateSources    updateSources
+	newerElsewhere   newerConfiguration
 	storeHealth      storeHealth
 	encodedStates    encodedStateCache
 	decoded          atomic.Pointer[decodedContract] // the newest record that was decoded before it is applied
@@ -147,7 +148,8 @@
 func New(s *Settings, a Adapter, logger *eventlog.Log) *Gateway {
 	g := &Gateway{settings: s, adapter: a, log: logger, metrics: metrics.New(), refusals: refusals.NewStore(keptRefusals), recent: newRecentRequests(keptRequests),
 		endpoints: registry.NewTable(expiredEntryGrace), started: time.Now(), splitPositions: map[string]float64{},
-		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), decodedEntries: map[string]decodedEntry{}, heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1)}
+		rateLimits: ratelimits.NewTable(), invalidEntries: newInvalidEntries(), decodedEntries: map[string]decodedEntry{}, heartbeatNow: make(chan struct{}, 1), checkWaysNow: make(chan struct{}, 1),
+		newerElsewhere: newerConfiguration{known: make(chan struct{}, 1)}}
 	g.memory = newMemoryBudget(s.MemoryMB)
 	g.store = countingStore{a.Store, g.metrics, &g.storeHealth}
 	g.peers = peers.NewTable(peers.DefaultConfig(peers.Host{Name: s.Host, Zone: s.Zone, Started: g.started.UnixMilli(),
@@ -313,6 +315,7 @@
 	group.Go(func() error { return g.callers.Serve(callers) })
 	group.Go(func() error { g.sendHeartbeats(runCtx); return nil })
 	group.Go(func() error { g.followStore(runCtx); return nil })
+	group.Go(func() error { g.fetchNewerConfigurations(runCtx); return nil })
 	group.Go(func() error { g.sweep(runCtx); return nil })
 	group.Go(func() error { g.checkWays(runCtx); return nil })
 	group.Go(func() error { g.maintainHostList(runCtx); return nil })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,10 +34,11 @@
 
 // memoryStore is a keyed store in memory.
 type memoryStore struct {
-	mu    sync.Mutex
-	logs  map[string][]follow.Record
-	down  atomic.Bool
-	epoch int64
+	mu         sync.Mutex
+	logs       map[string][]follow.Record
+	down       atomic.Bool
+	unanswered string // topic whose reads fail
+	epoch      int64
 }
 
 // errDown is the error of all calls while the store is down.
@@ -46,7 +47,7 @@
 func (s *memoryStore) Newest(_ context.Context, topic string) (follow.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down.Load() {
+	if s.down.Load() || s.unanswered == topic {
 		return follow.Answer{}, errDown
 	}
 	newest := map[string]follow.Record{}
@@ -65,7 +66,7 @@
 func (s *memoryStore) Read(_ context.Context, topic string, from int64) (follow.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down.Load() {
+	if s.down.Load() || s.unanswered == topic {
 		return follow.Answer{}, errDown
 	}
 	if from > int64(len(s.logs[topic])) {
@@ -208,11 +209,18 @@
 
 // start starts a host, which stops when the test ends.
 func (d *deployment) start(t *testing.T, seeds ...string) *testHost {
+	t.Helper()
+	return d.startWith(t, func(s *Settings) { s.Seeds = seeds })
+}
+
+// startWith starts a host whose settings are changed, and which stops when the test ends.
+func (d *deployment) startWith(t *testing.T, change func(*Settings)) *testHost {
 	t.Helper()
 	n := nextHost.Add(1)
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%256, n)
 	s := &Settings{Host: fmt.Sprintf("host-%d", n), Zone: "a", CallerAddress: ip + ":18080", ReadyAddress: ip + ":18081", DirectoryAddress: ip + ":18082",
-		PeerAddress: ip + ":18083", StateAddress: ip + ":18084", MetricsAddress: ip + ":18085", DetourAddress: ip + ":18086", StoreAddress: "127.0.0.1:1", Seeds: seeds, GraceS: 1}
+		PeerAddress: ip + ":18083", StateAddress: ip + ":18084", MetricsAddress: ip + ":18085", DetourAddress: ip + ":18086", StoreAddress: "127.0.0.1:1", GraceS: 1}
+	change(s)
 	if d.quota {
 		s.QuotaWindowS, s.QuotaOver, s.QuotaSlack = 5, 0.1, 20
 	}
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -129,11 +129,13 @@
 		g.send(peerlink.Message{Hosts: g.peers.HostsForZone(m.From.Zone, now)}, []string{m.From.PeerAddress})
 	}
 	if m.Update == nil {
+		g.recordVersion(m.From, m.Status.Version)
 		return
 	}
 	g.metrics.Add("peer_updates_total", 1)
 	g.updateSources.record(m.From, m.Update, m.Forwarded, now)
 	newer := g.follower.ApplyUpdate(*m.Update, now)
+	g.recordVersion(m.From, m.Status.Version) // unless the update has brought it
 	if m.From.Zone == g.settings.Zone {
 		return
 	}
--- a/internal/gateway/state_transfer.go
+++ b/internal/gateway/state_transfer.go
@@ -29,6 +29,8 @@
 	// one with the store's epoch that they belong to.
 	sinceParameter = "since"
 	epochParameter = "epoch"
+	// topicParameter is the query parameter with the topic that is requested alone, if no offsets are stated. Hosts of earlier versions send all topics.
+	topicParameter = "topic"
 	// idleTransferTimeout is the maximum time of a transfer without progress. A peer that is gone must not hold up a host, which can read the
 	// store instead.
 	idleTransferTimeout = 300 * time.Millisecond
@@ -189,15 +191,16 @@
 	return &state, nil
 }
 
-// serveState serves this host's copy of the store on statePath, or what has changed in it since the requested position. The status is 503
-// if this host has no copy yet, or not all topics of the store's current epoch if changes are requested.
+// serveState serves this host's copy of the store on statePath, that of one topic, or what has changed in it since the requested position. The
+// status is 503 if this host has no copy yet, or not all topics of the store's current epoch if changes are requested.
 func (g *Gateway) serveState(w http.ResponseWriter, r *http.Request) {
 	since, err := parsePosition(r.URL.Query())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	state, ok := g.stateSince(since, time.Now())
+	topic := r.URL.Query().Get(topicParameter)
+	state, ok := g.stateSince(since, topic, time.Now())
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -238,13 +241,16 @@
 	return &p, nil
 }
 
-// stateSince returns this host's state since a position. It is the whole one if the position is nil. It returns false if this host has no copy
-// yet, or no complete one of the current epoch if there is a position.
-func (g *Gateway) stateSince(since *follow.Position, now time.Time) (*follow.State, bool) {
-	if since == nil {
-		return g.follower.State(now)
+// stateSince returns this host's state since a position. Without a position it is the whole one, or that of a topic unless this is empty. It
+// returns false if this host has no copy yet, or no complete one of the current epoch if there is a position.
+func (g *Gateway) stateSince(since *follow.Position, topic string, now time.Time) (*follow.State, bool) {
+	switch {
+	case since != nil:
+		return g.follower.StateSince(*since, now)
+	case topic != "":
+		return g.follower.StateOf(topic, now)
 	}
-	return g.follower.StateSince(*since, now)
+	return g.follower.State(now)
 }
 
 // encodeState returns the state as compressed CBOR.
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -1,18 +1,22 @@
 package gateway
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/forward"
+	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
 	"github.com/arbutusspan/arbutusspan/internal/protocol/hop"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
@@ -25,6 +29,19 @@
 			TargetLatency: 30 * time.Second, MaxAttempts: 2, Split: []routing.WeightedService{{Service: service, Weight: 1}}}}}
 }
 
+// learns checks that a host has a configuration in force within the 2 s in which each host has to.
+func (h *testHost) learns(t *testing.T, version uint64) {
+	t.Helper()
+	is := is.New(t)
+	begin := time.Now()
+	for h.gateway.routes.Load().Version < version && time.Since(begin) < 5*time.Second {
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("configuration %d after %s", h.gateway.routes.Load().Version, time.Since(begin).Round(time.Millisecond))
+	is.Equal(h.gateway.routes.Load().Version, version)
+	is.True(time.Since(begin) < 2*time.Second)
+}
+
 // hopFrom sends a request to a host as one with the given configuration does, which has chosen a service.
 func (h *testHost) hopFrom(t *testing.T, version uint64, service string) (body string, result *detour.HopResult) {
 	t.Helper()
@@ -68,3 +85,77 @@
 	is.Equal(result.Outcome, string(forward.RefusedNoEndpoint))
 	is.Equal(body, "")
 }
+
+// TestHopTellsOfNewerConfiguration guards against a host that goes on with an older configuration although it has sent requests through a host with a newer
+// one: the store refuses it, and it gets no messages from hosts that have the newer one.
+func TestHopTellsOfNewerConfiguration(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 3, "/lots/")
+	near := d.start(t)
+	waitFor(t, "readiness", near.ready)
+	d.partStore()
+	d.configure(t, 4, "/lots/")
+	far := d.start(t)
+	waitFor(t, "readiness", far.ready)
+	is.True(!near.knows(far) && !far.knows(near))
+	near.loseWay(far)
+	status, _, _ := near.call(t, "/lots/1", "through-far")
+	is.Equal(status, http.StatusOK)
+	is.Equal(near.gateway.metrics.Value("hops_sent_total"), int64(1))
+	near.learns(t, 4)
+}
+
+// partStore has hosts that are started from now on use a copy of the store, and the store refuse the others.
+func (d *deployment) partStore() {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	d.store.down.Store(true)
+	part := &memoryStore{logs: map[string][]follow.Record{}}
+	for topic, log := range d.store.logs {
+		part.logs[topic] = slices.Clone(log)
+	}
+	d.store = part
+}
+
+// TestStartedHostLearnsConfigurationOfPeers guards against a host that stays with an older configuration than its peers until the operator writes again: it
+// has started beside a store that returned from a copy without the newest configuration, and has read the store before it knew any peer.
+func TestStartedHostLearnsConfigurationOfPeers(t *testing.T) {
+	d := deploy(t)
+	d.configure(t, 3, "/lots/")
+	d.configure(t, 4, "/lots/", "/bids/")
+	peer := d.start(t)
+	waitFor(t, "readiness", peer.ready)
+	d.store.fall(1)
+	waitFor(t, "the new epoch", func() bool { return peer.gateway.follower.Epoch() == 1 && peer.gateway.follower.Complete() })
+	started := d.startWith(t, func(s *Settings) {
+		s.Seeds = []string{s.StateAddress, peer.settings.StateAddress} // as a seed, it waits for no peer
+		// The peer knows the host from before.
+		peer.gateway.peers.Add(peers.Host{Name: s.Host, Zone: s.Zone, PeerAddress: s.PeerAddress, StateAddress: s.StateAddress}, time.Now())
+	})
+	waitFor(t, "readiness", started.ready)
+	started.learns(t, 4)
+}
+
+// TestHostLearnsConfigurationOfIncompletePeer guards against a host that stays with an older configuration while a store that returned from a copy refuses
+// it: the host that has read the configuration has not read the other topics of the store's epoch, and has sent no update.
+func TestHostLearnsConfigurationOfIncompletePeer(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 3, "/lots/")
+	late := d.start(t)
+	waitFor(t, "readiness", late.ready)
+	d.partStore()
+	peer := d.start(t, late.settings.StateAddress)
+	waitFor(t, "readiness", func() bool { return peer.ready() && late.knows(peer) && peer.knows(late) })
+	newer, err := json.Marshal(moveLots(4, "lotdesk"))
+	is.NoErr(err)
+	d.store.mu.Lock() // the peer reads all of it at once
+	d.store.logs["contract"] = append(d.store.logs["contract"], follow.Record{Key: "config", Value: newer, Offset: 1})
+	d.store.epoch++
+	d.store.unanswered = "endpoints"
+	d.store.mu.Unlock()
+	waitFor(t, "the newer configuration", func() bool { return peer.gateway.routes.Load().Version == 4 })
+	is.True(!peer.gateway.follower.Complete())
+	late.learns(t, 4)
+}
