--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -96,6 +96,9 @@
 		return nil, nil, &executor.SendError{Written: true, Err: err}
 	}
 	resp.Header = callerapi.EndToEndHeaders(resp.Header, hop.IsHeader)
+	if result != nil {
+		g.recordVersion(h, result.Version)
+	}
 	if result != nil && forward.Outcome(result.Outcome) == forward.Answered {
 		g.recordPassedOn(result.ID, resp)
 	}
@@ -148,6 +151,9 @@
 	}
 	table := h.awaitRoutes(ctx, r, request.Version)
 	if table == nil || table.Version < request.Version {
+		if from, ok := g.peers.Host(request.From); ok {
+			g.recordVersion(from, request.Version)
+		}
 		return h.refuse(r, id, request, forward.RefusedNoEndpoint, "this host has an older configuration")
 	}
 	route := table.Match(r.Host, r.Path)
@@ -167,7 +173,13 @@
 		return h.refuse(r, id, request, forward.RefusedRevoked, who.refusal.Detail)
 	}
 	service := request.Service
-	if !route.GoesTo(service) {
+	switch {
+	case request.Version < table.Version:
+		// The other host goes on with its older configuration. By the newer one, its callers would see that and then the older one again.
+		if table.Service(service) == nil {
+			return h.refuse(r, id, request, forward.RefusedNoEndpoint, "a newer configuration does not have the service")
+		}
+	case !route.GoesTo(service):
 		service = route.ServiceAt(g.nextSplitPosition(route.Name))
 	}
 	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.HeaderReadAt.Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
@@ -206,7 +218,7 @@
 	if res.Outcome == forward.Answered {
 		out = responseOf(res)
 	}
-	result := &detour.HopResult{Outcome: string(res.Outcome), Retry: ms(res.RetryAfter), Sends: res.Sends(), ID: res.ID, Detail: res.Detail}
+	result := &detour.HopResult{Outcome: string(res.Outcome), Retry: ms(res.RetryAfter), Sends: res.Sends(), ID: res.ID, Detail: res.Detail, Version: h.g.version()}
 	if err := hop.SetResult(out.Header, result); err != nil {
 		panic(err) // strings and numbers only
 	}
