gateway: a configuration that is arriving is not fetched again

A host that hears of a newer configuration fetched it after 0.2 s also while it read it from the store. Over a link of 10 Mbit/s a configuration of 1 MB then comes twice at the same time and late. The fetch is for hosts that neither the store nor updates serve; it now waits for 0.5 s and for a read in progress. A host also records the version that a request through it names before it waits for that configuration.

internal/gateway passes with the race detector.

--- a/internal/coordination/follow/catchup.go
+++ b/internal/coordination/follow/catchup.go
@@ -172,11 +172,11 @@
 	return p
 }
 
-// CatchingUp reports whether this host is fetching changes from a peer.
-func (f *Follower) CatchingUp() bool {
+// Receiving reports whether this host is fetching changes from a peer or reading the store.
+func (f *Follower) Receiving() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cancelCatchUp != nil
+	return f.cancelCatchUp != nil || f.reading()
 }
 
 func (f *Follower) fetchAndInstall(ctx context.Context) error {
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -149,11 +149,11 @@
 		g.log.Warn("hop_unreadable", "id", id, "error", err)
 		return h.respond(r, &forward.Result{Outcome: forward.RefusedUnsent, Detail: "the request of the other host cannot be read"})
 	}
+	if from, ok := g.peers.Host(request.From); ok {
+		g.recordVersion(from, request.Version)
+	}
 	table := h.awaitRoutes(ctx, r, request.Version)
 	if table == nil || table.Version < request.Version {
-		if from, ok := g.peers.Host(request.From); ok {
-			g.recordVersion(from, request.Version)
-		}
 		return h.refuse(r, id, request, forward.RefusedNoEndpoint, "this host has an older configuration")
 	}
 	route := table.Match(r.Host, r.Path)
--- a/internal/gateway/newer_configuration.go
+++ b/internal/gateway/newer_configuration.go
@@ -11,10 +11,11 @@
 
 const (
 	// updateGrace is how long a configuration that another host has may take to reach this host in an update or a read before it is fetched.
-	updateGrace = 200 * time.Millisecond
-	// maxCatchUpWait is how long a catch-up in progress, which brings the configuration too, may hold up its fetch.
-	maxCatchUpWait    = time.Second
-	catchUpPollPeriod = 20 * time.Millisecond
+	updateGrace = 500 * time.Millisecond
+	// maxReceiveWait is how long a catch-up or a read of the store in progress, which brings the configuration too, may hold up its fetch. Over a slow link, a
+	// large configuration that comes twice comes late.
+	maxReceiveWait    = time.Second
+	receivePollPeriod = 20 * time.Millisecond
 	// firstFetchPause is the pause after a fetch that has not brought the configuration. It doubles up to maxFetchPause.
 	firstFetchPause = 100 * time.Millisecond
 	maxFetchPause   = 5 * time.Second
@@ -73,8 +74,8 @@
 		}
 		sleep(ctx, updateGrace)
 		for pause := firstFetchPause; ctx.Err() == nil; pause = min(2*pause, maxFetchPause) {
-			for begin := time.Now(); g.follower.CatchingUp() && time.Since(begin) < maxCatchUpWait && ctx.Err() == nil; {
-				sleep(ctx, catchUpPollPeriod)
+			for begin := time.Now(); g.follower.Receiving() && time.Since(begin) < maxReceiveWait && ctx.Err() == nil; {
+				sleep(ctx, receivePollPeriod)
 			}
 			version, from, ok := g.lackedConfiguration()
 			if !ok || g.fetchConfiguration(ctx, version, from) {
