Revert "quarantine: the end of a process counts once the next one is listed"

While all endpoints of a service are down, behind relays that still accept connections, each request that comes breaks at several of them.

Tried and left out: ends that count once the request has ended the next process too.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -43,8 +43,8 @@
 	RefusesConnections func(ctx context.Context, e endpoints.Endpoint) bool
 	// ClosesUnanswered reports whether it closes connections without a response. Nil means that this is not known.
 	ClosesUnanswered func(ctx context.Context, e endpoints.Endpoint) bool
-	// OthersAnswer reports whether another endpoint answers this host at the moment. If none does, this host may have lost its own way to all of them, and
-	// the end of a process counts only if the next one is listed soon, see Listed. Nil means that others always answer.
+	// OthersAnswer reports whether another endpoint answers this host at the moment. If none does, this host may have lost its own way to all of them, which
+	// says nothing about their processes. Nil means that others always answer.
 	OthersAnswer func(ctx context.Context, e endpoints.Endpoint) bool
 	// MayTry reports whether this host is the one that sends a quarantined request once more, see Try.
 	MayTry func(pattern Fingerprint) bool
@@ -108,7 +108,6 @@
 	mu       sync.Mutex
 	doubts   map[endpoints.ID]map[*doubt]bool
 	crashes  map[endpoints.ID]*Crash
-	held     map[string]*heldEnd             // by address
 	verdicts map[Fingerprint]*entry          // by pattern
 	stored   map[string]map[Fingerprint]bool // by key, the patterns of the lists in the store
 	answered map[Fingerprint]time.Time       // by pattern, when an endpoint has last answered a suspected request that matches it
@@ -116,7 +115,7 @@
 
 // New returns a guard without evidence.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, stored: map[string]map[Fingerprint]bool{}, crashes: map[endpoints.ID]*Crash{}, held: map[string]*heldEnd{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
+	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, stored: map[string]map[Fingerprint]bool{}, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
 }
 
 // Active reports whether there is evidence or a verdict. If not, no request has to be identified.
@@ -170,7 +169,6 @@
 	ctx = context.WithoutCancel(ctx)
 	evidence := func() {
 		if g.cfg.OthersAnswer != nil && !g.check(ctx, "others "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.OthersAnswer(ctx, e) }) {
-			g.hold(e.ID, f, at)
 			return
 		}
 		g.addCrash(Crash{Endpoint: g.process(e.ID), Requests: []Fingerprint{f}, At: at}, SourceSelf)
@@ -245,7 +243,6 @@
 			d.answered.Store(true)
 		}
 	}
-	g.releaseHeld(id, connectedAt, sentAt)
 	id = g.processLocked(id)
 	c := g.crashes[id]
 	wrong := c != nil && !c.Alive && connectedAt.Before(c.At) && sentAt.After(c.At)
@@ -335,7 +332,7 @@
 }
 
 // updateActive sets active. g.mu must be held.
-func (g *Guard) updateActive() { g.active.Store(len(g.crashes)+len(g.held)+len(g.verdicts) > 0) }
+func (g *Guard) updateActive() { g.active.Store(len(g.crashes)+len(g.verdicts) > 0) }
 
 // Evict removes evidence and verdicts that have expired.
 func (g *Guard) Evict(now time.Time) {
@@ -344,7 +341,6 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.evictHeld(now)
 	for id, c := range g.crashes {
 		if now.Sub(c.At) > evidenceLifetime {
 			delete(g.crashes, id)
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -218,8 +218,6 @@
 	}
 	if g.endpoints.Withdrawn(c.ID) {
 		g.pool.CloseEndpoint(c.ID)
-	} else {
-		g.crashGuard.Listed(c.ID, time.Now())
 	}
 	g.log.Info("endpoint", "name", c.Name, "service", c.Service, "address", c.Address, "state", c.State, "source", source, "version", g.endpoints.Version())
 	return true
