follow: a peer serves changes without the topics that it reads seldom

Change: a host serves changes also if topics with AllowGaps are missing. The fetching host applies what it gets, stays behind, and tries again or reads the store for the rest, as when its peer's copy lacked topics before.

--- a/internal/coordination/follow/catchup.go
+++ b/internal/coordination/follow/catchup.go
@@ -61,13 +61,19 @@
 
 // StateSince returns what has changed in this host's copy since a position: the newest record of each key that changed, and a tombstone for
 // each removed one. Feeds whose changes are not known, because they are too old or the position belongs to another epoch, are returned
-// whole. It returns false if this host has no complete copy.
+// whole. It returns false if this host has no copy of a feed in the current epoch. Feeds with AllowGaps, which it reads seldom, may be missing: peers need
+// the others, and may not reach the store.
 func (f *Follower) StateSince(since Position, now time.Time) (*State, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.asOf.IsZero() || !f.complete() {
+	if f.asOf.IsZero() {
 		return nil, false
 	}
+	for i, next := range f.nextOffsets {
+		if next < 0 && !f.cfg.Feeds[i].AllowGaps {
+			return nil, false
+		}
+	}
 	return f.stateSince(since, now), true
 }
 
