ingress: TestSilentConnections waits until the server has accepted and served

The test slept for the time after which a connection may be evicted plus 0.2 s, counted from its last write. Beside other work (load average 40 to 48, -race) the server accepted or answered the silent connections up to 1.2 s later, so that they were rightly not evicted yet.

It now waits as before, and then until the accept queue is empty and no open connection has made progress for that time, as the server counts it. What it asks for is unchanged: 9 of 10 callers are served.

--- a/internal/transport/ingress/hostile_test.go
+++ b/internal/transport/ingress/hostile_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/state/membudget"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 // sumHandler answers with the SHA-256 of the body.
@@ -121,6 +122,22 @@
 	is.True(len(stalled) == clients)
 }
 
+// withoutProgressFor reports whether a server has accepted all connections, and none of those that stay open has made progress for a time. On a busy
+// machine the server accepts and serves them late.
+func withoutProgressFor(s *Server, wait time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		closing := c.lastRead
+		c.mu.Unlock()
+		if at := max(c.activity.progressAt.Load(), c.activity.writingAt.Load()); !closing && time.Since(time.Unix(0, at)) <= wait {
+			return false
+		}
+	}
+	return !sockbuf.Waiting(s.listeners[0])
+}
+
 // TestSilentConnections guards against clients that open connections and send nothing, little, or do not read, so that others get none.
 func TestSilentConnections(t *testing.T) {
 	for _, c := range []struct {
@@ -139,12 +156,13 @@
 			is := is.New(t)
 			const most = 20
 			var evicted atomic.Int64
-			_, dial := memoryServer(t, &heldHandler{size: c.size}, Config{MaxConnections: most, Memory: bodyMemory(1 << 20),
+			s, dial := memoryServer(t, &heldHandler{size: c.size}, Config{MaxConnections: most, Memory: bodyMemory(1 << 20),
 				OnEvicted: func(net.Addr, Eviction) { evicted.Add(1) }})
 			for range most + minSpare {
 				_, _ = io.WriteString(dial(), c.text) // fails for connections that are closed at once
 			}
 			time.Sleep(c.wait + 200*time.Millisecond)
+			waitFor(func() bool { return withoutProgressFor(s, c.wait) })
 			served := 0
 			for range 10 {
 				nc := dial()
