detour: ask other hosts again before their answers are too old

Callers at hosts that were cut off with their whole zone got 503 no_upstream for up to 0.16 s every two seconds: msg=way state=silent was=cut held_ms=2006 witness= with requests refused at once, then cut again. Hosts of other zones report only if they are asked, and a host asked only while it knew fewer than three that reach the service. It knew three, all of whose answers got too old (2 s) at the same moment. It now asks once fewer than three will still count in a second; heartbeats, which ask, come more often than that.

TestAsksBeforeWitnessesExpire failed before and passes.

--- a/internal/coordination/detour/detour_test.go
+++ b/internal/coordination/detour/detour_test.go
@@ -296,3 +296,19 @@
 	is.Equal(tracker.State(service), Silent)
 	is.Equal((*changes)[0].OwnDelay, 2*minSilence-20*time.Millisecond)
 }
+
+// TestAsksBeforeWitnessesExpire guards against a host that is cut off and refuses requests every two seconds, because the hosts that it knows send it no
+// reports unasked and are forgotten all at once.
+func TestAsksBeforeWitnessesExpire(t *testing.T) {
+	is := is.New(t)
+	tracker, _ := newTracker(8)
+	tracker.silence(0, 3, start)
+	for n := range wantedHosts {
+		tracker.HandleReport(peer(n, "b"), true, answered(0), start.Add(time.Millisecond))
+	}
+	is.True(!tracker.Report(start.Add(maxWitnessAge / 4)).Asks)
+	later := start.Add(maxWitnessAge / 2).Add(10 * time.Millisecond)
+	is.True(tracker.Report(later).Asks)
+	tracker.HandleReport(peer(0, "b"), true, answered(0), later)
+	is.Equal(tracker.Decide(service, true, start.Add(maxWitnessAge+100*time.Millisecond)), Through)
+}
--- a/internal/coordination/detour/hosts.go
+++ b/internal/coordination/detour/hosts.go
@@ -65,6 +65,9 @@
 	avoidTime = 500 * time.Millisecond
 	// wantedHosts is the number of hosts that reach a service below which this host asks for more.
 	wantedHosts = 3
+	// askAhead is how long before the answer of another host gets too old this host asks again. Hosts of other zones report only if they are asked, and this
+	// host asks with its heartbeats.
+	askAhead = maxWitnessAge / 2
 	// maxAskers bounds the hosts that wait for this host to be answered.
 	maxAskers = 16
 	// reportLifetime is how long a report is kept.
@@ -91,7 +94,7 @@
 		switch {
 		case w.lost():
 			r.Lost = append(r.Lost, service)
-			r.Asks = r.Asks || t.countReaching(w, now) < wantedHosts
+			r.Asks = r.Asks || t.countReaching(w, now.Add(askAhead)) < wantedHosts
 		case age >= 0 && age < maxWitnessAge:
 			r.Answered = append(r.Answered, ServiceAge{service, age.Milliseconds()})
 		}
