--- a/internal/standin/hostlist_test.go
+++ b/internal/standin/hostlist_test.go
@@ -22,7 +22,7 @@
 	var hosts []platform.Host
 	for i := range 1000 {
 		hosts = append(hosts, platform.Host{Role: platform.RoleUpstream, Name: fmt.Sprintf("upstream-%d", i),
-			Incarnation: fmt.Sprintf("%016x", i)})
+			Address: fmt.Sprintf("10.0.%d.%d:8080", i>>8, i&0xff), Incarnation: fmt.Sprintf("%016x", i)})
 	}
 	data, err := json.Marshal(map[string]any{"hosts": hosts})
 	is.NoErr(err)
