--- a/internal/coordination/quota/holding.go
+++ b/internal/coordination/quota/holding.go
@@ -132,11 +132,11 @@
 	h.returns = append(h.returns, pendingReturn{n, requested, now})
 }
 
-// takeReturns returns the returns for a message.
+// takeReturns returns the returns for a message. The caller may have waited for the lock, so that now is before some of them.
 func (h *holding) takeReturns(now time.Time) (list []Return) {
 	n := min(len(h.returns), maxReturns)
 	for _, r := range h.returns[:n] {
-		list = append(list, Return{r.permits, now.Sub(r.requested).Milliseconds()})
+		list = append(list, Return{r.permits, min(max(0, now.Sub(r.requested).Milliseconds()), maxAgeMS)})
 	}
 	h.returns = slices.Delete(h.returns, 0, n)
 	return list
@@ -180,7 +180,7 @@
 // exceeded returns the result for a request beyond the limit. Callers that are refused one after the other are told to come back at the rate of which
 // this host has a part; no later than after a window, since a refusal then says nothing about the quota any more.
 func (h *holding) exceeded(window time.Duration, now time.Time) Result {
-	gap := time.Duration(float64(max(1, h.hosts)) / h.PerSecond * float64(time.Second))
+	gap := h.until(float64(max(1, h.hosts)))
 	earliest := now
 	if h.refusedUntil.After(now) {
 		earliest = h.refusedUntil
