gateway: a configuration that its host does not send is not fetched again

What callers saw: nothing yet; shown by a test. A host that names a configuration and starts again beside a store that lacks it has an older one then. Each host that had recorded the name fetched the contract topic from it over and over, every 5 s without end, until a configuration with a higher version came: with 136 such hosts and 1 MB that is over 200 Mbit/s on the link of one host (reckoned, not measured).

Cause: the record of the version was given up only once this host had that version.

Change: a fetch that succeeds without bringing the version ends the record until a host names the version again, as heartbeats do. The pauses go on growing then, so that a host that names a configuration which this one cannot use is asked as seldom as before. After a fetch that fails the record stays.

Evidence: TestVanishedConfigurationIsNotFetchedAgain failed before (5 fetches in 2.5 s instead of 1) and passes; the three tests of fetched configurations pass with it.

--- a/internal/gateway/newer_configuration.go
+++ b/internal/gateway/newer_configuration.go
@@ -65,23 +65,39 @@
 	return n.version, n.host, n.version > g.version()
 }
 
+// forgetVersion forgets a configuration that the host that has named it did not send, until a host names it again.
+func (g *Gateway) forgetVersion(version uint64) {
+	n := &g.newerElsewhere
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.version == version {
+		n.version = 0
+	}
+}
+
 // fetchNewerConfigurations fetches configurations that this host lacks from hosts that have them, until the context ends.
 func (g *Gateway) fetchNewerConfigurations(ctx context.Context) {
+	pause := firstFetchPause
 	for ctx.Err() == nil {
 		select {
 		case <-g.newerElsewhere.known:
 		case <-ctx.Done():
 		}
 		sleep(ctx, updateGrace)
-		for pause := firstFetchPause; ctx.Err() == nil; pause = min(2*pause, maxFetchPause) {
+		for ctx.Err() == nil {
 			for begin := time.Now(); g.follower.Receiving() && time.Since(begin) < maxReceiveWait && ctx.Err() == nil; {
 				sleep(ctx, receivePollPeriod)
 			}
 			version, from, ok := g.lackedConfiguration()
-			if !ok || g.fetchConfiguration(ctx, version, from) {
+			if !ok {
+				break
+			}
+			if g.fetchConfiguration(ctx, version, from) {
+				pause = firstFetchPause
 				break
 			}
 			sleep(ctx, pause)
+			pause = min(2*pause, maxFetchPause)
 		}
 	}
 }
@@ -93,6 +109,9 @@
 	if err == nil {
 		g.follower.InstallTopic(state, g.adapter.ContractTopic, time.Now())
 	}
+	if err == nil {
+		g.forgetVersion(version)
+	}
 	if g.version() >= version {
 		g.metrics.Add("configurations_fetched_total", 1)
 		g.log.Info("configuration_fetched", "from", from.Name, "version", g.version(), "was", was)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -159,3 +160,27 @@
 	is.True(!peer.gateway.follower.Complete())
 	late.learns(t, 4)
 }
+
+// TestVanishedConfigurationIsNotFetchedAgain guards against hosts that fetch a configuration over and over from a host that no longer has it: it has started
+// again beside a store that lacks the configuration.
+func TestVanishedConfigurationIsNotFetchedAgain(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 3, "/lots/")
+	peer := d.start(t)
+	waitFor(t, "readiness", peer.ready)
+	h := d.start(t, peer.settings.StateAddress)
+	waitFor(t, "readiness", func() bool { return h.ready() && h.knows(peer) })
+	from, ok := h.gateway.peers.Host(peer.settings.Host)
+	is.True(ok)
+	h.gateway.recordVersion(from, 4)
+	time.Sleep(2500 * time.Millisecond)
+	is.Equal(strings.Count(d.logged(), "configuration_not_fetched"), 1)
+	for range 50 { // a host that goes on to name it is asked with growing pauses
+		h.gateway.recordVersion(from, 5)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.True(strings.Count(d.logged(), "configuration_not_fetched") <= 5) // after 0, 0.2, 0.6 and 1.4 s
+	d.configure(t, 6, "/lots/")
+	h.learns(t, 6)
+}
