ingress: a connection stays open for as long as its response has stated

What callers saw: nothing yet; shown by a test. A response states the idle timeout (Keep-Alive) when its header is written. If a configuration with a shorter idle timeout came while the body was sent, and the time in which callers may go by the older one passed too, the connection was closed by the shorter timeout. A caller that went by what the response had stated sent its next request to a closed connection.

Cause: the timeout was read again when the response had been written.

Change: the wait after a response lasts at least for the idle timeout that the response has stated.

Evidence: TestStatedIdleTimeoutOutlivesConfiguration failed before (unexpected EOF: the request got no answer) and passes; ingress passes with -race.

--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -39,6 +39,7 @@
 	readUntil       time.Time     // the reader's deadline; zero for none
 	renewed         bool          // readUntil was moved, because bytes had arrived before it that were read after it
 	idleLimit       time.Duration // idle timeout of the present wait for a request
+	statedIdle      time.Duration // idle timeout by which the latest response has stated one
 	answeredAt      time.Time     // when the latest response was written
 	evicting        Eviction      // the reader is asked to end the connection; it does if nothing has arrived
 	settled         chan struct{} // closed when the reader does not do it; nil unless evicting is EvictedBody
@@ -206,8 +207,8 @@
 		c.earlierAnswered = nil
 	}
 	if c.pending == 0 && c.waiting && !c.stopping && !c.lastRead {
-		c.idleLimit = idleTimeout
-		c.setReadDeadlineLocked(c.answeredAt.Add(idleTimeout))
+		c.idleLimit = max(idleTimeout, c.statedIdle)
+		c.setReadDeadlineLocked(c.answeredAt.Add(c.idleLimit))
 	}
 	sendContinue := c.continueDue && c.pending == 0 && !c.lastRead
 	if sendContinue {
--- a/internal/transport/ingress/keepalive_test.go
+++ b/internal/transport/ingress/keepalive_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,3 +39,41 @@
 		is.Equal(resp.Close, c.want == "" && c.timeout > time.Second)
 	}
 }
+
+// TestStatedIdleTimeoutOutlivesConfiguration guards against requests that are lost because a connection is closed before the time that its last response has
+// stated: a configuration with a shorter idle timeout came while that response was sent.
+func TestStatedIdleTimeoutOutlivesConfiguration(t *testing.T) {
+	is := is.New(t)
+	var idle atomic.Int64
+	idle.Store(int64(3 * time.Second))
+	body, end := io.Pipe()
+	s := New(Config{Handler: &streamHandler{stream: body, length: -1}, MaxConnections: 8, Limits: func() routing.Limits {
+		limits := routing.DefaultLimits
+		limits.IdleTimeout = time.Duration(idle.Load())
+		return limits
+	}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.Serve(l)
+	defer s.Close(t.Context())
+	defer end.Close()
+	nc, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	is.NoErr(nc.SetDeadline(time.Now().Add(10 * time.Second)))
+	send(t, nc, get("/1"))
+	_, err = end.Write([]byte("begin")) // flushes the header
+	is.NoErr(err)
+	resp, err := http.ReadResponse(br, nil)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("Keep-Alive"), "timeout=2")
+	idle.Store(int64(100 * time.Millisecond))
+	end.Close()
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	time.Sleep(time.Second)
+	send(t, nc, get("/2"))
+	resp, _ = answer(t, br)
+	is.Equal(resp.Header.Get("Keep-Alive"), "") // below one second
+}
--- a/internal/transport/ingress/reading.go
+++ b/internal/transport/ingress/reading.go
@@ -98,7 +98,7 @@
 	if first {
 		c.idleLimit = 0
 	}
-	c.idleLimit = max(c.idleLimit, idleTimeout) // callers may go by the limit of an older configuration, or by that of a newer one
+	c.idleLimit = max(c.idleLimit, idleTimeout, c.statedIdle) // callers may go by the limit of an older configuration, or by that of a newer one
 	until := c.waitUntil()
 	c.waiting = !c.lastRead && (first || !c.endWait(until))
 	if c.waiting {
--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -106,7 +106,11 @@
 	if c.decideLast(r) {
 		return connectionClose
 	}
-	return keepAlive(c.server.cfg.Limits().IdleTimeout)
+	idleTimeout := c.server.cfg.Limits().IdleTimeout
+	c.mu.Lock()
+	c.statedIdle = idleTimeout
+	c.mu.Unlock()
+	return keepAlive(idleTimeout)
 }
 
 func (c *conn) writeContinue() {
