connlimit: a connection with unread bytes does not make room for another

What callers saw: nothing yet; shown by a test. The servers for states, readiness, address lookup and metrics close a connection in favour of a new one if by their own flags it has been idle for 0.25 s, or its request has been arriving for 0.5 s. If the process gets no processor for that time, a whole request can lie in the kernel's buffer; it got no answer.

Change: a connection on which bytes lie unread is no candidate. If there is no other, the new connection is closed, as it is while all are being answered.

Evidence: TestUnreadRequestOutlivesNewConnection failed before and passes; connlimit passes with -race.

--- a/internal/transport/connlimit/connlimit.go
+++ b/internal/transport/connlimit/connlimit.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
 // Ages from which on a connection may be closed for a new one.
@@ -131,7 +133,7 @@
 		if s == answering || s == reading && age < minSlowAge || s == idle && age < minIdleAge {
 			continue
 		}
-		if best == nil || s > bestState || s == bestState && age > bestAge {
+		if (best == nil || s > bestState || s == bestState && age > bestAge) && sockbuf.Received(c.Conn) != sockbuf.Bytes { // else the process has not read them yet
 			best, bestState, bestAge = c, s, age
 		}
 	}
--- a/internal/transport/connlimit/connlimit_test.go
+++ b/internal/transport/connlimit/connlimit_test.go
@@ -84,3 +84,40 @@
 		is.True(<-results)
 	}
 }
+
+// TestUnreadRequestOutlivesNewConnection guards against requests that are lost on a connection that makes room for others: they have arrived, but the process
+// has got no processor to read them.
+func TestUnreadRequestOutlivesNewConnection(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	limiter := New(1, nil)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		return c
+	}
+	accept := func() *conn {
+		nc, err := inner.Accept()
+		is.NoErr(err)
+		return limiter.admit(nc)
+	}
+	caller := dial()
+	defer caller.Close()
+	c := accept()
+	defer c.Close()
+	_, err = caller.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	is.NoErr(err)
+	time.Sleep(minSlowAge + 50*time.Millisecond)
+	other := dial()
+	defer other.Close()
+	is.True(accept() == nil)
+	_, err = c.Read(make([]byte, 64))
+	is.NoErr(err)
+	third := dial()
+	defer third.Close()
+	admitted := accept()
+	is.True(admitted != nil) // once the request is read, the connection makes room
+	admitted.Close()
+}
