quota: a late time does not hide the permits granted after it

Cause: requests and messages take their time before the coordinator's lock.

The bucket keeps the latest time of its calls, and a call counts no earlier than that. That covers times before the origin and before the oldest slot too. A permit that is given back is looked up at the time at which it was requested, which is computed from the call's own time.

Evidence: TestBucketKeepsDepthOutOfOrder failed before with 2 permits granted where depth 1 and rate 1 allow 1.4 (second call 1 ms earlier than the first). It passes now with the race detector, as does the package.

--- a/internal/coordination/quota/bucket.go
+++ b/internal/coordination/quota/bucket.go
@@ -15,24 +15,25 @@
 type bucket struct {
 	terms
 	origin  time.Time // slots are counted from here
+	latest  time.Time // of the calls
 	first   int64     // oldest slot that is remembered
 	base    float64   // tokens at the start of slot first
 	granted [slotCount]float64
 }
 
 func newBucket(t terms, tokens float64, now time.Time) *bucket {
-	return &bucket{terms: t, origin: now, base: min(tokens, t.depth)}
+	return &bucket{terms: t, origin: now, latest: now, base: min(tokens, t.depth)}
 }
 
 func (b *bucket) slot(at time.Time) int64 { return int64(at.Sub(b.origin) / slotTime) }
 
-// clamp returns the time at which a call counts that was made at the given one. A caller may have waited for the lock while the terms changed, or while
-// slots were dropped.
+// clamp returns the time at which a call counts that was made at the given one: no earlier than the calls before. A caller that has waited for the lock
+// would not count what was granted meanwhile, or be before the origin of new terms.
 func (b *bucket) clamp(now time.Time) time.Time {
-	if oldest := b.origin.Add(time.Duration(b.first) * slotTime); now.Before(oldest) {
-		return oldest
+	if now.After(b.latest) {
+		b.latest = now
 	}
-	return now
+	return b.latest
 }
 
 // advance drops slots that are too old to be remembered. now must be clamped.
@@ -78,9 +79,9 @@
 // giveBack takes back permits that were requested some time ago, granted soon after that, and not used. It ignores those of which it remembers no
 // grant.
 func (b *bucket) giveBack(n float64, age time.Duration, now time.Time) {
+	requested := now.Add(-max(0, age))
 	now = b.clamp(now)
 	b.advance(now)
-	requested := now.Add(-max(0, age))
 	if requested.Before(b.origin) {
 		return
 	}
@@ -98,6 +99,7 @@
 
 // setTerms changes the terms from now on. The tokens are kept, up to the new depth. Permits granted before are not taken back any more.
 func (b *bucket) setTerms(t terms, now time.Time) {
+	now = b.clamp(now)
 	tokens := min(t.depth, max(0, b.tokens(now)))
-	*b = bucket{terms: t, origin: now, base: tokens}
+	*b = bucket{terms: t, origin: now, latest: now, base: tokens}
 }
