decay: amounts that are added out of order keep their weight

Cause: Add moved the meter's time back to that of a late caller without undoing the decay, and the next caller decayed the sum for that interval again. Each pair out of order costs the sum exp(-lag/tau).

An amount with an earlier time now counts by its own age, and the meter's time only moves forward.

Evidence: TestMeterOutOfOrder failed before (2.9970 where the amounts are 2.9990, at the first case); it passes now with the race detector.

--- a/internal/state/decay/decay.go
+++ b/internal/state/decay/decay.go
@@ -12,8 +12,12 @@
 	At  time.Time
 }
 
-// Add adds an amount.
+// Add adds an amount. Calls may come out of order, as after a wait for a lock: an amount counts by its own time.
 func (m *Meter) Add(amount float64, tau time.Duration, now time.Time) {
+	if late := m.At.Sub(now); late > 0 {
+		m.Sum += amount * math.Exp(-late.Seconds()/tau.Seconds())
+		return
+	}
 	m.Sum, m.At = m.Value(tau, now)+amount, now
 }
 
