quota: a bucket unused for 16 s is filled at its rate

Effect on callers, by the code and not seen in a run: a customer with a low rate and a large burst got its whole burst again after 16 s without requests: at 1 a second and a burst of 100, 200 requests within 16 s, where 116 are allowed.

Cause: a bucket that was not used for more than twice the time that its slots cover was taken for full, whatever its rate is.

The remembered slots are now replayed, and the time after them adds tokens at the rate.

Evidence: TestPauseFillsBucketAtRate failed before: 100 permits after pauses of 16 s, 17 s and a minute, where the rate allows 16, 17 and 60. It passes now with the race detector.

--- a/internal/coordination/quota/bucket.go
+++ b/internal/coordination/quota/bucket.go
@@ -40,15 +40,14 @@
 func (b *bucket) advance(now time.Time) {
 	last := b.slot(now)
 	oldest := last - slotCount + 1
-	if oldest-b.first > slotCount { // unused for long
-		b.base, b.first = b.depth, oldest
-		clear(b.granted[:])
-		return
-	}
-	for ; b.first < oldest; b.first++ {
+	for n := min(slotCount, oldest-b.first); n > 0; n-- {
 		g := &b.granted[b.first%slotCount]
 		b.base = min(b.depth, b.base+b.rate*slotTime.Seconds()) - *g
 		*g = 0
+		b.first++
+	}
+	if unused := oldest - b.first; unused > 0 {
+		b.base, b.first = min(b.depth, b.base+b.rate*float64(unused)*slotTime.Seconds()), oldest
 	}
 }
 
--- a/internal/coordination/quota/bucket_test.go
+++ b/internal/coordination/quota/bucket_test.go
@@ -41,3 +41,17 @@
 		}
 	})
 }
+
+// TestPauseFillsBucketAtRate guards against a customer with a low rate and a large burst that gets its whole burst again after a pause of 16 s.
+func TestPauseFillsBucketAtRate(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, pause := range []time.Duration{7 * time.Second, 9 * time.Second, 15 * time.Second, 16 * time.Second, 17 * time.Second, time.Minute} {
+		b := newBucket(terms{rate: 1, depth: 100}, 100, start)
+		if n := b.grant(200, start); n != 100 {
+			t.Fatalf("a full bucket granted %d", n)
+		}
+		if n, most := b.grant(200, start.Add(pause)), int(pause.Seconds()); n > most || n < most-1 {
+			t.Errorf("after %v: granted %d, the rate allows %d", pause, n, most)
+		}
+	}
+}
