quota: huge bursts and tiny rates do not overflow

With a rate of 1e-12 a second or less, refusals stated no delay. Both pass the check of customers, which allows every finite number.

Cause: float64 values beyond int64 were converted to integers, which gives the least integer on amd64: no permit, and a negative delay.

Tokens are bounded by the number wanted before the conversion, and the delay is computed by until, which bounds it.

Evidence: TestExtremeLimits failed before, once for each of the two: 0 permits instead of 3, and a delay below 0. It passes now.

--- a/internal/coordination/quota/bucket.go
+++ b/internal/coordination/quota/bucket.go
@@ -67,7 +67,7 @@
 
 // grant takes up to n permits and returns their number.
 func (b *bucket) grant(n int, now time.Time) int {
-	n = max(0, min(n, int(b.tokens(now))))
+	n = int(max(0, min(float64(n), b.tokens(now)))) // tokens may exceed any integer
 	b.granted[b.slot(b.clamp(now))%slotCount] += float64(n)
 	return n
 }
--- a/internal/coordination/quota/holding.go
+++ b/internal/coordination/quota/holding.go
@@ -180,7 +180,7 @@
 // exceeded returns the result for a request beyond the limit. Callers that are refused one after the other are told to come back at the rate of which
 // this host has a part; no later than after a window, since a refusal then says nothing about the quota any more.
 func (h *holding) exceeded(window time.Duration, now time.Time) Result {
-	gap := time.Duration(float64(max(1, h.hosts)) / h.PerSecond * float64(time.Second))
+	gap := h.until(float64(max(1, h.hosts)))
 	earliest := now
 	if h.refusedUntil.After(now) {
 		earliest = h.refusedUntil
