overload: requests recorded out of order do not cost a customer its weight

Cause: the credit that bounds how much traffic counts was lowered by the time by which a late arrival lies before the newest one.

--- a/internal/coordination/overload/customers.go
+++ b/internal/coordination/overload/customers.go
@@ -61,7 +61,7 @@
 	seconds := work.Seconds()
 	if now.Sub(c.since) > learningTime {
 		rate := c.rate(now)
-		c.credit = min(usualGrowth*rate*usualBurst.Seconds(), c.credit+usualGrowth*rate*now.Sub(c.usual.At).Seconds())
+		c.credit = min(usualGrowth*rate*usualBurst.Seconds(), c.credit+usualGrowth*rate*max(0, now.Sub(c.usual.At)).Seconds())
 		seconds = min(seconds, max(0, c.credit))
 		c.credit -= seconds
 	}
