overload: the first request of a customer counts also when unused customers are removed

Cause: Arrived looked up the customer, which adds a new one, and then removed the customers that had sent nothing for 5 minutes: the new one has no traffic yet and was among them. Its request counted in an entry that no one saw any more; with no other customer the weight was divided by 0 customers.

Customers are removed before the lookup.

Evidence: TestSweepKeepsArrival failed before (usual traffic 0 instead of 0.001 s of work); it passes now with the race detector, as does the package.

--- a/internal/coordination/overload/earlier_test.go
+++ b/internal/coordination/overload/earlier_test.go
@@ -27,3 +27,12 @@
 	t.Logf("usual work: %.3f s in order, %.3f s out of order", inOrder, outOfOrder)
 	is.True(outOfOrder > 0.98*inOrder && outOfOrder < 1.02*inOrder)
 }
+
+// TestSweepKeepsArrival guards against a customer whose first request is not counted because unused customers are removed at the same moment.
+func TestSweepKeepsArrival(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var q Queue
+	q.Arrived(&Request{Customer: "c", Work: time.Millisecond, Due: now.Add(time.Second), LateAt: now.Add(time.Second)}, now)
+	is.Equal(q.customers.get("c", now).usual.Sum, 0.001)
+}
--- a/internal/coordination/overload/meters.go
+++ b/internal/coordination/overload/meters.go
@@ -25,9 +25,9 @@
 func (q *Queue) Arrived(r *Request, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.sweep(now)
 	known := q.customers.get(r.Customer, now)
 	if known != nil {
-		q.sweep(now)
 		known.arrived(r.Work, now)
 	}
 	if !now.Before(r.lateFrom()) {
