placement: statistics read with an earlier time stay within their bounds

Cause: requests take the time before the lock of an endpoint's statistics. The failure rate and the pace were multiplied with e^(lag/time constant) when the last record was newer, and records with an earlier time moved the time back, so that the next reader decayed the interval twice.

Decay now takes at least no time, and the times of records only move forward.

Evidence: TestStatsOutOfOrder failed before (pace 20.04 at a lag of 2.264 s with answers of at most 1 times the usual duration); it passes now with the race detector, as does the package.

--- a/internal/coordination/placement/cold.go
+++ b/internal/coordination/placement/cold.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -39,11 +38,11 @@
 		sample = 1
 	}
 	share := c.decayed(now)
-	c.share, c.at = share+coldOutcomeWeight*(sample-share), now
+	c.share, c.at = share+coldOutcomeWeight*(sample-share), later(c.at, now)
 }
 
 func (c *coldRejections) decayed(now time.Time) float64 {
-	return c.share * math.Exp(-max(0, now.Sub(c.at).Seconds())/coldDecayTime.Seconds())
+	return c.share * decay(c.at, now, coldDecayTime)
 }
 
 // coldRejectionRate returns the share of the requests to a service's cold endpoints that is rejected.
--- a/internal/coordination/placement/endpoint_stats.go
+++ b/internal/coordination/placement/endpoint_stats.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/maphash"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,7 +91,7 @@
 // decayedFailureRate returns the failure rate, decayed by the time since the last outcome. Without the decay, an endpoint that is avoided
 // for its failures would get no requests, and its rate could never fall again.
 func (s *endpointEntry) decayedFailureRate(now time.Time) float64 {
-	return s.failureRate * math.Exp(-now.Sub(s.failureRateAt).Seconds()/failureDecayTime.Seconds())
+	return s.failureRate * decay(s.failureRateAt, now, failureDecayTime)
 }
 
 // View returns what this host knows of one endpoint.
@@ -238,7 +237,7 @@
 		sample = 1
 	}
 	s.failureRate = s.decayedFailureRate(now) + failureWeight*(sample-s.decayedFailureRate(now))
-	s.failureRateAt = now
+	s.failureRateAt = later(s.failureRateAt, now)
 }
 
 // RecordEndWithoutOutcome records the end of a request that does not count in the endpoint's failure rate: the caller left, another
--- a/internal/coordination/placement/pace.go
+++ b/internal/coordination/placement/pace.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -28,7 +27,7 @@
 }
 
 func (p *pace) at(mean float64, now time.Time) float64 {
-	return max(minPace, mean+p.excess*math.Exp(-now.Sub(p.recordedAt).Seconds()/paceDecayTime.Seconds()))
+	return max(minPace, mean+p.excess*decay(p.recordedAt, now, paceDecayTime))
 }
 
 // meanPace is the mean pace of a service's endpoints, in this host's zone or in all others together.
@@ -74,6 +73,6 @@
 	mean := t.meanPace(e.Service, e.Zone == t.cfg.Zone).record(multiple)
 	t.update(e.ID, now, func(s *endpointEntry) {
 		old := s.pace.at(mean, now)
-		s.pace = pace{old + paceWeight*(multiple-old) - mean, now}
+		s.pace = pace{old + paceWeight*(multiple-old) - mean, later(s.pace.recordedAt, now)}
 	})
 }
--- a/internal/coordination/placement/room.go
+++ b/internal/coordination/placement/room.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -32,7 +31,7 @@
 
 // weight returns the factor by which the probes have decayed.
 func (s *roomShare) weight(now time.Time) float64 {
-	return min(1, math.Exp(-now.Sub(s.lastProbe).Seconds()/roomDecayTime.Seconds()))
+	return decay(s.lastProbe, now, roomDecayTime)
 }
 
 // assumedProbes is the number of probes that the assumed share counts for. Few probes say less than many.
@@ -87,7 +86,7 @@
 		s = &r.local
 	}
 	weight := s.weight(now)
-	s.probed, s.withRoom, s.lastProbe = weight*s.probed+1, weight*s.withRoom, now
+	s.probed, s.withRoom, s.lastProbe = weight*s.probed+1, weight*s.withRoom, later(s.lastProbe, now)
 	if l.leavesRoom() && l.Slowness <= t.cfg.GoodEnoughFactor {
 		s.withRoom++
 	}
