--- a/internal/coordination/configlog/follower.go
+++ b/internal/coordination/configlog/follower.go
@@ -78,7 +78,8 @@
 	lastSnapshotAppend time.Time // when this host last appended a snapshot
 
 	mayBeRestored atomic.Bool  // the log may have been restored to an older state; checked before the next read
-	lastContact   atomic.Int64 // Unix nanoseconds of the last contact with the log or a peer
+	began         time.Time    // of this Follower; its monotonic reading keeps lastContact right when the time of day is set
+	lastContact   atomic.Int64 // nanoseconds from began to the last contact with the log or a peer
 	ready         chan struct{}
 	readyOnce     sync.Once
 
@@ -103,11 +104,10 @@
 	if cfg.OnChange == nil {
 		cfg.OnChange = func(*State) {}
 	}
-	f := &Follower{cfg: cfg, machine: NewStateMachine(), ready: make(chan struct{}),
+	f := &Follower{cfg: cfg, began: time.Now(), machine: NewStateMachine(), ready: make(chan struct{}),
 		fetchedPositions: map[string]int64{}, waiters: map[string][]chan ChangeResult{}}
 	f.applied = f.machine.State()
 	f.inForce.Store(f.applied)
-	f.RecordContact(time.Now())
 	return f
 }
 
@@ -118,11 +118,11 @@
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
 // RecordContact records a contact with the log or a known peer.
-func (f *Follower) RecordContact(now time.Time) { f.lastContact.Store(now.UnixNano()) }
+func (f *Follower) RecordContact(now time.Time) { f.lastContact.Store(int64(now.Sub(f.began))) }
 
 // Isolated reports whether the last contact with the log or a peer is so long ago that this host must refuse new work.
 func (f *Follower) Isolated(now time.Time) bool {
-	return now.Sub(time.Unix(0, f.lastContact.Load())) > isolationTimeout
+	return now.Sub(f.began)-time.Duration(f.lastContact.Load()) > isolationTimeout
 }
 
 // Run follows the log until the context ends.
