peerrpc: streams stay open when the time of day is set

Cause: when a stream last received and sent was kept as Unix nanoseconds, which have no monotonic reading.

The times are now kept since the stream began.

--- a/internal/transport/peerrpc/stream.go
+++ b/internal/transport/peerrpc/stream.go
@@ -29,8 +29,9 @@
 	sendMu    sync.Mutex
 	closeOnce sync.Once
 	done      chan struct{}
-	lastRecv  atomic.Int64 // UnixNano
-	lastSent  atomic.Int64 // UnixNano
+	began     time.Time    // its monotonic reading keeps the next two right when the time of day is set
+	lastRecv  atomic.Int64 // nanoseconds since began
+	lastSent  atomic.Int64 // nanoseconds since began
 }
 
 // envelope wraps a message. An envelope without a body is a keep-alive.
@@ -39,14 +40,25 @@
 }
 
 func newStream(s drpc.Stream, peer string, closeConn func()) *Stream {
-	st := &Stream{peer: peer, stream: s, closeConn: closeConn, done: make(chan struct{})}
-	now := time.Now().UnixNano()
-	st.lastRecv.Store(now)
-	st.lastSent.Store(now)
+	st := &Stream{peer: peer, stream: s, closeConn: closeConn, done: make(chan struct{}), began: time.Now()}
 	go st.keepAlive()
 	return st
 }
 
+func (s *Stream) received(now time.Time) { s.lastRecv.Store(int64(now.Sub(s.began))) }
+
+func (s *Stream) sent(now time.Time) { s.lastSent.Store(int64(now.Sub(s.began))) }
+
+// isSilent reports whether nothing was received for keepAliveTimeout.
+func (s *Stream) isSilent(now time.Time) bool {
+	return now.Sub(s.began)-time.Duration(s.lastRecv.Load()) > keepAliveTimeout
+}
+
+// owesKeepAlive reports whether nothing was sent for keepAliveInterval.
+func (s *Stream) owesKeepAlive(now time.Time) bool {
+	return now.Sub(s.began)-time.Duration(s.lastSent.Load()) >= keepAliveInterval
+}
+
 // Peer returns the name of the host at the other end.
 func (s *Stream) Peer() string { return s.peer }
 
@@ -65,7 +77,7 @@
 	if err := s.stream.MsgSend(e, encoding{}); err != nil {
 		return trace.ConnectionProblem(err, "send to %s", s.peer)
 	}
-	s.lastSent.Store(time.Now().UnixNano())
+	s.sent(time.Now())
 	return nil
 }
 
@@ -76,7 +88,7 @@
 		if err := s.stream.MsgRecv(&e, encoding{}); err != nil {
 			return trace.ConnectionProblem(err, "receive from %s", s.peer)
 		}
-		s.lastRecv.Store(time.Now().UnixNano())
+		s.received(time.Now())
 		if len(e.Body) > 0 {
 			return wire.Unmarshal(e.Body, m)
 		}
@@ -106,11 +118,11 @@
 			s.Close()
 			return
 		case now := <-tick.C:
-			if now.UnixNano()-s.lastRecv.Load() > int64(keepAliveTimeout) {
+			if s.isSilent(now) {
 				s.Close()
 				return
 			}
-			if now.UnixNano()-s.lastSent.Load() >= int64(keepAliveInterval) && s.send(&envelope{}) != nil {
+			if s.owesKeepAlive(now) && s.send(&envelope{}) != nil {
 				s.Close()
 				return
 			}
