quota: permits that are given back do not make a message invalid

Cause: a message gives back permits with the time since they were requested. The sender's caller took its time before the lock, so that the permits could have been requested after it: the age was negative. A permit that waited for an hour to be given back was older than the bound. The receiver rejects such a message whole, with up to 32 requests and whatever else is in it, and the coordinator never sees them.

Ages in messages are now within what the receiver accepts.

Evidence: TestReturnsHaveValidAges failed before ("a request returns 1 permits of -50 ms ago"); it passes now with the race detector.

--- a/internal/coordination/quota/holding.go
+++ b/internal/coordination/quota/holding.go
@@ -132,11 +132,11 @@
 	h.returns = append(h.returns, pendingReturn{n, requested, now})
 }
 
-// takeReturns returns the returns for a message.
+// takeReturns returns the returns for a message. The caller may have waited for the lock, so that now is before some of them.
 func (h *holding) takeReturns(now time.Time) (list []Return) {
 	n := min(len(h.returns), maxReturns)
 	for _, r := range h.returns[:n] {
-		list = append(list, Return{r.permits, now.Sub(r.requested).Milliseconds()})
+		list = append(list, Return{r.permits, min(max(0, now.Sub(r.requested).Milliseconds()), maxAgeMS)})
 	}
 	h.returns = slices.Delete(h.returns, 0, n)
 	return list
