ratelimit: messages state ages and waits that their receivers accept

Cause: a heartbeat takes its time first and then reads the statements of endpoints. A request for permits with no time left stated a negative wait.

Ages and waits are now within what the receivers accept.

Evidence: TestStatementsHaveValidAges failed before (-50 ms), TestPermitRequestsHaveValidWaits too (-1000 ms); both pass now with the race detector.

--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -20,12 +20,15 @@
 
 // NewStatement returns the message of a statement.
 func NewStatement(id endpoints.ID, s ratelimits.Statement, now time.Time) Statement {
-	return Statement{ID: id, PerSecond: s.PerSecond, SentAgoMS: now.Sub(s.SentAt).Milliseconds(), AnsweredAgoMS: now.Sub(s.AnsweredAt).Milliseconds()}
+	return Statement{ID: id, PerSecond: s.PerSecond, SentAgoMS: age(s.SentAt, now), AnsweredAgoMS: age(s.AnsweredAt, now)}
 }
 
 // maxAgeMS bounds the ages in a message in milliseconds. No request runs, and no statement is repeated, for a day.
 const maxAgeMS = 24 * 3_600_000
 
+// age returns the time since a moment in milliseconds, for a message. The sender may have taken its time before the moment.
+func age(at, now time.Time) int64 { return min(max(0, now.Sub(at).Milliseconds()), maxAgeMS) }
+
 // Check returns an error if the statement has figures that no host sends.
 func (s *Statement) Check() error {
 	switch {
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -223,7 +223,7 @@
 	l.lastNumber++
 	s.number, s.requestedAt, s.answered = l.lastNumber, now, make(chan struct{})
 	l.cfg.SendRequest(host.PeerAddress, Request{ID: e.ID, Zone: e.Zone, Number: s.number, Statement: l.statement(e.ID, now),
-		MaxWaitMS: maxWait.Milliseconds(), Cold: l.coldMessage(e.ID, now)})
+		MaxWaitMS: min(max(0, maxWait.Milliseconds()), maxWaitMS), Cold: l.coldMessage(e.ID, now)})
 	return false, s.answered, false
 }
 
