quarantine: a verdict does not make a message invalid

Effect on operators, by the code and not seen in a run: beside contention, a host that quarantined a request could miss heartbeats, so that it looked silent, and the verdict reached nobody.

Cause: a heartbeat takes its time first and then reads the verdicts. One that was decided in between lasted longer than a quarantine lasts, by that time, and the receivers reject such a message whole.

Evidence: TestUpdateHasValidAges failed before (600050 ms, where 600000 are allowed); it passes now with the race detector, as does the package.

--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -124,7 +124,7 @@
 	}
 	for _, f := range verdicts {
 		if e := g.verdicts[f]; e != nil && now.Before(e.Until) {
-			n.Verdicts = append(n.Verdicts, VerdictReport{Pattern: f, ForMS: e.Until.Sub(now).Milliseconds(), DecidedAgoMS: age(e.DecidedAt, now)})
+			n.Verdicts = append(n.Verdicts, VerdictReport{Pattern: f, ForMS: min(e.Until.Sub(now), quarantineTime).Milliseconds(), DecidedAgoMS: age(e.DecidedAt, now)})
 		}
 	}
 	for _, f := range answered {
