follow: a served state has no negative age

Cause: the handler takes its time before the follower's lock. If a read of the store that began after that time ended meanwhile, the state's age was negative, and the fetching host rejects it. The same holds for the ages of removed keys.

Evidence: TestServedStateHasValidAge failed before (-50 ms); it passes now with the race detector, as does the package.

--- a/internal/coordination/follow/catchup.go
+++ b/internal/coordination/follow/catchup.go
@@ -79,7 +79,7 @@
 
 // stateSince returns this host's copy since a position. f.mu must be held.
 func (f *Follower) stateSince(position Position, now time.Time) *State {
-	s := &State{AgeMS: now.Sub(f.asOf).Milliseconds(), Revision: f.revision, Epoch: f.epoch, EpochAgeMS: f.epochAgeMS(now)}
+	s := &State{AgeMS: max(0, now.Sub(f.asOf).Milliseconds()), Revision: f.revision, Epoch: f.epoch, EpochAgeMS: f.epochAgeMS(now)}
 	for i := range f.cfg.Feeds {
 		fs := FeedState{Topic: f.cfg.Feeds[i].Topic, Next: f.nextOffsets[i], CopyEnd: f.copyEnd[i]}
 		since := int64(0)
@@ -109,7 +109,7 @@
 			fs.Records = slices.AppendSeq(fs.Records, maps.Values(f.skipped[i]))
 			fs.Inherited = slices.Collect(maps.Values(f.inherited[i]))
 			for _, d := range f.departed[i] {
-				d.AgeMS = now.Sub(d.at).Milliseconds()
+				d.AgeMS = max(0, now.Sub(d.at).Milliseconds())
 				fs.Departed = append(fs.Departed, d)
 			}
 		}
