ratelimit: a grant without a number does not panic

Cause: 0 stands for no request that awaits a response, so that a grant with the number 0 was taken for the answer to one: its channel, which is nil or closed, was closed. Grants of hosts have numbers from 1, but Check accepts 0, and the link only authenticates what its senders state.

Evidence: TestGrantWithoutNumber panicked before ("close of nil channel"); it passes now with the race detector.

--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -141,7 +141,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stocks[g.ID]
-	if s == nil || s.number != g.Number {
+	if s == nil || s.number == 0 || s.number != g.Number {
 		return // another response, or the host has asked again since
 	}
 	s.number = 0
