lateness: a timer that is recorded late does not join times apart

Cause: a goroutine sees its timer and then waits for the meter's lock. If other timers that were seen later were recorded first, the time between the two counted as late too.

An interval is now merged only with those that it overlaps.

Evidence: TestLateRecordsCountOwnTime failed before (393 ms instead of 140 ms); it passes now with the race detector, as does the package.

--- a/internal/coordination/lateness/lateness.go
+++ b/internal/coordination/lateness/lateness.go
@@ -3,6 +3,7 @@
 package lateness
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -38,20 +39,24 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := len(m.intervals)
-	if n > 0 && m.intervals[n-1].to.After(now) {
-		now = m.intervals[n-1].to // another timer was seen while this one was recorded
-	}
 	added := interval{due, now}
-	for n > 0 && !m.intervals[n-1].to.Before(added.from) {
-		n--
-		if m.intervals[n].from.Before(added.from) {
-			added.from = m.intervals[n].from
+	first := len(m.intervals) // of those that added overlaps; a timer may be recorded after others that were seen later
+	for first > 0 && !m.intervals[first-1].to.Before(due) {
+		first--
+	}
+	end := first
+	for ; end < len(m.intervals) && !m.intervals[end].from.After(now); end++ {
+		old := m.intervals[end]
+		m.total -= old.to.Sub(old.from)
+		if old.from.Before(added.from) {
+			added.from = old.from
+		}
+		if old.to.After(added.to) {
+			added.to = old.to
 		}
-		m.total -= m.intervals[n].to.Sub(m.intervals[n].from)
 	}
 	m.total += added.to.Sub(added.from)
-	m.intervals = append(m.intervals[:n], added)
+	m.intervals = slices.Replace(m.intervals, first, end, added)
 	if len(m.intervals) > maxIntervals {
 		m.intervals = append(m.intervals[:0], m.intervals[1:]...)
 	}
--- a/internal/coordination/lateness/lateness_test.go
+++ b/internal/coordination/lateness/lateness_test.go
@@ -60,3 +60,31 @@
 		is.Equal(m.Total(), 88*time.Millisecond)
 	})
 }
+
+// TestLateRecordsCountOwnTime guards against a host that takes itself for late for longer than it was, because a timer that was seen earlier is recorded after
+// others, as by a goroutine that waited for a processor in between.
+func TestLateRecordsCountOwnTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		start := time.Unix(1000, 0)
+		at := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+		var m Meter
+		late := make([]bool, 500) // by millisecond
+		for range rapid.IntRange(0, 30).Draw(t, "timers") {
+			now := rapid.IntRange(0, 499).Draw(t, "seen")
+			due := max(0, now-rapid.IntRange(0, 60).Draw(t, "lateness"))
+			m.Observe(at(due), at(now))
+			for n := due; n < now && now-due > 5; n++ {
+				late[n] = true
+			}
+		}
+		var want time.Duration
+		for _, l := range late {
+			if l {
+				want += time.Millisecond
+			}
+		}
+		is.Equal(m.Total(), want)
+		is.Equal(m.Between(at(0), at(499)), want)
+	})
+}
