peers: a host that restarts after the time of day was set back is heard

Effect on operators, by the code and not seen in a run: a host whose time of day was set back by more than its restart took was ignored by the hosts of its zone for up to 30 s, and by those of other zones until its clock had caught up: it counted for no quorum, was advertised to no caller and coordinated nothing.

Cause: a message with an earlier start than the known one is taken for a late message of an earlier process.

It is now taken for that only while the known process is live. A process that has ended sends nothing that arrives after it has been silent for so long.

Evidence: TestRestartAfterClockStep failed before at 3 s after the last message of the earlier process; it passes now with the race detector, as does the package.

--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -134,7 +134,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.hosts[h.Name]
-	if h.Name == t.cfg.Self.Name || (old != nil && old.Started > h.Started) {
+	// The start of a host that is no longer live may be later than that of its next process, if the time of day was set back.
+	if h.Name == t.cfg.Self.Name || (old != nil && old.Started > h.Started && t.isLive(old, now)) {
 		return false
 	}
 	changed := old == nil || old.Host != h || !old.Status.sameForCallers(s) || !t.isLive(old, now)
