quota: a host that restarts after the time of day was set back gets permits

Effect on callers, by the code and not seen in a run: at such a host, requests of customers with a limit were refused because no coordinator had answered, until coordinators forgot it.

Cause: the numbers of its requests begin with the time of day of its start. After a step back they are below those of its last process, and coordinators took them for copies.

A number that is lower by more than about a second of starts is now that of another process. A copy that is delayed differs by the number of requests since.

Evidence: TestRequestsAfterClockStep failed before (no answer to the first request after a step of 2 s); copies and delayed requests still get none. It passes now with the race detector.

--- a/internal/coordination/quota/coordinator.go
+++ b/internal/coordination/quota/coordinator.go
@@ -235,11 +235,15 @@
 	l.cfg.Send(to.PeerAddress, []Request{r}, nil)
 }
 
+// restartGap is the difference from which on a lower number is that of another process, which has started when the time of day had been set back: numbers
+// begin with the start in units of 1/1024 microseconds and rise by one with each request, so that the difference is about a second.
+const restartGap = 1 << 30
+
 // answer grants what the customer's bucket has. A host that has passed the request on gets the response too, to know that this host answers. l.mu must
 // be held.
 func (l *Limiter) answer(r Request, limit Limit, replyTo string, from Sender, now time.Time) {
 	c := l.coordinate(r.Customer, limit, now)
-	if r.Number <= c.seen[replyTo].number {
+	if last := c.seen[replyTo].number; r.Number <= last && last-r.Number < restartGap {
 		return // a copy, or an earlier one that was delayed
 	}
 	c.seen[replyTo] = seenRequest{r.Number, now}
