quota: a pause of the process counts once

Effect on callers, by the code and not seen in a run: after a host had got no processor for more than half a second, requests of customers with a limit were refused as without a coordinator for another 250 ms and more, and the host forgot the buckets that it had just begun.

Cause: Tick takes its time before the lock. While it waits, a request or a message notices the pause. Tick then moved the time of the last call back to before the pause, so that the next request noticed the same pause again.

A call of Tick now counts no earlier than the end of the pause.

Evidence: TestPauseCountsOnce failed before (unavailable instead of granted 250 ms after the end of the pause); it passes now with the race detector, as does the package.

--- a/internal/coordination/quota/exchange.go
+++ b/internal/coordination/quota/exchange.go
@@ -20,6 +20,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.noticePause(now)
+	if now.Before(l.lastTick) {
+		now = l.lastTick // a request has ended a pause while this call waited for the lock
+	}
 	defer func() { l.tickDue = now.Add(next) }()
 	l.lastTick = now
 	if len(l.holdings) == 0 && len(l.coordinated) == 0 && len(l.cfg.Limited()) == 0 {
