upstreamconn: the wait for an established connection is bounded

If the time for a connection had passed and the kernel called it established, its dial was awaited without a bound. The dial returns as soon as its goroutine gets a processor; where the kernel's answer is wrong, it would have outlasted the request. It now ends after a second.

--- a/internal/transport/upstreamconn/owndelay.go
+++ b/internal/transport/upstreamconn/owndelay.go
@@ -25,6 +25,9 @@
 	return responded || askedAt.IsZero() || float64(time.Since(askedAt)) < minAnswerShare*float64(deadline.Sub(start))
 }
 
+// maxNoticeTime bounds the time in which a goroutine gets a processor to notice that its connection is established.
+const maxNoticeTime = time.Second
+
 // connect opens a connection within ConnectTimeout. If the time passes while the connection is established already, which this process has not noticed
 // yet, it returns the connection.
 func (p *Pool) connect(ctx context.Context, network, address string) (net.Conn, error) {
@@ -47,7 +50,9 @@
 		defer mu.Unlock()
 		if socket == nil || !sockbuf.Connected(socket) {
 			cancel()
+			return
 		}
+		time.AfterFunc(maxNoticeTime, cancel)
 	})
 	defer stop()
 	nc, err := dialer.DialContext(dialCtx, network, address)
