ingress: a step of the time of day makes no connection idle

Connections noted their last progress as Unix time, which has no monotonic reading. After the time of day was set forward by seconds, all connections of a host looked idle, unread or stuck to an eviction, and waits that began then ended early. Times are kept since the connection was opened now.

--- a/internal/transport/ingress/closing.go
+++ b/internal/transport/ingress/closing.go
@@ -45,7 +45,7 @@
 // setCloseReason records why no further request is read. The first reason counts. c.mu must be held.
 func (c *conn) setCloseReason(r CloseReason) {
 	if c.closeReason == "" {
-		c.closeReason, c.idleFor = r, time.Since(time.Unix(0, c.activity.progressAt.Load()))
+		c.closeReason, c.idleFor = r, time.Since(c.lastProgress())
 	}
 }
 
--- a/internal/transport/ingress/hostile_test.go
+++ b/internal/transport/ingress/hostile_test.go
@@ -131,7 +131,7 @@
 		c.mu.Lock()
 		closing := c.lastRead
 		c.mu.Unlock()
-		if at := max(c.activity.progressAt.Load(), c.activity.writingAt.Load()); !closing && time.Since(time.Unix(0, at)) <= wait {
+		if at := max(c.activity.progressAt.Load(), c.activity.writingAt.Load()); !closing && time.Since(c.openedAt.Add(time.Duration(at))) <= wait {
 			return false
 		}
 	}
--- a/internal/transport/ingress/overload.go
+++ b/internal/transport/ingress/overload.go
@@ -58,17 +58,26 @@
 
 // activity records when a connection last made progress.
 type activity struct {
-	progressAt atomic.Int64 // Unix time in nanoseconds at which a request, or a piece of one, arrived, or the latest response was written
+	// Times are nanoseconds since the connection was opened, so that they do not change when the time of day is set.
+	progressAt atomic.Int64 // when a request, or a piece of one, arrived, or the latest response was written
 	writingAt  atomic.Int64 // when the write of a part of a response was begun; 0 if none is being written
 	requests   atomic.Int64 // complete requests
 }
 
-func (c *conn) progress() { c.activity.progressAt.Store(time.Now().UnixNano()) }
+func (c *conn) progress() { c.activity.progressAt.Store(c.clock(time.Now())) }
+
+// clock returns a time as the fields of activity hold it.
+func (c *conn) clock(t time.Time) int64 { return max(1, int64(t.Sub(c.openedAt))) }
+
+// lastProgress returns when the connection last made progress.
+func (c *conn) lastProgress() time.Time {
+	return c.openedAt.Add(time.Duration(c.activity.progressAt.Load()))
+}
 
 // unwrittenFor returns for how long the response that is being written has made no progress.
 func (c *conn) unwrittenFor(now time.Time) time.Duration {
 	if at := c.activity.writingAt.Load(); at > 0 {
-		return now.Sub(time.Unix(0, at))
+		return now.Sub(c.openedAt.Add(time.Duration(at)))
 	}
 	return 0
 }
@@ -124,9 +133,9 @@
 		if !sockbuf.Writable(c.netConn) {
 			return EvictedUnread, unwritten
 		}
-		c.activity.writingAt.Store(now.UnixNano())
+		c.activity.writingAt.Store(c.clock(now))
 	}
-	since := now.Sub(time.Unix(0, c.activity.progressAt.Load()))
+	since := now.Sub(c.lastProgress())
 	why := notEvicted
 	switch {
 	case c.stopping || c.lastRead || c.pending > 0 || c.evicting != notEvicted:
--- a/internal/transport/ingress/reading.go
+++ b/internal/transport/ingress/reading.go
@@ -117,7 +117,7 @@
 	case c.pending > 0:
 		return time.Time{} // answered sets the deadline
 	}
-	return time.Unix(0, c.activity.progressAt.Load()).Add(c.idleLimit)
+	return c.lastProgress().Add(c.idleLimit)
 }
 
 // endWait decides whether the wait for a request ends. c.mu must be held.
--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -59,7 +59,7 @@
 func (c *conn) writePart(b []byte) (written int, err error) {
 	defer c.activity.writingAt.Store(0)
 	for renewed := false; ; {
-		c.activity.writingAt.Store(time.Now().UnixNano())
+		c.activity.writingAt.Store(c.clock(time.Now()))
 		c.mu.Lock()
 		c.evictingWriter = false
 		c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
