lateness: a timer begins anew once

A host that is always late began the wait for the answers to a probe anew until the probes ended, 150 ms instead of 12, for each round of each request. Requests stayed on the hosts that were least able to serve them. What had arrived is handled after one more wait.

--- a/internal/coordination/lateness/timer.go
+++ b/internal/coordination/lateness/timer.go
@@ -24,6 +24,7 @@
 	meter *Meter
 	wait  time.Duration
 	due   time.Time
+	again bool // it was seen late, and has begun anew
 }
 
 // NewTimer returns a timer that expires after wait. Stop has to be called when it is no longer needed. The meter must be nil if its user may do something else
@@ -35,13 +36,15 @@
 }
 
 // Expired is to be called after each value from C. It reports whether the time has passed. If the host has seen that late, what it waits for may have arrived:
-// the timer then begins anew, with the time by which it was late or, if that is less, its own.
+// the timer then begins anew, with the time by which it was late or, if that is less, its own. It does so once, so that a host that is always late waits for
+// twice the time at most.
 func (t *Timer) Expired() bool {
 	now := time.Now()
-	if !t.Observe(now) {
+	if !t.Observe(now) || t.again {
 		return true
 	}
 	t.Reset(min(t.wait, now.Sub(t.due)))
+	t.again = true
 	return false
 }
 
@@ -50,7 +53,7 @@
 
 // Reset begins the timer anew with another time.
 func (t *Timer) Reset(wait time.Duration) {
-	t.wait, t.due = wait, time.Now().Add(wait)
+	t.wait, t.due, t.again = wait, time.Now().Add(wait), false
 	t.timer.Reset(wait)
 }
 
