gateway: a starting host always asks the seeds which hosts there are

Cause: a host with half a core or more waits for a peer with a copy of the store for a random time of up to 20 ms, and sent its first request to the seeds only if that time had not passed. If it had, as after a short draw or while the process stood still, it sent none, read the store, and no host knew of it until the store's list of hosts was written and read.

The request is now sent before the wait is looked at, also by a seed to the other seeds.

--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -69,7 +69,9 @@
 func (g *Gateway) fetchCopyFromPeer(ctx context.Context, peerWait time.Duration) bool {
 	begin := time.Now()
 	seeds := g.seedPeerAddresses()
-	for n := 0; ctx.Err() == nil && time.Since(begin) < peerWait; n++ {
+	// Sent however short the wait is, so that the seeds know this host.
+	g.send(peerlink.Message{RequestHosts: true}, seeds)
+	for n := 1; ctx.Err() == nil && time.Since(begin) < peerWait; n++ {
 		if n%seedRequestEvery == 0 {
 			g.send(peerlink.Message{RequestHosts: true}, seeds)
 		}
@@ -95,12 +97,14 @@
 	return false
 }
 
-// seedPeerAddresses returns the peer addresses of the seeds: their IPs with the peer port of this host, since all hosts use the same ports.
+// seedPeerAddresses returns the peer addresses of the seeds except this host: their IPs with the peer port of this host, since all hosts use the same
+// ports.
 func (g *Gateway) seedPeerAddresses() []string {
 	_, port, err := net.SplitHostPort(g.settings.PeerAddress)
 	if err != nil {
 		return nil // Validate has checked the address
 	}
+	self, _ := g.peers.Self()
 	var list []string
 	for _, seed := range g.settings.Seeds {
 		ip, _, err := net.SplitHostPort(seed)
@@ -108,7 +112,7 @@
 			g.log.Warn("seed_unreadable", "seed", seed, "error", err)
 			continue
 		}
-		if address := net.JoinHostPort(ip, port); !slices.Contains(list, address) {
+		if address := net.JoinHostPort(ip, port); address != self.PeerAddress && !slices.Contains(list, address) {
 			list = append(list, address)
 		}
 	}
