gateway: hosts go on asking others which hosts there are

Two hosts of a zone whose first messages were lost could stay unknown to each other. A host asked the seeds only until it had a copy of the store, often once, and nobody heard it if the seed had not opened its socket yet; a seed asked nobody. After that only the store's list of hosts names others, and that can fail for good: both hosts take themselves for the first of the zone and write a list of one host. The one that no host knows reads its own, last one, and the list of the other zone, so it becomes known there, gets that zone's updates and reads no more. Its own update with the lists goes to that zone only, whose copy then has them, so no later update brings them to the other host. An update older than the copy is dropped with its lists, too, and the position then moves past them (scratch test in follow). The kept log of a start that took 16.5 s shows this course up to a second write of the list.

Each host now asks a random seed, or in half of the cases a random known host, 1 s after its start and then after twice the time, up to every 15 s. The times vary by half, so that hosts that start together do not ask together. The answer names the hosts of its zone. A host that was removed after 30 s of silence is not added again because others list it, which would count against the quorum of a zone; it gets a message and answers if it runs. So hosts that were cut off from each other for longer also meet again.

--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -55,6 +55,7 @@
 
 	mu              sync.Mutex
 	hosts           map[string]*peer // by name; put and remove modify it
+	silent          map[string]int64 // start times of the hosts that RemoveSilent has removed, by name
 	zonePeers       int              // number of the hosts that are in this host's zone
 	status          Status
 	advertisedCache advertisedCache
@@ -72,7 +73,7 @@
 
 // NewTable returns a table without other hosts.
 func NewTable(cfg Config) *Table {
-	return &Table{cfg: cfg, hosts: map[string]*peer{}, startLists: map[string]startList{}}
+	return &Table{cfg: cfg, hosts: map[string]*peer{}, silent: map[string]int64{}, startLists: map[string]startList{}}
 }
 
 // SetStatus replaces the status that this host sends.
@@ -108,6 +109,7 @@
 // put adds a host or replaces its entry. t.mu must be held.
 func (t *Table) put(p *peer) {
 	t.remove(p.Name)
+	delete(t.silent, p.Name)
 	t.hosts[p.Name] = p
 	if p.Zone == t.cfg.Self.Zone {
 		t.zonePeers++
@@ -161,6 +163,7 @@
 		}
 		if p.Zone == t.cfg.Self.Zone && now.Sub(last) > removeSilentAfter {
 			t.remove(name)
+			t.silent[name] = p.Started
 			t.clearCaches()
 			names = append(names, name)
 		}
@@ -168,6 +171,15 @@
 	return names
 }
 
+// WasSilent reports whether RemoveSilent has removed a host, or a later start of it, and no message of it has arrived since. Other hosts may go on
+// listing a host that has ended. Added again, it would count among the hosts of the zone that are not heard from.
+func (t *Table) WasSilent(h Host) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	started, ok := t.silent[h.Name]
+	return ok && started >= h.Started
+}
+
 // rankedNames returns the names of the other hosts of a zone: first the live ones and then the rest, each in rank order. t.mu must be held.
 func (t *Table) rankedNames(zone string, now time.Time) []string {
 	var live, rest []string
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -250,6 +250,22 @@
 	is.Equal(len(table.ZonePeers()), 1)
 }
 
+// TestWasSilent guards against a removed host that comes back into the table because others go on listing it, and against one that stays out although it
+// has been started again or heard from.
+func TestWasSilent(t *testing.T) {
+	is := is.New(t)
+	table, h := NewTable(DefaultConfig(host(0, "a"))), host(1, "a")
+	is.True(!table.WasSilent(h)) // it was never known
+	table.RecordMessage(h, Status{}, start)
+	table.RemoveSilent(start.Add(removeSilentAfter + 1))
+	is.True(table.WasSilent(h))
+	restarted := h
+	restarted.Started++
+	is.True(!table.WasSilent(restarted))
+	table.RecordMessage(h, Status{}, start.Add(time.Hour))
+	is.True(!table.WasSilent(h))
+}
+
 // TestAdvertisedBySize checks a zone of few hosts with many cores and many hosts with few cores: only the former are advertised while they
 // can handle the requests, and some of the latter too when they cannot.
 func TestAdvertisedBySize(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -313,6 +313,7 @@
 	group.Go(func() error { return g.callers.Serve(callers) })
 	group.Go(func() error { g.sendHeartbeats(runCtx); return nil })
 	group.Go(func() error { g.followStore(runCtx); return nil })
+	group.Go(func() error { g.discoverHosts(runCtx); return nil })
 	group.Go(func() error { g.fetchNewerConfigurations(runCtx); return nil })
 	group.Go(func() error { g.sweep(runCtx); return nil })
 	group.Go(func() error { g.checkWays(runCtx); return nil })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 	logs       map[string][]follow.Record
 	down       atomic.Bool
 	unanswered string // topic whose reads fail
+	unwritable string // topic whose writes fail
 	epoch      int64
 }
 
@@ -78,7 +79,7 @@
 func (s *memoryStore) Append(_ context.Context, topic, key string, value []byte) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down.Load() {
+	if s.down.Load() || s.unwritable == topic {
 		return 0, errDown
 	}
 	s.logs[topic] = append(s.logs[topic], follow.Record{Key: key, Value: value, Offset: int64(len(s.logs[topic]))})
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -122,9 +122,7 @@
 	g.handleLimits(m, now)
 	g.handleQuota(m, now)
 	g.crashGuard.HandleUpdate(m.Crashes, m.From.Name, m.From.Zone == g.settings.Zone, now)
-	for _, h := range m.Hosts {
-		g.addHost(h, m.From.Name, now)
-	}
+	g.handleHosts(m.Hosts, m.From.Name, now)
 	if m.RequestHosts {
 		g.send(peerlink.Message{Hosts: g.peers.HostsForZone(m.From.Zone, now)}, []string{m.From.PeerAddress})
 	}
