gateway: one way to ask for the version in force, and one branch after a fetch

Apply computed the version in force as Gateway.version does, and fetchConfiguration asked twice in a row whether the fetch had failed. Behaviour is as before; internal/gateway passes with the race detector, vet and staticcheck are clean.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -42,10 +42,7 @@
 			return false
 		}
 	}
-	was := uint64(0)
-	if old := g.routes.Load(); old != nil {
-		was = old.Version
-	}
+	was := g.version()
 	g.setRoutes(table)
 	g.updateStatus()
 	g.log.Info("configuration", "version", cfg.Version, "was", was, "routes", table.Routes(), "offset", r.Offset, "idle_timeout_ms", ms(table.Limits.IdleTimeout),
--- a/internal/gateway/newer_configuration.go
+++ b/internal/gateway/newer_configuration.go
@@ -108,8 +108,6 @@
 	state, err := fetchState(ctx, from, "?"+url.Values{topicParameter: {g.adapter.ContractTopic}}.Encode(), idleCatchUpTimeout)
 	if err == nil {
 		g.follower.InstallTopic(state, g.adapter.ContractTopic, time.Now())
-	}
-	if err == nil {
 		g.forgetVersion(version)
 	}
 	if g.version() >= version {
