soak: endpoints copy rejections, and stop in the heads of their responses

rejection-copies: about half of the endpoints reject part of their requests as not run and write some of these rejections a second time, before the response to the next request of the connection that they run; some of the copies lack the request id. cut-heads: about half of the endpoints close or reset connections within the heads of their responses, which endpoint-answers draws too. The existing checks judge both.

--- a/internal/soak/endpointfaults.go
+++ b/internal/soak/endpointfaults.go
@@ -89,13 +89,35 @@
 // copyHealthResponses makes some endpoints send responses to health checks a second time while the next request of the connection runs. In half of the
 // cases they reject all health checks.
 func (s *soak) copyHealthResponses(ctx context.Context, rng *rand.Rand) {
-	defer s.timeline.begin(scopeEndpoints)()
 	reject := rng.IntN(2) == 0
+	s.faultSomeEndpoints(ctx, rng, func() platformtest.EndpointFaults {
+		return platformtest.EndpointFaults{LateHealth: 0.1 + 0.9*rng.Float64(), RejectHealth: reject}
+	})
+}
+
+// copyRejections makes some endpoints reject part of their requests as not run, and send some of these rejections a second time while the next request of
+// the connection runs, in some cases without the request id.
+func (s *soak) copyRejections(ctx context.Context, rng *rand.Rand) {
+	s.faultSomeEndpoints(ctx, rng, func() platformtest.EndpointFaults {
+		return platformtest.EndpointFaults{RejectShare: 0.1 + 0.4*rng.Float64(), LateRejections: 0.3 + 0.7*rng.Float64(), UnnamedCopies: max(0, rng.Float64()-0.3)}
+	})
+}
+
+// cutHeads makes some endpoints close or reset the connection in the middle of the heads of their responses.
+func (s *soak) cutHeads(ctx context.Context, rng *rand.Rand) {
+	s.faultSomeEndpoints(ctx, rng, func() platformtest.EndpointFaults {
+		return platformtest.EndpointFaults{Answers: platformtest.CutHead, Share: 0.1 + 0.9*rng.Float64()}
+	})
+}
+
+// faultSomeEndpoints makes about half of the endpoints inject faults for a random time. draw draws those of one endpoint.
+func (s *soak) faultSomeEndpoints(ctx context.Context, rng *rand.Rand, draw func() platformtest.EndpointFaults) {
+	defer s.timeline.begin(scopeEndpoints)()
 	var chosen []*endpoint
 	for _, e := range s.endpoints {
 		if rng.IntN(2) == 0 {
 			chosen = append(chosen, e)
-			e.SetFaults(platformtest.EndpointFaults{LateHealth: 0.1 + 0.9*rng.Float64(), RejectHealth: reject})
+			e.SetFaults(draw())
 		}
 	}
 	pause(ctx, 2*randomDuration(rng))
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -52,6 +52,8 @@
 	{"endpoint-limits", false, (*soak).limitRequests},
 	{"endpoint-limits-fall", false, (*soak).lowerAllLimits},
 	{"health-copies", false, (*soak).copyHealthResponses},
+	{"rejection-copies", false, (*soak).copyRejections},
+	{"cut-heads", false, (*soak).cutHeads},
 	{"crashing-request", false, (*soak).sendCrashingRequest},
 	{"crashing-request-same-ids", false, (*soak).sendCrashingRequestToSameIDs},
 	{"endpoint-slow", false, (*soak).slowEndpoints},
