gateway: a hop, or the endpoint behind it, that stops in its answer

TestHopThatStopsInItsAnswer cuts, after each byte and with a close or a reset, the answer of the host through which a request goes, and the endpoint's answer to that host. The caller gets 502, 504 or a broken connection for each of them but the whole one, without the headers between hosts.

--- /dev/null
+++ b/internal/gateway/cut_hop_test.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/state/registry"
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+)
+
+const healthPath = "/health"
+
+// cuttingServer passes requests on to a server and sends the first bytes of its responses, then it closes or resets the connection. Health checks get
+// whole responses.
+type cuttingServer struct {
+	listener net.Listener
+	target   string // IP:port
+	bytes    atomic.Int64
+	reset    atomic.Bool
+
+	mu  sync.Mutex
+	cut map[string]bool // by request id: whether bytes of its response were left out
+}
+
+func startCuttingServer(t *testing.T, target string) *cuttingServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	s := &cuttingServer{listener: l, target: target, cut: map[string]bool{}}
+	s.bytes.Store(wholeResponse)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+// wholeResponse is a number of bytes that no response has.
+const wholeResponse = 1 << 30
+
+func (s *cuttingServer) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		response, err := s.passOn(r)
+		if err != nil {
+			return
+		}
+		n := int(s.bytes.Load())
+		if r.URL.Path == healthPath || n >= len(response) {
+			n = len(response)
+		}
+		s.mu.Lock()
+		s.cut[r.Header.Get("Upstream-Request-Id")] = n < len(response)
+		s.mu.Unlock()
+		c.Write(response[:n])
+		if n == len(response) {
+			continue
+		}
+		if s.reset.Load() {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		return
+	}
+}
+
+// passOn sends a request to the target and returns the bytes of the response.
+func (s *cuttingServer) passOn(r *http.Request) ([]byte, error) {
+	c, err := net.Dial("tcp", s.target)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := r.Write(c); err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	resp, err := http.ReadResponse(bufio.NewReader(io.TeeReader(c, &out)), r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return out.Bytes(), err
+}
+
+// answered reports whether the response to a request passed, and whether it was cut.
+func (s *cuttingServer) answered(id string) (cut, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cut, ok = s.cut[id]
+	return cut, ok
+}
+
+// hopPair is a host that has lost its way to the endpoint, and one through which it sends requests. hop is between them, upstream between the second one
+// and the endpoint.
+type hopPair struct {
+	near, far     *testHost
+	hop, upstream *cuttingServer
+	requests      int
+}
+
+func startHopPair(t *testing.T) *hopPair {
+	t.Helper()
+	d := deploy(t)
+	d.store.put(t, "contract", "config", routing.Config{Version: 3, Services: []routing.Service{{Name: "lotdesk", HealthPath: healthPath}},
+		Routes: []routing.Route{{Name: "order", Host: "shop.example", Prefix: "/orders/", Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2,
+			Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}}}})
+	p := &hopPair{upstream: startCuttingServer(t, d.upstream.Listener.Addr().String())}
+	d.store.put(t, "endpoints", "e-1", registry.Entry{Name: "e-1", Started: 2, Service: "lotdesk", Address: p.upstream.listener.Addr().String(), Zone: "a", Slots: 2})
+	p.far = d.start(t)
+	p.near = d.start(t, p.far.settings.StateAddress)
+	waitFor(t, "readiness", func() bool { return p.near.ready() && p.far.ready() && p.near.knows(p.far) })
+	p.hop = startCuttingServer(t, p.far.settings.DetourAddress)
+	return p
+}
+
+// send sends a request to the near host, which sends it through the far one, and returns what the caller gets.
+func (p *hopPair) send(t *testing.T) (id string, resp *http.Response, whole bool) {
+	t.Helper()
+	for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+		now := time.Now()
+		witness, _ := p.far.gateway.peers.Self()
+		witness.DetourAddress = p.hop.listener.Addr().String()
+		p.near.gateway.ways.HandleReport(witness, true, &detour.Report{Answered: []detour.ServiceAge{{Service: "lotdesk"}}}, now.Add(time.Millisecond))
+		p.near.gateway.ways.Unanswered("lotdesk", endpoints.ID{Address: "127.0.0.1:1"}, now)
+		if p.near.gateway.ways.State("lotdesk") != detour.Cut {
+			continue // the host has just been answered by the endpoint
+		}
+		p.requests++
+		id = fmt.Sprintf("r%05d", p.requests)
+		c, err := net.Dial("tcp", p.near.settings.CallerAddress)
+		is.New(t).NoErr(err)
+		fmt.Fprintf(c, "GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\nUpstream-Request-Id: %s\r\n\r\n", id)
+		resp, err = http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		c.Close()
+		_, passed := p.hop.answered(id)
+		if _, reached := p.upstream.answered(id); passed && reached {
+			return id, resp, err == nil
+		}
+	}
+	t.Fatal("no request went through the other host: ", resp)
+	return "", nil, false
+}
+
+// TestHopThatStopsInItsAnswer guards against a caller that gets a success that looks whole, or a promise that its request has not run, if the answer of
+// the host through which it was sent, or that of the endpoint to that host, ends in its head or body.
+func TestHopThatStopsInItsAnswer(t *testing.T) {
+	p := startHopPair(t)
+	for name, s := range map[string]*cuttingServer{"hop": p.hop, "endpoint": p.upstream} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
+				is := is.New(t)
+				defer s.bytes.Store(wholeResponse)
+				s.reset.Store(reset)
+				n := 0
+				for cut := true; cut; n++ {
+					s.bytes.Store(int64(n))
+					id, resp, whole := p.send(t)
+					cut, _ = s.answered(id)
+					success := resp != nil && resp.StatusCode == http.StatusOK && whole
+					is.Equal(success, !cut)
+					if cut && resp != nil && whole {
+						is.True(resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout)
+						for name := range resp.Header {
+							is.True(!strings.HasPrefix(name, "Arbutusspan-Hop"))
+						}
+					}
+				}
+				t.Logf("%d bytes", n)
+				is.True(n > 100)
+			})
+		}
+	}
+}
