peers: hosts of few cores are advertised only if they add capacity

Cause: a zone advertises its hosts in the order of their cores until the sum of these is a fifth of the zone's. Callers spread evenly over the addresses that they are given, so with two hosts of 0.8 cores and one of 0.16 the sum is 1.76 cores, but the three can handle 0.48: a third of the zone's callers are given the small host, and keep its address for up to 5 s. The capacity for the measured rate was computed with the even spread, the least share was not.

Change: both are. The number is the least one whose capacity, n times the cores of the smallest, is enough, and never one with less capacity than fewer hosts have.

TestSmallHostsGetNoLargeShare failed before.

--- a/internal/coordination/peers/advertised.go
+++ b/internal/coordination/peers/advertised.go
@@ -62,7 +62,7 @@
 			ready[h.CallerAddress] = h
 		}
 	}
-	rate, cores := 0, 0.0
+	rate := 0
 	cutOff := map[string]bool{t.cfg.Self.Name: t.status.CutOff} // by name
 	if t.status.Ready && !t.status.Leaving {
 		add(t.cfg.Self)
@@ -85,7 +85,6 @@
 	var ranked []Host
 	for _, name := range rendezvous.Rank(advertisedKey, slices.Collect(maps.Keys(byName))) {
 		ranked = append(ranked, byName[name])
-		cores += byName[name].Cores
 	}
 	slices.SortStableFunc(ranked, func(a, b Host) int {
 		if cutOff[a.Name] != cutOff[b.Name] {
@@ -96,18 +95,35 @@
 		}
 		return cmp.Compare(b.Cores, a.Cores)
 	})
-	need := float64(rate) * t.cfg.RequestCPUTime.Seconds() / t.cfg.TargetUtilization // in cores
-	sum, fewest := 0.0, math.Inf(1)
-	for i, h := range ranked {
-		sum += h.Cores
-		fewest = min(fewest, h.Cores)
-		n := i + 1
-		// The host with the fewest cores gets as many requests as each of the others, so they can handle only n times its load.
-		if n >= t.cfg.MinAdvertised && sum >= t.cfg.MinAdvertisedShare*cores && fewest*float64(n) >= need {
-			return ranked[:n]
+	need := float64(rate) * t.cfg.RequestCPUTime.Seconds() / t.cfg.TargetUtilization
+	return ranked[:t.advertisedCount(ranked, need)]
+}
+
+// roundingError bounds the relative error of a capacity.
+const roundingError = 1e-9
+
+// advertisedCount returns how many of the ranked hosts are advertised: as few as have the needed capacity, in cores. If no number of them has it, it is the one
+// with the most capacity. Callers spread evenly, so that n hosts can handle n times what the smallest of them can.
+func (t *Table) advertisedCount(ranked []Host, need float64) int {
+	capacities := make([]float64, len(ranked)) // of the first n+1 hosts
+	smallest, most := math.Inf(1), 0
+	for n, h := range ranked {
+		smallest = min(smallest, h.Cores)
+		capacities[n] = smallest * float64(n+1)
+		if n < t.cfg.MinAdvertised || capacities[n] > capacities[most] {
+			most = n
+		}
+	}
+	if len(ranked) == 0 {
+		return 0
+	}
+	need = max(need, t.cfg.MinAdvertisedShare*capacities[most]) * (1 - roundingError)
+	for n := t.cfg.MinAdvertised - 1; n < most; n++ {
+		if capacities[n] >= need {
+			return n + 1
 		}
 	}
-	return ranked
+	return most + 1
 }
 
 // replacedBy reports whether another host with the address of h has taken its place: a host may restart under another name.
--- a/internal/coordination/peers/peers.go
+++ b/internal/coordination/peers/peers.go
@@ -24,7 +24,8 @@
 	MaxMissedHeartbeats int
 	// MinAdvertised is the minimum number of hosts of a zone that are advertised to callers, so that the loss of one leaves another.
 	MinAdvertised int
-	// MinAdvertisedShare is the minimum share of the zone's processor cores that is advertised, because the load is unknown at the start.
+	// MinAdvertisedShare is the minimum share of the zone's capacity that is advertised, because the load is unknown at the start. Callers spread evenly
+	// over the hosts that they are given, so that the capacity of n hosts is n times that of the smallest of them.
 	MinAdvertisedShare float64
 	// RequestCPUTime is the processor time of one request, including load probes of endpoints. TargetUtilization is the share of a host's
 	// processor time that requests should use. More hosts are advertised if the zone's requests would use more.
--- a/internal/coordination/peers/peers_test.go
+++ b/internal/coordination/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -296,6 +297,41 @@
 	is.Equal(table.AdvertisedHostCount(start), 15)
 }
 
+// TestSmallHostsGetNoLargeShare guards against hosts of few cores that are late under a burst, because they are advertised beside a few large ones and get as
+// many requests as these.
+func TestSmallHostsGetNoLargeShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		const rounding = 1e-6
+		cfg := DefaultConfig(host(0, "a"))
+		cores := slices.Concat(slices.Repeat([]float64{0.8}, rapid.IntRange(0, 3).Draw(t, "large hosts")),
+			slices.Repeat([]float64{0.4}, rapid.IntRange(0, 3).Draw(t, "medium hosts")), slices.Repeat([]float64{0.16}, rapid.IntRange(1, 50).Draw(t, "small hosts")))
+		rate := rapid.IntRange(0, 20).Draw(t, "requests per second and host")
+		cfg.Self.Cores = cores[0]
+		table := NewTable(cfg)
+		table.SetStatus(Status{Ready: true, Rate: rate})
+		for n, c := range cores[1:] {
+			h := host(n+1, "a")
+			h.Cores = c
+			table.RecordMessage(h, Status{Ready: true, Rate: rate}, start)
+		}
+		list := table.advertised(start)
+		slices.SortFunc(cores, func(a, b float64) int { return cmp.Compare(b, a) })
+		capacity := func(n int) float64 { return float64(n) * cores[n-1] } // callers spread evenly
+		most := 0.0
+		for n := min(cfg.MinAdvertised, len(cores)); n <= len(cores); n++ {
+			most = max(most, capacity(n))
+		}
+		need := max(cfg.MinAdvertisedShare*most, float64(rate*len(cores))*cfg.RequestCPUTime.Seconds()/cfg.TargetUtilization)
+		is.True(len(list) >= min(cfg.MinAdvertised, len(cores)))
+		need = min(need, most)
+		is.True(capacity(len(list)) >= need-rounding)
+		for n := cfg.MinAdvertised; n < len(list); n++ {
+			is.True(capacity(n) < need+rounding)
+		}
+	})
+}
+
 // TestAdvertisedHostCountIsCurrent guards against an outdated cached number of advertised hosts: it must change with the status of this
 // host, when a host is added, and when hosts are no longer live.
 func TestAdvertisedHostCountIsCurrent(t *testing.T) {
