--- a/internal/gateway/cut_hop_test.go
+++ b/internal/gateway/cut_hop_test.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/testbed/rawserver"
 )
 
 const healthPath = "/health"
@@ -26,65 +27,46 @@
 // cuttingServer passes requests on to a server and sends the first bytes of its responses, then it closes or resets the connection. Health checks get
 // whole responses.
 type cuttingServer struct {
-	listener net.Listener
-	target   string // IP:port
-	bytes    atomic.Int64
-	reset    atomic.Bool
+	*rawserver.Server
+	target string // IP:port
+	bytes  atomic.Int64
+	reset  atomic.Bool
 
 	mu  sync.Mutex
 	cut map[string]bool // by request id: whether bytes of its response were left out
 }
 
+// wholeResponse is a number of bytes that no response has.
+const wholeResponse = 1 << 30
+
 func startCuttingServer(t *testing.T, target string) *cuttingServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { l.Close() })
-	s := &cuttingServer{listener: l, target: target, cut: map[string]bool{}}
+	s := &cuttingServer{target: target, cut: map[string]bool{}}
 	s.bytes.Store(wholeResponse)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	raw, err := rawserver.New(s.answer)
+	is.New(t).NoErr(err)
+	t.Cleanup(raw.Close)
+	s.Server = raw
 	return s
 }
 
-// wholeResponse is a number of bytes that no response has.
-const wholeResponse = 1 << 30
-
-func (s *cuttingServer) serve(c net.Conn) {
-	defer c.Close()
-	br := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		response, err := s.passOn(r)
-		if err != nil {
-			return
-		}
-		n := int(s.bytes.Load())
-		if r.URL.Path == healthPath || n >= len(response) {
-			n = len(response)
-		}
-		s.mu.Lock()
-		s.cut[r.Header.Get("Upstream-Request-Id")] = n < len(response)
-		s.mu.Unlock()
-		c.Write(response[:n])
-		if n == len(response) {
-			continue
-		}
-		if s.reset.Load() {
-			c.(*net.TCPConn).SetLinger(0)
-		}
-		return
+func (s *cuttingServer) answer(_ int, r *http.Request) (string, rawserver.End) {
+	response, err := s.passOn(r)
+	if err != nil {
+		return "", rawserver.Close
+	}
+	n := int(s.bytes.Load())
+	whole := r.URL.Path == healthPath || n >= len(response)
+	s.mu.Lock()
+	s.cut[r.Header.Get("Upstream-Request-Id")] = !whole
+	s.mu.Unlock()
+	switch {
+	case whole:
+		return string(response), rawserver.Keep
+	case s.reset.Load():
+		return string(response[:n]), rawserver.Reset
 	}
+	return string(response[:n]), rawserver.Close
 }
 
 // passOn sends a request to the target and returns the bytes of the response.
@@ -129,7 +111,7 @@
 		Routes: []routing.Route{{Name: "order", Host: "shop.example", Prefix: "/orders/", Timeout: 2 * time.Second, TargetLatency: time.Second, MaxAttempts: 2,
 			Split: []routing.WeightedService{{Service: "lotdesk", Weight: 1}}}}})
 	p := &hopPair{upstream: startCuttingServer(t, d.upstream.Listener.Addr().String())}
-	d.store.put(t, "endpoints", "e-1", registry.Entry{Name: "e-1", Started: 2, Service: "lotdesk", Address: p.upstream.listener.Addr().String(), Zone: "a", Slots: 2})
+	d.store.put(t, "endpoints", "e-1", registry.Entry{Name: "e-1", Started: 2, Service: "lotdesk", Address: p.upstream.Address(), Zone: "a", Slots: 2})
 	p.far = d.start(t)
 	p.near = d.start(t, p.far.settings.StateAddress)
 	waitFor(t, "readiness", func() bool { return p.near.ready() && p.far.ready() && p.near.knows(p.far) })
@@ -143,7 +125,7 @@
 	for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
 		now := time.Now()
 		witness, _ := p.far.gateway.peers.Self()
-		witness.DetourAddress = p.hop.listener.Addr().String()
+		witness.DetourAddress = p.hop.Address()
 		p.near.gateway.ways.HandleReport(witness, true, &detour.Report{Answered: []detour.ServiceAge{{Service: "lotdesk"}}}, now.Add(time.Millisecond))
 		p.near.gateway.ways.Unanswered("lotdesk", endpoints.ID{Address: "127.0.0.1:1"}, now)
 		if p.near.gateway.ways.State("lotdesk") != detour.Cut {
--- /dev/null
+++ b/internal/testbed/rawserver/rawserver.go
@@ -0,0 +1,139 @@
+// Package rawserver serves HTTP answers byte by byte, so that tests can cut them anywhere.
+package rawserver
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+)
+
+// WholeAnswer is a complete HTTP/1.1 answer.
+type WholeAnswer struct {
+	Name, Method string // method of the request
+	Text         string // %s stands for further header fields, each with its line end
+	UntilClose   bool   // the end of the connection ends the body
+}
+
+// WholeAnswers are answers whose ends are found in all ways that HTTP/1.1 has.
+var WholeAnswers = []WholeAnswer{
+	{"length", http.MethodGet, "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nbody", false},
+	{"no content", http.MethodGet, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"length first", http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n", false},
+	{"trailer", http.MethodGet, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n4\r\nbody\r\n0\r\nX: 1\r\n\r\n", false},
+	{"empty chunked", http.MethodGet, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+	{"interim", http.MethodGet, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"no reason", http.MethodGet, "HTTP/1.1 200\r\n%sX:\r\nContent-Length: 0\r\n\r\n", false},
+	{"line feeds", http.MethodGet, "HTTP/1.1 200 OK\n%sContent-Length: 0\n\n", false},
+	{"status 204", http.MethodGet, "HTTP/1.1 204 No Content\r\n%s\r\n", false},
+	{"status 304", http.MethodGet, "HTTP/1.1 304 Not Modified\r\n%sContent-Length: 9\r\n\r\n", false},
+	{"HEAD", http.MethodHead, "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\n", false},
+	{"HEAD without length", http.MethodHead, "HTTP/1.1 200 OK\r\n%s\r\n", false},
+	{"until close", http.MethodGet, "HTTP/1.1 200 OK\r\n%s\r\nbody", true},
+	{"until close, line feeds", http.MethodGet, "HTTP/1.1 200 OK\n%s\nbody", true},
+	{"until close, announced", http.MethodGet, "HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\nbody", true},
+	{"HTTP/1.0", http.MethodGet, "HTTP/1.0 200 OK\r\n%s\r\nbody", true},
+}
+
+// With returns the text of the answer with further header fields, which end their lines with CR LF.
+func (a WholeAnswer) With(fields string) string {
+	if !strings.Contains(a.Text, "\r\n") {
+		fields = strings.ReplaceAll(fields, "\r\n", "\n")
+	}
+	return strings.Replace(a.Text, "%s", fields, 1)
+}
+
+// HeadBytes returns the length of the head of text, a result of With, with its interim responses.
+func HeadBytes(text string) int {
+	begin := 0
+	for strings.HasPrefix(text[begin:], "HTTP/1.1 1") {
+		begin += strings.Index(text[begin:], "\r\n\r\n") + len("\r\n\r\n")
+	}
+	blank := "\r\n\r\n"
+	if !strings.Contains(text, blank) {
+		blank = "\n\n"
+	}
+	return begin + strings.Index(text[begin:], blank) + len(blank)
+}
+
+// EndAt returns the number of bytes of text, a result of With, from which on a client has to take the answer for whole if the connection is closed, or is
+// reset, behind them.
+func (a WholeAnswer) EndAt(text string, reset bool) int {
+	switch {
+	case !a.UntilClose:
+		return len(text)
+	case reset:
+		return len(text) + 1 // never
+	}
+	return HeadBytes(text)
+}
+
+// End says what a Server does with a connection after an answer.
+type End int
+
+// Values of End.
+const (
+	Keep End = iota
+	Close
+	Reset
+)
+
+// Server answers requests with bytes that need not be HTTP.
+type Server struct {
+	listener net.Listener
+	// answer returns what is written for a request, the nth of its connection, counted from 0.
+	answer func(nth int, r *http.Request) (text string, end End)
+}
+
+// New starts a server on a free port.
+func New(answer func(nth int, r *http.Request) (text string, end End)) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{l, answer}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s, nil
+}
+
+// Address returns the IP:port at which the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the listener. Connections stay open until their clients close them.
+func (s *Server) Close() { s.listener.Close() }
+
+func (s *Server) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for nth := 0; ; nth++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		text, end := s.answer(nth, r)
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		switch end {
+		case Reset:
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // fails only if the connection has ended
+			}
+			return
+		case Close:
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+}
