gateway: a state of another host counts only with its checksum

fetchState stopped reading where the encoded state ended. What follows, the end of the compressed data and its checksum, was not read: a state that was cut within its last 14 bytes, or that was damaged on the way in a manner that still decodes, was installed. No caller is known to have seen it; hosts send states with a length, so that a cut shows, unless something between two hosts removes it.

TestCutStateChangesNothing cuts a state after each byte, framed by a length, in chunks and by the end of the connection, with a close and a reset. Before, it failed in "until close, reset false": taken with 395 to 408 of 409 bytes, and the configuration in it was put in force. Since the data is read to its end, gzip verifies the checksum and none of the cut states is taken. A state of more than maxStateBytes is an error as before, now also behind the first value.

--- a/internal/gateway/state_transfer.go
+++ b/internal/gateway/state_transfer.go
@@ -176,7 +176,15 @@
 		return nil, trace.BadParameter("decompress the state of host %s: %v", h.Name, err)
 	}
 	var state follow.State
-	if err := cbor.NewDecoder(io.LimitReader(zr, maxStateBytes)).Decode(&state); err != nil {
+	limited := &io.LimitedReader{R: zr, N: maxStateBytes}
+	err = cbor.NewDecoder(limited).Decode(&state)
+	if err == nil {
+		_, err = io.Copy(io.Discard, limited) // to the checksum, behind the end of the state
+	}
+	if err == nil && limited.N == 0 {
+		err = trace.LimitExceeded("it has %d bytes or more", maxStateBytes)
+	}
+	if err != nil {
 		return nil, trace.BadParameter("decode the state of host %s: %v", h.Name, err)
 	}
 	if age := resp.Header.Get(stateAgeHeader); age != "" { // hosts of earlier versions encode each state anew
