upstreamconn: a refusal without the request's id is not believed

What callers saw: "not run, try again" for a request that an endpoint had run or was running, or a second run of it at another endpoint.

Cause: a response without an id counted for the exchange that waited, in the gateway if it was the first such response of its connection, in the daemon always. That holds only if each copy of an earlier response stays on its connection and the earlier one lacked the id as well. A faulty endpoint that writes a refusal of another connection, or leaves the id out of a copy, had its refusal believed. In the daemon, a copy of an earlier success reached the next caller as its own answer too.

The fix: a refusal of a request counts only with the request's id. Where endpoints repeat ids in all responses to requests (EchoesID), other responses without it are lost too, since callers take their status for a promise. The daemon's protocol is the project's own: an upstream repeats the id in all its responses or in none. One that never does gets each request on a new connection, where no copy of an earlier response can be meant, and its refusals count as "may have run" (TestUpstreamWithoutIDs). Requests without an id get one in the daemon as well. Hosts answer each other's requests once and refuse unread ones without id, so that the dialect between hosts keeps to what it did (SingleResponses). An honest refusal with its id is believed and costs no connection (TestHonestRefusal).

Tests: TestAttribute stated "unnamed rejection" as accepted. That was wrong for the reason above; the case now demands the error, "unnamed error" likewise, and the table covers all dialects. Upstreams of tests that need a connection to be kept, or a refusal to be believed, repeat the id now; TestResponseOfAnotherRequest has one more case, late copies without id.

--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -37,7 +37,8 @@
 )
 
 // hopDialect describes the headers of requests between hosts.
-var hopDialect = upstreamconn.Dialect{RequestID: hop.HeaderRequestID, DeadlineMS: hop.HeaderDeadlineMS, EchoesID: true, Interpret: func(endpoints.Endpoint, *executor.Response) {}}
+var hopDialect = upstreamconn.Dialect{RequestID: hop.HeaderRequestID, DeadlineMS: hop.HeaderDeadlineMS, EchoesID: true, SingleResponses: true,
+	Interpret: func(endpoints.Endpoint, *executor.Response) {}}
 
 // newTracker returns the tracker of this host's ways to the endpoints.
 func (g *Gateway) newTracker() *detour.Tracker {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,6 +109,7 @@
 	logs     bytes.Buffer
 	logsMu   sync.Mutex
 	quota    bool // hosts enforce the limits of customers
+	echoes   bool // upstreams repeat the request id in all responses to requests
 }
 
 // Write implements io.Writer for the hosts' log.
@@ -130,6 +131,7 @@
 	d := &deployment{store: &memoryStore{logs: map[string][]follow.Record{}}, release: make(chan struct{}), waiting: make(chan string, 8)}
 	d.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Upstream-Load", "0/2")
+		w.Header().Set("Upstream-Request-Id", r.Header.Get("Upstream-Request-Id"))
 		if r.URL.Path == "/health" {
 			return
 		}
@@ -170,6 +172,7 @@
 // adapter returns an adapter that uses the project's own header names, and JSON for the records of the store.
 func (d *deployment) adapter() Adapter {
 	dialect := upstreamconn.DefaultConfig().Dialect
+	dialect.EchoesID, dialect.HealthCheckIDs = d.echoes, d.echoes
 	dialect.CustomerKey, dialect.Customer = testKeyHeader, testCustomerHeader
 	return Adapter{Store: d.store, Dialect: dialect, ContractTopic: "contract", EndpointTopic: "endpoints", HostTopic: "hosts",
 		DecodeContract: func(_ string, value []byte) (*routing.Config, error) {
@@ -266,7 +269,13 @@
 // call sends a GET request on a new connection and returns the status, body and header of the response.
 func (h *testHost) call(t *testing.T, path, id string) (int, string, http.Header) {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodGet, "http://"+h.settings.CallerAddress+path, nil)
+	return h.callWith(t, http.MethodGet, path, id)
+}
+
+// callWith does the work of call for any method.
+func (h *testHost) callWith(t *testing.T, method, path, id string) (int, string, http.Header) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+h.settings.CallerAddress+path, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/protocol/callerapi/callerapi.go
+++ b/internal/protocol/callerapi/callerapi.go
@@ -23,8 +23,8 @@
 // Headers between entry hosts and upstreams.
 const (
 	UpstreamDeadlineMS  = "Upstream-Deadline-Ms"
-	UpstreamRequestID   = "Upstream-Request-Id"
-	UpstreamRan         = "Upstream-Ran"         // "no" with status 503: refused, not run
+	UpstreamRequestID   = "Upstream-Request-Id"  // an upstream repeats it in all its responses or in none
+	UpstreamRan         = "Upstream-Ran"         // "no" with status 503 and the request's id: refused, not run
 	UpstreamState       = "Upstream-State"       // live or leaving
 	UpstreamIncarnation = "Upstream-Incarnation" // changes at each start
 	UpstreamLoad        = "Upstream-Load"        // requests in flight and slots, as "inflight/slots"
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -161,7 +161,7 @@
 	if !sleep(r.Context(), u.cfg.NetworkDelay) {
 		return
 	}
-	u.recordArrival(r.Header.Get(callerapi.UpstreamRequestID), true)
+	u.recordArrival(repeatID(w, r), true)
 	u.updateStats(func(s *Stats) { s.Measuring++ })
 	f := u.faults.Load()
 	if !sleep(r.Context(), time.Duration(f.HealthDelayMS)*time.Millisecond) {
@@ -184,6 +184,15 @@
 	change(&u.stats)
 }
 
+// repeatID adds the request's id to the response, which shows whose response it is, and returns it.
+func repeatID(w http.ResponseWriter, r *http.Request) string {
+	id := r.Header.Get(callerapi.UpstreamRequestID)
+	if id != "" {
+		w.Header().Set(callerapi.UpstreamRequestID, id)
+	}
+	return id
+}
+
 // setStateHeaders sets the headers of the upstream's state, incarnation and load, which every response carries.
 func (u *Upstream) setStateHeaders(h http.Header, f *faultState) {
 	state := callerapi.StateLive
@@ -216,7 +225,7 @@
 }
 
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
-	u.recordArrival(r.Header.Get(callerapi.UpstreamRequestID), false)
+	u.recordArrival(repeatID(w, r), false)
 	f := u.faults.Load()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/internal/standin/upstream_test.go
+++ b/internal/standin/upstream_test.go
@@ -68,9 +68,10 @@
 	u, s := startUpstream(t, UpstreamConfig{Incarnation: "7", Slots: 1, Backlog: 1, MeanWork: time.Hour})
 	release := occupySlot(t, u, s)
 
-	resp, _, err := sendRequest(t.Context(), s, callerapi.UpstreamDeadlineMS, "1")
+	resp, _, err := sendRequest(t.Context(), s, callerapi.UpstreamDeadlineMS, "1", callerapi.UpstreamRequestID, "late")
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(callerapi.UpstreamRequestID), "late") // otherwise entry hosts do not believe the refusal
 	is.Equal(resp.Header.Get(callerapi.UpstreamRan), "no")
 	is.Equal(u.Stats().Expired, int64(1))
 
--- a/internal/transport/frontend/bench_test.go
+++ b/internal/transport/frontend/bench_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+
+	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 )
 
 func benchmarkGet(b *testing.B, url string) {
@@ -28,7 +30,10 @@
 	}
 }
 
-func benchmarkUpstream(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "answer") }
+func benchmarkUpstream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(callerapi.UpstreamRequestID, r.Header.Get(callerapi.UpstreamRequestID)) // otherwise the frontend does not reuse the connection
+	io.WriteString(w, "answer")
+}
 
 // BenchmarkCall measures a request that passes through client, frontend and upstream, all in one process.
 func BenchmarkCall(b *testing.B) {
--- a/internal/transport/upstreamconn/contact_test.go
+++ b/internal/transport/upstreamconn/contact_test.go
@@ -21,10 +21,10 @@
 	is := is.New(t)
 	var requests atomic.Int64
 	first := make(chan net.Conn, 10)
-	u := newRawUpstream(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
 		requests.Add(1)
 		first <- c
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		io.WriteString(c, withID(r, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 		return true
 	})
 	var lost atomic.Bool
--- a/internal/transport/upstreamconn/dialect.go
+++ b/internal/transport/upstreamconn/dialect.go
@@ -12,11 +12,13 @@
 
 // Dialect describes the request and response headers that the upstreams of a deployment understand. Header names are in canonical form.
 type Dialect struct {
-	RequestID  string // header that carries the request id; an upstream may repeat it in the response, see EchoesID
+	RequestID  string // header that carries the request id, which the upstream repeats in the response. A request without an id gets one.
 	DeadlineMS string // header that carries the milliseconds left until the deadline
-	// EchoesID says that upstreams repeat the request id in their responses, except in some rejections and responses to health checks. Send then
-	// accepts a response without it only where it can belong to no other exchange of the connection. A request without an id gets one.
+	// EchoesID says that upstreams repeat the request id in all responses to requests, so that Send accepts none without it. Otherwise a response
+	// without it is accepted if it can be no copy of an earlier one of its connection, but never as a refusal, and the connection is closed.
 	EchoesID bool
+	// SingleResponses says that the servers never write a response twice. They may then refuse a request that they have not read without its id.
+	SingleResponses bool
 	// HealthCheckIDs says that health checks carry a request id too.
 	HealthCheckIDs bool
 	// CustomerKey is the header that carries a caller's key to this host, and Customer the one that carries the customer's name to the upstream. Both
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -11,9 +11,9 @@
 )
 
 var (
-	errOtherRequest   = errors.New("the answer names another request")
-	errUnnamedSuccess = errors.New("the answer is a success that does not name the request")
-	errAmbiguous      = errors.New("the answer names no request, and may belong to an earlier health check of the connection")
+	errOtherRequest = errors.New("the answer names another request")
+	errUnnamed      = errors.New("the answer does not name the request")
+	errAmbiguous    = errors.New("the answer names no request, and may belong to an earlier exchange of the connection")
 )
 
 // maxLateCopies is the number of second copies that a connection may have ahead of a response without a request id. The response is then that to
@@ -24,11 +24,13 @@
 type origin struct {
 	sentAt   time.Time // the earliest time at which the upstream can have made the response
 	keepConn bool      // the connection may carry further requests
+	named    bool      // the response carries the request's id
 }
 
 // attribute checks that a response belongs to the request that was sent at sentAt on the connection. An upstream may send a second copy of an
-// earlier response when the next one is due; the request id tells them apart. If responses may lack the id, a copy without one is taken
-// for a response only to a later exchange of the same connection, which therefore gives it no meaning.
+// earlier response when the next one is due; the request id tells them apart. A response without the id is accepted only if no earlier response
+// of the connection lacked it, and if it is one to a health check or the dialect allows it. Where some responses of a connection carry ids, all
+// successes must. Send takes no response without the id for a refusal.
 func (p *Pool) attribute(cn *conn, c *executor.Call, resp *http.Response, sentAt time.Time) (origin, error) {
 	named := false
 	for _, id := range resp.Header[p.cfg.Dialect.RequestID] {
@@ -37,46 +39,58 @@
 		}
 		named = named || id != ""
 	}
-	if named || !p.cfg.Dialect.EchoesID {
-		return origin{sentAt, true}, nil
+	if named {
+		cn.named = true
+		return origin{sentAt, true, true}, nil
 	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
-	case success && !c.HealthCheck:
-		return origin{}, errUnnamedSuccess
-	case len(cn.unnamed) > 0 && (!success || !c.HealthCheck):
+	case c.HealthCheck && success:
+	case len(cn.unnamed) > 0:
 		return origin{}, errAmbiguous
+	case c.HealthCheck:
+	case success && cn.named, p.cfg.Dialect.EchoesID && (success || !p.cfg.Dialect.SingleResponses):
+		return origin{}, errUnnamed
 	}
 	cn.unnamed = append(cn.unnamed, sentAt)
 	if len(cn.unnamed) > maxLateCopies {
 		cn.unnamed = slices.Delete(cn.unnamed, 0, 1)
 	}
-	// The copy of a rejection would say "not run" of a later request. The copy of a successful health check only reports an older load.
-	return origin{cn.unnamed[0], success}, nil
+	// A copy of the response could count for a later request. The copy of a successful health check only reports an older load.
+	return origin{cn.unnamed[0], c.HealthCheck && success, false}, nil
 }
 
-// chooseIdle returns the index of the connection that the request uses, or -1 if none is idle. Connections are ordered by the time since when they
+// suits reports whether a request may use the idle connection. Where upstreams may leave out the id in any response, one without it that arrives after
+// another one cannot be attributed.
+func (p *Pool) suits(cn *conn, c *executor.Call) bool {
+	return c.HealthCheck || p.cfg.Dialect.EchoesID || len(cn.unnamed) == 0
+}
+
+// chooseIdle returns the index of the connection that the request uses, or -1 if none that suits it is idle. Connections are ordered by the time since when they
 // have been idle. Requests prefer those on which each response carried its id, since a late copy of a health response costs a request that waits for
 // its response. Health checks prefer the others, so that they leave the rest to requests.
-func chooseIdle(list []*conn, c *executor.Call) int {
-	unsuited := -1
+func (p *Pool) chooseIdle(list []*conn, c *executor.Call) int {
+	second := -1
 	for i := range list {
 		if !c.UseOldestConnection {
 			i = len(list) - 1 - i
 		}
+		if !p.suits(list[i], c) {
+			continue
+		}
 		if unnamed := len(list[i].unnamed) > 0; unnamed == c.HealthCheck {
 			return i
 		}
-		if unsuited < 0 {
-			unsuited = i
+		if second < 0 {
+			second = i
 		}
 	}
-	return unsuited
+	return second
 }
 
 // withID returns the request with an id, and whether this host has given it one because it had none.
 func (p *Pool) withID(c *executor.Call) (*executor.Call, bool) {
-	if c.RequestID != "" || c.HealthCheck || !p.cfg.Dialect.EchoesID {
+	if c.RequestID != "" || c.HealthCheck {
 		return c, false
 	}
 	named := *c
--- a/internal/transport/upstreamconn/exchange_test.go
+++ b/internal/transport/upstreamconn/exchange_test.go
@@ -20,34 +20,50 @@
 func TestAttribute(t *testing.T) {
 	const sent = "r"
 	first, now := time.Unix(1, 0), time.Unix(2, 0)
+	echoes, optional, single := Dialect{EchoesID: true}, Dialect{}, Dialect{EchoesID: true, SingleResponses: true}
 	for _, c := range []struct {
 		name          string
+		dialect       Dialect
 		status        int
 		ids           []string
 		health, later bool // later: an earlier response of the connection lacked an id
 		err           error
 		keep          bool
 		from          time.Time
+		named         bool // an earlier response of the connection carried its id
 	}{
-		{"named", 200, []string{sent}, false, false, nil, true, now},
-		{"named on a later exchange", 503, []string{sent}, false, true, nil, true, now},
-		{"other id", 200, []string{"x"}, false, false, errOtherRequest, false, now},
-		{"two ids", 200, []string{sent, "x"}, false, false, errOtherRequest, false, now},
-		{"other id, health", 200, []string{"x"}, true, false, errOtherRequest, false, now},
-		{"unnamed success", 200, nil, false, false, errUnnamedSuccess, false, now},
-		{"empty id", 200, []string{""}, false, false, errUnnamedSuccess, false, now},
-		{"unnamed rejection", 503, nil, false, false, nil, false, now},
-		{"unnamed rejection on a later exchange", 503, nil, false, true, errAmbiguous, false, now},
-		{"unnamed health response", 200, nil, true, false, nil, true, now},
-		{"unnamed health response on a later exchange", 200, nil, true, true, nil, true, first},
-		{"unnamed health rejection", 503, nil, true, false, nil, false, now},
-		{"unnamed health rejection on a later exchange", 503, nil, true, true, errAmbiguous, false, now},
+		{"named", echoes, 200, []string{sent}, false, false, nil, true, now, false},
+		{"named on a later exchange", echoes, 503, []string{sent}, false, true, nil, true, now, false},
+		{"other id", echoes, 200, []string{"x"}, false, false, errOtherRequest, false, now, false},
+		{"two ids", echoes, 200, []string{sent, "x"}, false, false, errOtherRequest, false, now, false},
+		{"other id, health", echoes, 200, []string{"x"}, true, false, errOtherRequest, false, now, false},
+		{"unnamed success", echoes, 200, nil, false, false, errUnnamed, false, now, false},
+		{"empty id", echoes, 200, []string{""}, false, false, errUnnamed, false, now, false},
+		{"unnamed rejection", echoes, 503, nil, false, false, errUnnamed, false, now, false},
+		{"unnamed error", echoes, 500, nil, false, false, errUnnamed, false, now, false},
+		{"unnamed rejection on a later exchange", echoes, 503, nil, false, true, errAmbiguous, false, now, false},
+		{"unnamed health response", echoes, 200, nil, true, false, nil, true, now, false},
+		{"unnamed health response on a later exchange", echoes, 200, nil, true, true, nil, true, first, false},
+		{"unnamed health rejection", echoes, 503, nil, true, false, nil, false, now, false},
+		{"unnamed health rejection on a later exchange", echoes, 503, nil, true, true, errAmbiguous, false, now, false},
+		{"optional id, named", optional, 503, []string{sent}, false, false, nil, true, now, false},
+		{"optional id, other id", optional, 200, []string{"x"}, false, false, errOtherRequest, false, now, false},
+		{"optional id, unnamed success", optional, 200, nil, false, false, nil, false, now, false},
+		{"optional id, unnamed rejection", optional, 503, nil, false, false, nil, false, now, false},
+		{"optional id, unnamed success on a later exchange", optional, 200, nil, false, true, errAmbiguous, false, now, false},
+		{"optional id, unnamed rejection on a later exchange", optional, 503, nil, false, true, errAmbiguous, false, now, false},
+		{"optional id, unnamed success after a named one", optional, 200, nil, false, false, errUnnamed, false, now, true},
+		{"optional id, unnamed rejection after a named one", optional, 503, nil, false, false, nil, false, now, true},
+		{"optional id, unnamed health response on a later exchange", optional, 200, nil, true, true, nil, true, first, false},
+		{"single responses, unnamed rejection", single, 503, nil, false, false, nil, false, now, false},
+		{"single responses, unnamed success", single, 200, nil, false, false, errUnnamed, false, now, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			cfg := DefaultConfig()
-			cfg.Dialect.EchoesID = true
-			cn := &conn{}
+			cfg.Dialect = c.dialect
+			cfg.Dialect.RequestID = callerapi.UpstreamRequestID
+			cn := &conn{named: c.named}
 			if c.later {
 				cn.unnamed = []time.Time{first}
 			}
@@ -58,7 +74,7 @@
 			from, err := NewPool(cfg).attribute(cn, &executor.Call{RequestID: sent, HealthCheck: c.health}, &http.Response{StatusCode: c.status, Header: header}, now)
 			is.Equal(err, c.err)
 			if c.err == nil {
-				is.Equal(from, origin{c.from, c.keep})
+				is.Equal(from, origin{c.from, c.keep, len(c.ids) > 0})
 				is.Equal(len(cn.unnamed) > 0, c.later || len(c.ids) == 0)
 			}
 		})
@@ -83,12 +99,15 @@
 // checks without ids that spread over all connections, and against new connections while one is idle.
 func TestChooseIdle(t *testing.T) {
 	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.Dialect.EchoesID = true
+	choose := NewPool(cfg).chooseIdle
 	named, unnamed := &conn{}, &conn{unnamed: []time.Time{time.Unix(1, 0)}}
-	is.Equal(chooseIdle([]*conn{unnamed}, &executor.Call{}), 0)
-	is.Equal(chooseIdle([]*conn{named, named, unnamed}, &executor.Call{}), 1)
-	is.Equal(chooseIdle([]*conn{named, unnamed, named}, &executor.Call{HealthCheck: true}), 1)
-	is.Equal(chooseIdle([]*conn{named, named}, &executor.Call{HealthCheck: true, UseOldestConnection: true}), 0)
-	is.Equal(chooseIdle(nil, &executor.Call{}), -1)
+	is.Equal(choose([]*conn{unnamed}, &executor.Call{}), 0)
+	is.Equal(choose([]*conn{named, named, unnamed}, &executor.Call{}), 1)
+	is.Equal(choose([]*conn{named, unnamed, named}, &executor.Call{HealthCheck: true}), 1)
+	is.Equal(choose([]*conn{named, named}, &executor.Call{HealthCheck: true, UseOldestConnection: true}), 0)
+	is.Equal(choose(nil, &executor.Call{}), -1)
 }
 
 // TestRequestSharesConnectionOfHealthCheck guards against a new connection for each request while the one of a health check is idle. It also checks
--- a/internal/transport/upstreamconn/fuzz_test.go
+++ b/internal/transport/upstreamconn/fuzz_test.go
@@ -64,7 +64,8 @@
 func FuzzResponse(f *testing.F) {
 	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 500 Late\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
-		"HTTP/1.0 200 OK\r\n\r\nabc", "HTTP/1.1 200 OK\r\n" + callerapi.UpstreamRequestID + ": other\r\nContent-Length: 0\r\n\r\n"} {
+		"HTTP/1.0 200 OK\r\n\r\nabc", "HTTP/1.1 200 OK\r\n" + callerapi.UpstreamRequestID + ": other\r\nContent-Length: 0\r\n\r\n",
+		testResponse("200 OK", "first", "abc"), testResponse("200 OK", "first", "abc") + testResponse("500 Late", "", "")} {
 		f.Add([]byte(text))
 	}
 	for _, r := range slices.Concat(endlessHeads, endlessBodies, []endlessResponse{afterResponse}) {
--- a/internal/transport/upstreamconn/keepalive_test.go
+++ b/internal/transport/upstreamconn/keepalive_test.go
@@ -15,7 +15,7 @@
 func TestUpstreamIdleTimeoutIsKept(t *testing.T) {
 	is := is.New(t)
 	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
-		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok")
+		_, err := io.WriteString(c, withID(r, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok"))
 		return err == nil
 	})
 	p := testPool()
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -125,6 +125,7 @@
 	idleTimeout time.Duration // by the last response
 	// unnamed holds when the last maxLateCopies exchanges were sent whose responses carried no request id, oldest first.
 	unnamed []time.Time
+	named   bool // a response has carried its request's id
 }
 
 func (c *conn) close() { c.http.Close() }
@@ -139,7 +140,7 @@
 	defer sh.mu.Unlock()
 	list := sh.idle[id]
 	for {
-		at := chooseIdle(list, c)
+		at := p.chooseIdle(list, c)
 		if at < 0 {
 			return nil, closed
 		}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -55,6 +55,9 @@
 	out := &executor.Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, SentAt: origin.sentAt, ReadAt: time.Now(),
 		HealthCheck: c.HealthCheck, ConnectedAt: cn.connectedAt}
 	p.cfg.Dialect.Interpret(e, out)
+	if err == nil && out.NotRun && !origin.named && !c.HealthCheck {
+		err, out.SentAt = errUnnamed, cn.openedAt
+	}
 	if err != nil {
 		// What the endpoint says of itself counts, but not what it says of a request: that may be another one.
 		out.NotRun, out.RejectedFor, out.MalformedDelay = false, 0, ""
--- a/internal/transport/upstreamconn/send_test.go
+++ b/internal/transport/upstreamconn/send_test.go
@@ -158,8 +158,8 @@
 	} {
 		t.Run(shape.name, func(t *testing.T) {
 			is := is.New(t)
-			u := newRawUpstream(t, func(c net.Conn, _ *http.Request, conn, number int) bool {
-				io.WriteString(c, shape.raw)
+			u := newRawUpstream(t, func(c net.Conn, r *http.Request, conn, number int) bool {
+				io.WriteString(c, withID(r, shape.raw))
 				return shape.want == reuse || (shape.want == whole && shape.name != "until close")
 			})
 			p := testPool()
@@ -194,9 +194,9 @@
 func TestNeverResends(t *testing.T) {
 	for _, method := range []string{"GET", "PUT", "POST"} {
 		is := is.New(t)
-		u := newRawUpstream(t, func(c net.Conn, _ *http.Request, _, number int) bool {
+		u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, number int) bool {
 			if number == 1 {
-				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				io.WriteString(c, withID(r, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 			}
 			return number == 1
 		})
@@ -214,20 +214,21 @@
 }
 
 // TestResponseOfAnotherRequest guards against a response that is returned for another request. The upstream sends each response twice:
-// either both at once and without the request id, or with the request id and the second one later. Some requests are cancelled before
-// their response.
+// both at once or the second one later, with or without the request id. Some requests are cancelled before their response.
 func TestResponseOfAnotherRequest(t *testing.T) {
-	for _, late := range []bool{false, true} {
-		u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+	for _, c := range []struct{ late, named bool }{{false, false}, {true, false}, {true, true}} {
+		u := newRawUpstream(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
 			id := r.Header.Get(callerapi.UpstreamRequestID)
-			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nUpstream-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
-			if !late {
-				text = strings.Replace(text, "Upstream-Request-Id: "+id+"\r\n", "", 1)
-				io.WriteString(c, text+text)
+			text := testResponse("200 OK", "", id)
+			if c.named {
+				text = testResponse("200 OK", id, id)
+			}
+			if !c.late {
+				io.WriteString(conn, text+text)
 				return true
 			}
-			io.WriteString(c, text)
-			go io.WriteString(c, text)
+			io.WriteString(conn, text)
+			go io.WriteString(conn, text)
 			return true
 		})
 		p := testPool()
@@ -245,7 +246,7 @@
 					_, text, err := exchange(ctx, p, u.endpoint, call(id, "GET", nil))
 					cancel()
 					if err == nil && text != id {
-						t.Errorf("late %t: request %s got the response of %s", late, id, text)
+						t.Errorf("%+v: request %s got the response of %s", c, id, text)
 					}
 					if err == nil {
 						mu.Lock()
@@ -257,7 +258,7 @@
 		}
 		wg.Wait()
 		if responses == 0 {
-			t.Errorf("late %t: no request got a response", late)
+			t.Errorf("%+v: no request got a response", c)
 		}
 	}
 }
@@ -332,7 +333,7 @@
 			}
 			return false
 		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		io.WriteString(c, testResponse("200 OK", id, id))
 		return true
 	})
 	u2 := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
@@ -434,7 +435,7 @@
 	var got *http.Request
 	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
 		got = r
-		io.WriteString(c, "HTTP/1.1 503 X\r\nUpstream-Ran: no\r\nUpstream-State: leaving\r\nUpstream-Incarnation: 2\r\nUpstream-Load: 3/4\r\nContent-Length: 0\r\n\r\n")
+		io.WriteString(c, withID(r, "HTTP/1.1 503 X\r\nUpstream-Ran: no\r\nUpstream-State: leaving\r\nUpstream-Incarnation: 2\r\nUpstream-Load: 3/4\r\nContent-Length: 0\r\n\r\n"))
 		return true
 	})
 	resp, _, err := exchange(t.Context(), testPool(), u.endpoint, call("r1", "POST", []byte("b")))
@@ -502,7 +503,7 @@
 		if id := r.Header.Get(callerapi.UpstreamRequestID); !strings.HasPrefix(id, "hall-1-") {
 			t.Errorf("the request id of a probe is %q; want the prefix hall-1-", id)
 		}
-		fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", responses[i])
+		io.WriteString(c, withID(r, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", responses[i])))
 		i++
 		return true
 	})
@@ -523,7 +524,7 @@
 		if r.URL.Path == "/held" {
 			<-hold
 		}
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		io.WriteString(c, withID(r, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 		return r.URL.Path != "/last"
 	})
 	cfg := DefaultConfig()
@@ -590,8 +591,8 @@
 // remove the connection from the endpoint's count.
 func TestCloseOfExpiredConnections(t *testing.T) {
 	is := is.New(t)
-	u := newRawUpstream(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
+		io.WriteString(c, withID(r, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 		return true
 	})
 	p := NewPool(DefaultConfig())
--- a/internal/transport/upstreamconn/withdrawn_test.go
+++ b/internal/transport/upstreamconn/withdrawn_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
@@ -22,7 +23,7 @@
 	is := is.New(t)
 	received, release := make(chan struct{}), make(chan struct{})
 	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
-		header := ""
+		header := callerapi.UpstreamRequestID + ": " + r.Header.Get(callerapi.UpstreamRequestID) + "\r\n"
 		switch r.URL.Path {
 		case "/held":
 			close(received)
@@ -51,14 +52,14 @@
 	for idleCount(p, u.endpoint.ID) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	leave := call("r2", "GET", nil)
+	leave := call("r3", "GET", nil)
 	leave.Path = "/leave"
 	_, err = p.Send(t.Context(), u.endpoint, leave)
 	is.True(written(err))
 	is.True(leaving.Load())
 	p.CloseEndpoint(u.endpoint.ID)
 	is.Equal(idleCount(p, u.endpoint.ID), 0)
-	_, err = p.Send(t.Context(), u.endpoint, call("r3", "GET", nil))
+	_, err = p.Send(t.Context(), u.endpoint, call("r4", "GET", nil))
 	is.True(errors.Is(err, executor.ErrWithdrawn) && !written(err))
 	close(release)
 	is.NoErr(<-held) // a request in flight ends as usual
