upstreamconn: no connection carries two requests with one id

What callers saw: "not run, try again" for a request that an endpoint had run, or the response to an earlier try of it, if they keep the id of a request over their tries, or if the host sends a request twice.

Cause: the id tells a copy of an earlier response from the due one only if the earlier request had another id. Both requests could use one connection.

The fix: a connection keeps a hash of each id that it has carried, and a request with one of them uses another connection. If the limit of connections is reached, an idle one that does not suit the request is closed first. A connection is closed after 1,024 requests, so that it keeps 4 KiB at most and forgets no id; a later copy has no limit by which fewer would do. Two ids with one hash cost a connection and nothing else. Refusals are believed as before, and an endpoint whose requests have different ids gets no new connections but that one in 1,024 (TestHonestRefusal, TestRequestsOfConnection, TestHealthChecksShareConnections). That all idle connections have ended still counts as a lost contact if none of them suits the request.

Tests that sent one id several times over one connection use different ids now.

--- a/internal/gateway/refusal_copy_test.go
+++ b/internal/gateway/refusal_copy_test.go
@@ -16,12 +16,13 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 )
 
-// refusalCopier is an upstream that responds to the first request of each connection with a status of its own, and runs the later ones, but writes a
-// refusal before it responds to them.
+// refusalCopier is an upstream that responds to the first request of each connection with a status of its own, if it has not got that before, and runs the
+// others, but writes a refusal before it responds to further ones of a connection.
 type refusalCopier struct {
 	listener net.Listener
 	first    string // status line and header lines of the first response
 	copyID   func(firstID string) string
+	received sync.Map // ids of requests
 	ran      func(id string)
 }
 
@@ -64,10 +65,14 @@
 			respond("200 OK", id)
 		case firstID == "":
 			firstID = id
-			if strings.HasPrefix(u.first, "200") {
+			status := u.first
+			if _, again := u.received.LoadOrStore(id, true); again {
+				status = "200 OK"
+			}
+			if strings.HasPrefix(status, "200") {
 				u.ran(id)
 			}
-			respond(u.first, id)
+			respond(status, id)
 		default:
 			u.ran(id)
 			respond(refusal, u.copyID(firstID))
@@ -90,6 +95,8 @@
 	}{
 		{"no id, responses need it", true, false, "200 OK", func(string) string { return "" }},
 		{"no id, responses may lack it", false, false, "200 OK", func(string) string { return "" }},
+		{"the same id, responses need one", true, true, refusal, func(firstID string) string { return firstID }},
+		{"the same id, responses may lack one", false, true, refusal, func(firstID string) string { return firstID }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/transport/frontend/copy_test.go
+++ b/internal/transport/frontend/copy_test.go
@@ -19,11 +19,14 @@
 	for _, c := range []struct {
 		name, first             string
 		firstNamed, copiesNamed bool // the first response of a connection, and its copies, carry its id
+		keepID                  bool // callers keep the id of a request over their tries
 	}{
-		{"refusal without id", refusal, false, false},
-		{"refusal without id, the first has its", refusal, true, false},
-		{"success without id", "200 OK", false, false},
-		{"success without id, the first has its", "200 OK", true, false},
+		{"refusal without id", refusal, false, false, false},
+		{"refusal without id, the first has its", refusal, true, false, false},
+		{"success without id", "200 OK", false, false, false},
+		{"success without id, the first has its", "200 OK", true, false, false},
+		{"refusal with the same id", refusal, true, true, true},
+		{"success with the same id", "200 OK", true, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -69,10 +72,13 @@
 					respond("200 OK", r.Header.Get(callerapi.UpstreamRequestID), r.URL.Path)
 				}
 			})
-			answered := 0
+			id, answered := "", 0
 			for n := range 10 {
+				if n%2 == 0 || !c.keepID {
+					id = fmt.Sprint("r-", n)
+				}
 				path := fmt.Sprint("/a/", n)
-				resp, body, err := sendRaw(t, s, "PUT", "PUT /s/svc"+path+" HTTP/1.1\r\nHost: h\r\n"+auth+callerapi.HeaderRequestID+": "+fmt.Sprint("r-", n)+"\r\nContent-Length: 0\r\n\r\n")
+				resp, body, err := sendRaw(t, s, "PUT", "PUT /s/svc"+path+" HTTP/1.1\r\nHost: h\r\n"+auth+callerapi.HeaderRequestID+": "+id+"\r\nContent-Length: 0\r\n\r\n")
 				is.NoErr(err)
 				mu.Lock()
 				n := runs[path]
--- a/internal/transport/upstreamconn/contact_test.go
+++ b/internal/transport/upstreamconn/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -32,8 +33,10 @@
 	cfg.Unchecked = func(endpoints.ID) bool { return lost.Load() }
 	cfg.OnContactLost = func(endpoints.ID) { lost.Store(true) }
 	p := NewPool(cfg)
+	sent := 0
 	send := func(healthCheck bool) error {
-		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: "/x", RequestID: "r", Header: http.Header{},
+		sent++
+		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: "/x", RequestID: fmt.Sprint("r", sent), Header: http.Header{},
 			RecentContact: !healthCheck, HealthCheck: healthCheck})
 		if err != nil {
 			return err
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"errors"
+	"hash/maphash"
 	"net/http"
 	"slices"
 	"time"
@@ -20,6 +21,9 @@
 // the exchange as many before. More of them would be bytes that arrive while no response is due, which end the connection.
 const maxLateCopies = 4
 
+// maxRequests is the number of requests after which a connection is closed. It bounds what is kept of their ids, in 4 bytes each.
+const maxRequests = 1024
+
 // origin says where a response can have come from.
 type origin struct {
 	sentAt   time.Time // the earliest time at which the upstream can have made the response
@@ -27,7 +31,7 @@
 	named    bool      // the response carries the request's id
 }
 
-// attribute checks that a response belongs to the request that was sent at sentAt on the connection. An upstream may send a second copy of an
+// attribute checks that a response belongs to the request that was sent at sentAt on the connection, which has carried no other with its id. An upstream may send a second copy of an
 // earlier response when the next one is due; the request id tells them apart. A response without the id is accepted only if no earlier response
 // of the connection lacked it, and if it is one to a health check or the dialect allows it. Where some responses of a connection carry ids, all
 // successes must. Send takes no response without the id for a refusal.
@@ -60,12 +64,23 @@
 	return origin{cn.unnamed[0], c.HealthCheck && success, false}, nil
 }
 
-// suits reports whether a request may use the idle connection. Where upstreams may leave out the id in any response, one without it that arrives after
-// another one cannot be attributed.
+// suits reports whether a request may use the idle connection. If the connection has carried a request with the same id, for example an earlier try of the
+// same caller, a copy of that one's response could not be told from the response. Where upstreams may leave out the id in any response, one without it
+// that arrives after another one cannot be attributed.
 func (p *Pool) suits(cn *conn, c *executor.Call) bool {
-	return c.HealthCheck || p.cfg.Dialect.EchoesID || len(cn.unnamed) == 0
+	return c.HealthCheck || (p.cfg.Dialect.EchoesID || len(cn.unnamed) == 0) && !slices.Contains(cn.sent, hashID(c.RequestID))
 }
 
+// recordSent records that the connection carries a request. The ids of health checks are never used again.
+func (cn *conn) recordSent(c *executor.Call) {
+	if !c.HealthCheck {
+		cn.sent = append(cn.sent, hashID(c.RequestID))
+	}
+}
+
+// hashID returns a hash of a request id. Two ids with the same hash cost a connection at most.
+func hashID(id string) uint32 { return uint32(maphash.String(shardSeed, id)) }
+
 // chooseIdle returns the index of the connection that the request uses, or -1 if none that suits it is idle. Connections are ordered by the time since when they
 // have been idle. Requests prefer those on which each response carried its id, since a late copy of a health response costs a request that waits for
 // its response. Health checks prefer the others, so that they leave the rest to requests.
--- a/internal/transport/upstreamconn/keepalive_test.go
+++ b/internal/transport/upstreamconn/keepalive_test.go
@@ -22,7 +22,7 @@
 	ctx := context.Background()
 	for _, idle := range []time.Duration{0, 100 * time.Millisecond, 900 * time.Millisecond} {
 		time.Sleep(idle)
-		_, _, err := exchange(ctx, p, u.endpoint, call("a", http.MethodPost, nil))
+		_, _, err := exchange(ctx, p, u.endpoint, call(idle.String(), http.MethodPost, nil))
 		is.NoErr(err)
 	}
 	conns, requests := u.counts()
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -125,12 +125,13 @@
 	idleTimeout time.Duration // by the last response
 	// unnamed holds when the last maxLateCopies exchanges were sent whose responses carried no request id, oldest first.
 	unnamed []time.Time
-	named   bool // a response has carried its request's id
+	named   bool     // a response has carried its request's id
+	sent    []uint32 // hashes of the ids of the requests that it has carried, at most maxRequests
 }
 
 func (c *conn) close() { c.http.Close() }
 
-// get returns an idle connection to the endpoint for the request, or nil. It prefers the one that was used last, because that one is most likely
+// get returns an idle connection to the endpoint that suits the request, or nil. It prefers the one that was used last, because that one is most likely
 // still open, or the one that has been idle for longest if the request asks for it. closed says that the endpoint had closed an idle connection.
 func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) (idle *conn, closed bool) {
 	var unusable []*conn
@@ -142,7 +143,7 @@
 	for {
 		at := p.chooseIdle(list, c)
 		if at < 0 {
-			return nil, closed
+			return nil, closed || len(list) > 0 && !slices.ContainsFunc(list, func(cn *conn) bool { return cn.http.Err() == nil })
 		}
 		cn := list[at]
 		list = slices.Delete(list, at, at+1)
@@ -155,6 +156,25 @@
 	}
 }
 
+// closeUnsuited closes the connection that has been idle for longest of those that do not suit the request. It returns false if there is none.
+func (p *Pool) closeUnsuited(id endpoints.ID, c *executor.Call) bool {
+	sh := p.shard(id)
+	sh.mu.Lock()
+	list := sh.idle[id]
+	at := slices.IndexFunc(list, func(cn *conn) bool { return !p.suits(cn, c) })
+	var cn *conn
+	if at >= 0 {
+		cn = list[at]
+		sh.idle[id] = slices.Delete(list, at, at+1)
+	}
+	sh.mu.Unlock()
+	if cn == nil {
+		return false
+	}
+	cn.close()
+	return true
+}
+
 // closeAll closes connections. It must not be called under a shard's lock, because closing a connection calls release, which takes that
 // lock.
 func closeAll(list []*conn) {
@@ -194,10 +214,12 @@
 	closeAll(list)
 }
 
-// dial opens a connection to the endpoint.
-func (p *Pool) dial(ctx context.Context, e endpoints.Endpoint) (*conn, error) {
-	if !p.reserve(e) {
-		return nil, executor.ErrConnectionLimit
+// dial opens a connection to the endpoint for the request. If the endpoint has as many as it may, it closes one that does not suit the request first.
+func (p *Pool) dial(ctx context.Context, e endpoints.Endpoint, c *executor.Call) (*conn, error) {
+	for !p.reserve(e) {
+		if !p.closeUnsuited(e.ID, c) {
+			return nil, executor.ErrConnectionLimit
+		}
 	}
 	openedAt := time.Now()
 	guarded := &guardedConn{writeTimeout: p.cfg.WriteTimeout, onClose: func() { p.release(e.ID) }, unfinishedHeads: &p.unfinishedHeads,
--- a/internal/transport/upstreamconn/refusal_copy_test.go
+++ b/internal/transport/upstreamconn/refusal_copy_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
+	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
 )
 
 // forEachDialect runs a test with the dialect of upstreams that always repeat the request id, and with that of upstreams that need not.
@@ -55,6 +56,7 @@
 func TestCopiedRefusal(t *testing.T) {
 	for _, c := range []struct{ name, first, firstID, copyID, secondID string }{
 		{"another id", refused, "r1", "r1", "r2"},
+		{"the same id", refused, "r1", "r1", "r1"},
 		{"no id", refused, "", "", "r2"},
 		{"no id, the same request", refused, "", "", "r1"},
 		{"no id, earlier responses have theirs", "200 OK", "r1", "", "r2"},
@@ -144,3 +146,55 @@
 	conns, _ := u.counts()
 	is.Equal(conns, 1+rounds)
 }
+
+// TestCopyWithSameID guards against the copy of an earlier response that counts for a later request with the same id, and against a request that finds no
+// connection because the only one that the limit allows has carried its id.
+func TestCopyWithSameID(t *testing.T) {
+	forEachDialect(t, func(t *testing.T, cfg Config) {
+		is := is.New(t)
+		u := newRawUpstream(t, func(conn net.Conn, r *http.Request, n, number int) bool {
+			id := r.Header.Get(callerapi.UpstreamRequestID)
+			if number > 1 {
+				io.WriteString(conn, testResponse("200 OK", id, "copy"))
+			}
+			io.WriteString(conn, testResponse("200 OK", id, fmt.Sprint("try ", n)))
+			return true
+		})
+		cfg.MaxPerEndpoint = func(endpoints.Endpoint) int { return 1 }
+		p := NewPool(cfg)
+		for n := 1; n <= 3; n++ {
+			_, body, err := exchange(t.Context(), p, u.endpoint, call("r1", "POST", nil))
+			is.NoErr(err)
+			is.Equal(body, fmt.Sprint("try ", n))
+			awaitIdle(p, u)
+		}
+		is.Equal(p.openCount(u.endpoint.ID), 1)
+	})
+}
+
+// TestRequestsOfConnection guards against ids of requests that a connection forgets, and against connections for which more and more of them are kept.
+func TestRequestsOfConnection(t *testing.T) {
+	is := is.New(t)
+	u := newRawUpstream(t, func(conn net.Conn, r *http.Request, _, _ int) bool {
+		io.WriteString(conn, testResponse("200 OK", r.Header.Get(callerapi.UpstreamRequestID), ""))
+		return true
+	})
+	p := testPool()
+	for n := range maxRequests {
+		_, _, err := exchange(t.Context(), p, u.endpoint, call(fmt.Sprint("r", n), "POST", nil))
+		is.NoErr(err)
+		awaitIdle(p, u)
+		if n == maxRequests-2 {
+			idle := p.shard(u.endpoint.ID).idle[u.endpoint.ID][0]
+			for sent := range n + 1 {
+				is.True(!p.suits(idle, call(fmt.Sprint("r", sent), "POST", nil)))
+			}
+			is.True(p.suits(idle, call("another", "POST", nil)))
+		}
+	}
+	conns, _ := u.counts()
+	is.Equal(conns, 1)
+	for p.openCount(u.endpoint.ID) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -72,7 +72,7 @@
 		cn.close()
 		return nil, sendError(true, err)
 	}
-	b := &responseBody{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, remaining: p.cfg.MaxBodyBytes, keepConn: origin.keepConn}
+	b := &responseBody{ReadCloser: resp.Body, pool: p, conn: cn, id: e.ID, remaining: p.cfg.MaxBodyBytes, keepConn: origin.keepConn && len(cn.sent) < maxRequests}
 	if resp.Body == http.NoBody {
 		b.finish() // HEAD, 204, 304 or Content-Length 0: there is no body to read
 	}
@@ -92,7 +92,7 @@
 		OwnDelay: isOwnDelay(ctx, start, writtenAt, unseen)}
 }
 
-// roundTrip sends the request at most once. It opens a new connection if there is no idle one, or if the idle one turned out to be closed
+// roundTrip sends the request at most once. It opens a new connection if no idle one suits the request, or if the idle one turned out to be closed
 // before any byte of the request was written to it. It sends nothing if the endpoint has been withdrawn or the caller's key removed meanwhile.
 func (p *Pool) roundTrip(ctx context.Context, e endpoints.Endpoint, req *http.Request, c *executor.Call,
 	start time.Time) (_ *conn, _ *http.Response, err error) {
@@ -106,6 +106,7 @@
 	}
 	cn, closed := p.get(e.ID, time.Now(), c)
 	if cn != nil {
+		cn.recordSent(c)
 		resp, err := cn.http.RoundTrip(req)
 		if err == nil {
 			return cn, resp, nil
@@ -122,7 +123,7 @@
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
 	dialedAt := time.Now()
-	cn, err = p.dial(ctx, e)
+	cn, err = p.dial(ctx, e, c)
 	if err != nil {
 		return nil, nil, &executor.SendError{Err: errtext.Bound(err), OwnDelay: isOwnDelay(ctx, start, dialedAt, false)}
 	}
@@ -130,6 +131,7 @@
 		cn.close()
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
+	cn.recordSent(c)
 	resp, err := cn.http.RoundTrip(req)
 	if err != nil {
 		cn.close()
--- a/internal/transport/upstreamconn/send_test.go
+++ b/internal/transport/upstreamconn/send_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -530,8 +531,9 @@
 	cfg := DefaultConfig()
 	cfg.MaxPerEndpoint = func(endpoints.Endpoint) int { return 2 }
 	p := NewPool(cfg)
+	var sent atomic.Int64
 	send := func(path string) error {
-		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: path, RequestID: "r", Header: http.Header{}})
+		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: path, RequestID: fmt.Sprint("r", sent.Add(1)), Header: http.Header{}})
 		if err != nil {
 			return err
 		}
