--- a/internal/transport/upstreamconn/contact_test.go
+++ b/internal/transport/upstreamconn/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,10 +22,10 @@
 	is := is.New(t)
 	var requests atomic.Int64
 	first := make(chan net.Conn, 10)
-	u := newRawUpstream(t, func(c net.Conn, _ *http.Request, _, _ int) bool {
+	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
 		requests.Add(1)
 		first <- c
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		io.WriteString(c, withID(r, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 		return true
 	})
 	var lost atomic.Bool
@@ -32,8 +33,10 @@
 	cfg.Unchecked = func(endpoints.ID) bool { return lost.Load() }
 	cfg.OnContactLost = func(endpoints.ID) { lost.Store(true) }
 	p := NewPool(cfg)
+	sent := 0
 	send := func(healthCheck bool) error {
-		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: "/x", RequestID: "r", Header: http.Header{},
+		sent++
+		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: "/x", RequestID: fmt.Sprint("r", sent), Header: http.Header{},
 			RecentContact: !healthCheck, HealthCheck: healthCheck})
 		if err != nil {
 			return err
--- a/internal/transport/upstreamconn/keepalive_test.go
+++ b/internal/transport/upstreamconn/keepalive_test.go
@@ -15,14 +15,14 @@
 func TestUpstreamIdleTimeoutIsKept(t *testing.T) {
 	is := is.New(t)
 	u := newRawUpstream(t, func(c net.Conn, r *http.Request, _, _ int) bool {
-		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok")
+		_, err := io.WriteString(c, withID(r, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok"))
 		return err == nil
 	})
 	p := testPool()
 	ctx := context.Background()
 	for _, idle := range []time.Duration{0, 100 * time.Millisecond, 900 * time.Millisecond} {
 		time.Sleep(idle)
-		_, _, err := exchange(ctx, p, u.endpoint, call("a", http.MethodPost, nil))
+		_, _, err := exchange(ctx, p, u.endpoint, call(idle.String(), http.MethodPost, nil))
 		is.NoErr(err)
 	}
 	conns, requests := u.counts()
