gateway: a request's time runs from its arrival, not from when the host has read it

Callers saw: on small hosts without a free processor, whole requests got neither an answer nor a refusal before their deadline. The hosts refused them after it, and believed that time was left (sent at 2.916 s, deadline 4.685 s, refused at 4.92 s with left_ms=290).

Cause: the deadline, the target latency, the wait for a permit, the time stated to endpoints and that of a hop were counted from HeaderReadAt. A request lies unread in the kernel's buffer, or its connection in the accept queue, for as long as the host is late, or behind other requests of its connection.

Fix: the kernel knows when the latest bytes of a connection arrived (tcp_info, last_data_recv). The reader asks it once for the read that completes a head; Request.Unread is the difference to HeaderReadAt, and ArrivedAt() takes the place of HeaderReadAt in all that counts time. Later bytes, and the resolution of the kernel's clock, can only make it too short, so that no request loses time that it has; on a host that reads at once it is a few microseconds. Log: unread_ms.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -111,7 +111,7 @@
 	Due time.Time
 	// CallerDue is until when the caller waits, as it states. It is later than Due if the route's timeout is shorter, and zero if it is not known.
 	CallerDue time.Time
-	// Arrived is when the host had read the request.
+	// Arrived is when the request reached this host, also if it was read later.
 	Arrived time.Time
 	// Caller is the address of the caller, without a port.
 	Caller netip.Addr
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -61,7 +61,7 @@
 func (g *Gateway) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
 	g.received.Add(1)
 	id := r.Header.Get(g.adapter.Dialect.RequestID)
-	sequence, status := g.recent.begin(id, r.HeaderReadAt), requestPanicked
+	sequence, status := g.recent.begin(id, r.ArrivedAt()), requestPanicked
 	defer func() { g.recent.end(sequence, status, time.Now()) }()
 	response := g.serve(ctx, r, id)
 	status = response.Status
@@ -94,15 +94,15 @@
 			Detail: "the stated deadline is not a positive number of milliseconds", Remedy: "state the milliseconds that are left"})
 	}
 	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
-	deadline := r.HeaderReadAt.Add(timeout)
+	deadline := r.ArrivedAt().Add(timeout)
 	if g.mayBeCut(deadline) {
 		g.log.InfoOf(string(refusals.HostDraining), "refused", "id", id, "reason", refusals.HostDraining, "path", r.Path, "version", table.Version)
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
-	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.HeaderReadAt, Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
+	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.ArrivedAt(), Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
-	call.CallerDue = r.HeaderReadAt.Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
+	call.CallerDue = r.ArrivedAt().Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
 	who.addTo(call)
 	permit, refusal := g.takePermit(ctx, call, table)
 	if refusal != nil {
@@ -241,7 +241,7 @@
 		if refusal.Customer != "" || refusal.Reason == refusals.CredentialsWrong {
 			fields = append(fields, "customer", refusal.Customer, "detail", refusal.Detail, "retry_after_ms", ms(refusal.RetryAfter))
 		}
-		g.log.InfoOf(string(refusal.Reason), "refused", fields...)
+		g.log.InfoOf(string(refusal.Reason), "refused", append(fields, unreadField(r)...)...)
 	}
 	g.countCustomerRefusal(refusal)
 	return &ingress.Response{Status: doc.Status, Header: h, Body: body}
@@ -252,7 +252,7 @@
 
 // logRequest updates the metrics of requests and writes the log line of a request, which lists all its attempts.
 func (g *Gateway) logRequest(ctx context.Context, r *ingress.Request, id string, t *routing.Table, c *forward.Call, res *forward.Result) {
-	took := time.Since(r.HeaderReadAt)
+	took := time.Since(r.ArrivedAt())
 	g.metrics.Add("requests_"+string(res.Outcome)+"_total", 1)
 	g.metrics.Observe("request_duration", took)
 	if res.Outcome.GuaranteesNotRun() {
@@ -278,7 +278,7 @@
 	if c.Customer != "" {
 		fields = append(fields, "customer", c.Customer)
 	}
-	fields = append(fields, g.reportOverload(res)...)
+	fields = append(append(fields, unreadField(r)...), g.reportOverload(res)...)
 	if c.Handover != nil {
 		fields = append(fields, "for", c.Handover.Host)
 	}
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -134,7 +134,7 @@
 	g.received.Add(1)
 	g.metrics.Add("hops_received_total", 1)
 	id := r.Header.Get(g.adapter.Dialect.RequestID)
-	sequence, status := g.recent.begin(id, r.HeaderReadAt), requestPanicked
+	sequence, status := g.recent.begin(id, r.ArrivedAt()), requestPanicked
 	defer func() { g.recent.end(sequence, status, time.Now()) }()
 	response := h.serve(ctx, r, id)
 	status = response.Status
@@ -161,7 +161,7 @@
 		return h.refuse(r, id, request, forward.RefusedNoEndpoint, "a newer configuration has no route for the request")
 	}
 	timeout, _ := g.requestTimeout(r.Header.Get(hop.HeaderDeadlineMS), route)
-	deadline := r.HeaderReadAt.Add(timeout)
+	deadline := r.ArrivedAt().Add(timeout)
 	if timeout <= 0 {
 		return h.refuse(r, id, request, forward.RefusedUnsent, "no time is left for the request")
 	}
@@ -182,7 +182,7 @@
 	case !route.GoesTo(service):
 		service = route.ServiceAt(g.nextSplitPosition(route.Name))
 	}
-	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.HeaderReadAt.Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
+	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.ArrivedAt().Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
 		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late,
 			WaitedBefore: request.WaitedBeforeFor()},
 		Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target, Header: g.endpointHeader(table, r.Header, who, hop.IsHeader), Body: r.Body,
@@ -200,7 +200,7 @@
 	if left := statedTime(r.Header.Get(hop.HeaderDeadlineMS)); left > 0 {
 		wait = min(wait, time.Duration(hopVersionShare*float64(left)))
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.HeaderReadAt.Add(wait))
+	ctx, cancel := context.WithDeadline(ctx, r.ArrivedAt().Add(wait))
 	defer cancel()
 	return h.g.awaitRoutes(ctx, version)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,7 +249,7 @@
 	}
 	g.metrics.Add("responses_undelivered_total", 1)
 	g.log.Warn("response_undelivered", "id", r.Header.Get(g.adapter.Dialect.RequestID), "status", resp.Status, "cause", cause,
-		"read_ms_ago", ms(time.Since(r.HeaderReadAt)), "draining", g.draining.Load())
+		"read_ms_ago", ms(time.Since(r.HeaderReadAt)), "unread_ms", ms(r.Unread), "draining", g.draining.Load())
 }
 
 // reportPanic counts and logs a panic that ended a request, a send to an endpoint or a load probe.
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
+	"github.com/arbutusspan/arbutusspan/internal/transport/ingress"
+)
 
 // minReportedLateness is the part of sweepInterval for which this host must have been late, so that a line of the log says so.
 const minReportedLateness = 0.2
@@ -14,3 +19,11 @@
 
 // countOwnDelay counts a timeout that says nothing about an endpoint or another host, because this host got no processor to see the response.
 func (g *Gateway) countOwnDelay() { g.metrics.Add("timeouts_own_delay_total", 1) }
+
+// unreadField returns the field of a log line that says for how long a request had lain unread, if that is long enough to change what is decided.
+func unreadField(r *ingress.Request) []any {
+	if r.Unread <= lateness.Bound {
+		return nil
+	}
+	return []any{"unread_ms", ms(r.Unread)}
+}
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -46,6 +46,10 @@
 	evictingWriter  bool          // the writer is asked to end the connection; it does if the caller still does not read
 	evicted         Eviction      // why the connection, or the request being read, has made room for others
 
+	// Used by the reader alone:
+	readsHead bool      // it reads the head of a request
+	arrivedAt time.Time // when the bytes of the last read had arrived at the latest
+
 	// Used by the reader alone, for the report:
 	unread     int64    // bytes that were read and discarded after the last request
 	unreadHead []byte   // the first of them
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -32,6 +32,9 @@
 	Header       http.Header
 	Body         []byte
 	HeaderReadAt time.Time // when the header was complete
+	// Unread is for how long the header had lain in the kernel's buffer before it was read, by the time at which the latest bytes of the read that completed it
+	// had arrived: at least that long, since the header cannot have arrived later. It is 0 if that time is not known, and on a host that reads at once.
+	Unread time.Duration
 	// BodyDiscarded says that the body was read and discarded, because the handler did not need it.
 	BodyDiscarded bool
 	// RetainBody keeps the memory of Body until the function that it returns is called. Otherwise it may be freed once Serve has returned. Nil means
@@ -41,6 +44,9 @@
 	Caller netip.Addr
 }
 
+// ArrivedAt returns when the header arrived at the latest. The time that the caller states runs from then on, also while the host has no processor for reading.
+func (r *Request) ArrivedAt() time.Time { return r.HeaderReadAt.Add(-r.Unread) }
+
 // Response is the response to a request. Its content is Body, or Stream if that is not nil.
 type Response struct {
 	Status int
--- a/internal/transport/ingress/reading.go
+++ b/internal/transport/ingress/reading.go
@@ -19,14 +19,25 @@
 // Read implements io.Reader. It fails because of the deadline only if nothing has arrived.
 func (c connReader) Read(b []byte) (int, error) {
 	n, err := c.netConn.Read(b)
-	if n > 0 || !isTimeout(err) {
-		return n, err
+	if n == 0 && isTimeout(err) {
+		if n = sockbuf.Take(c.netConn, b); n == 0 {
+			return 0, err
+		}
+		c.readLate()
+		err = nil
+	}
+	if n > 0 {
+		c.dateArrival()
 	}
-	if n = sockbuf.Take(c.netConn, b); n == 0 {
-		return 0, err
+	return n, err
+}
+
+// dateArrival records when the bytes that were just read had arrived at the latest. Only for the head of a request is the kernel asked.
+func (c *conn) dateArrival() {
+	c.arrivedAt = time.Now()
+	if c.readsHead {
+		c.arrivedAt = c.arrivedAt.Add(-sockbuf.SinceArrival(c.netConn))
 	}
-	c.readLate()
-	return n, nil
 }
 
 // readLate takes back the request to end the connection, and moves the deadline once, because bytes were read after the deadline had passed.
@@ -72,6 +83,7 @@
 // awaitRequest waits for the first byte of a request. It returns false if no further request is read: the caller has disconnected, or nothing has
 // arrived and the connection was idle for too long, makes room for another, or the server stops.
 func (c *conn) awaitRequest(br *bufio.Reader) bool {
+	c.readsHead = true
 	for first := true; c.beginWait(first); first = false {
 		_, err := br.Peek(1)
 		if isTimeout(err) {
@@ -155,6 +167,7 @@
 		return true
 	}
 	c.setReadDeadline(time.Time{})
+	c.readsHead = true // of the next request
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
--- a/internal/transport/sockbuf/sockbuf_test.go
+++ b/internal/transport/sockbuf/sockbuf_test.go
@@ -113,3 +113,62 @@
 		}
 	}
 }
+
+// TestSinceArrival guards against bytes whose age is overstated, so that a request seems to have less time than it has, or not known at all, also if they arrived
+// before the connection was accepted.
+func TestSinceArrival(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer near.Close()
+	begin := time.Now()
+	_, err = io.WriteString(near, "x")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond)
+	far, err := l.Accept()
+	is.NoErr(err)
+	defer far.Close()
+	age := SinceArrival(far)
+	is.True(age <= time.Since(begin))
+	is.True(age >= 100*time.Millisecond-2*clockTick)
+	_, err = io.ReadFull(far, make([]byte, 1))
+	is.NoErr(err)
+	is.True(SinceArrival(far) >= age)
+	for range 20 {
+		begin = time.Now()
+		_, err = io.WriteString(near, "x")
+		is.NoErr(err)
+		_, err = io.ReadFull(far, make([]byte, 1))
+		is.NoErr(err)
+		age = SinceArrival(far)
+		is.True(age <= time.Since(begin))
+		time.Sleep(time.Millisecond)
+	}
+	far.Close()
+	is.Equal(SinceArrival(far), time.Duration(0))
+}
+
+// BenchmarkSinceArrival measures what a host does for each request to learn when it arrived.
+func BenchmarkSinceArrival(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer far.Close()
+	for b.Loop() {
+		SinceArrival(far)
+	}
+}
