upstreamconn: the first request in tests of reused connections has an id of its own

No connection carries two requests with one id any more, so that TestCutAnswerIsNotWhole sent its second one on a new connection, which got a whole answer.

--- a/internal/transport/upstreamconn/cuthead_test.go
+++ b/internal/transport/upstreamconn/cuthead_test.go
@@ -58,7 +58,7 @@
 	cfg.OnResponse = func(endpoints.Endpoint, *executor.Response) { heads++ }
 	p := NewPool(cfg)
 	if u.reused {
-		if err := sendCall(t, p, e, http.MethodGet); err != nil {
+		if err := sendCall(t, p, e, http.MethodGet, "r0"); err != nil {
 			t.Fatal(err)
 		}
 		for idleCount(p, e.ID) == 0 {
@@ -72,8 +72,8 @@
 }
 
 // sendCall sends a request and reads the response to its end.
-func sendCall(t *testing.T, p *Pool, e endpoints.Endpoint, method string) error {
-	resp, err := p.Send(t.Context(), e, &executor.Call{RequestID: "r1", Method: method, Path: "/", Header: http.Header{}})
+func sendCall(t *testing.T, p *Pool, e endpoints.Endpoint, method, id string) error {
+	resp, err := p.Send(t.Context(), e, &executor.Call{RequestID: id, Method: method, Path: "/", Header: http.Header{}})
 	if err != nil {
 		return err
 	}
@@ -91,7 +91,7 @@
 				t.Run(fmt.Sprintf("%s, reused %t, reset %t", a.Name, reused, end == rawserver.Reset), func(t *testing.T) {
 					is := is.New(t)
 					u := startCuttingUpstream(t, a, reused, end)
-					call := func(p *Pool, e endpoints.Endpoint) error { return sendCall(t, p, e, a.Method) }
+					call := func(p *Pool, e endpoints.Endpoint) error { return sendCall(t, p, e, a.Method, "r1") }
 					text := a.With(requestIDField + ": r1\r\n")
 					reset := end == rawserver.Reset
 					complete, head := a.EndAt(text, reset), rawserver.HeadBytes(text)
