--- a/internal/transport/upstreamconn/cuthead_test.go
+++ b/internal/transport/upstreamconn/cuthead_test.go
@@ -71,9 +71,16 @@
 	return heads, err
 }
 
+// longBody does not fit into the buffers of a connection.
+var longBody = make([]byte, 16<<20)
+
 // sendCall sends a request and reads the response to its end.
 func sendCall(t *testing.T, p *Pool, e endpoints.Endpoint, method string) error {
-	resp, err := p.Send(t.Context(), e, &executor.Call{RequestID: "r1", Method: method, Path: "/", Header: http.Header{}})
+	call := &executor.Call{RequestID: "r1", Method: method, Path: "/", Header: http.Header{}}
+	if method == http.MethodPost {
+		call.Body = longBody
+	}
+	resp, err := p.Send(t.Context(), e, call)
 	if err != nil {
 		return err
 	}
@@ -142,3 +149,17 @@
 		}
 	}
 }
+
+// TestCutAnswerBeforeEndOfRequest guards against an answer that ends in its head or body, while the request is still being sent, and is taken as whole.
+func TestCutAnswerBeforeEndOfRequest(t *testing.T) {
+	for _, end := range []rawserver.End{rawserver.Close, rawserver.Reset} {
+		a := rawserver.WholeAnswers[0]
+		u := startCuttingUpstream(t, a, false, end)
+		text := a.With(requestIDField + ": r1\r\n")
+		for n := range len(text) {
+			if _, err := u.send(t, n, func(p *Pool, e endpoints.Endpoint) error { return sendCall(t, p, e, http.MethodPost) }); err == nil {
+				t.Errorf("whole with %d of %d bytes: %q", n, len(text), text[:n])
+			}
+		}
+	}
+}
