upstreamconn: bytes that lie unread end a connection before a request is written

What callers saw: a request that no endpoint had got counted as "may have run" (502 instead of another endpoint), because it was written to a connection that the endpoint had closed, reset or written stray bytes on; and such bytes were read as the response to it.

Cause: guardedConn took for arrived what its reader had read. On a host whose reader gets no processor, bytes or a close lie in the kernel's buffer when the request is written.

The fix: before the first byte of a request, and when an idle connection is chosen, the kernel is asked what has arrived (sockbuf.Received). Bytes, a close or a reset make the connection unusable and leave the request unsent, so another idle connection is used or one is opened. A connection that turns out to be ended in this way counts as a lost contact, as one whose end had been read did. sockbuf reports a reset as EOF; its other users ask for bytes only.

Bytes that the reader has taken from the kernel and not yet looked at are still seen too late; with the ids, that costs the request and is no wrong "not run".

--- a/internal/transport/sockbuf/sockbuf.go
+++ b/internal/transport/sockbuf/sockbuf.go
@@ -18,7 +18,7 @@
 	Unknown Unread = iota // the connection does not tell: it is closed, broken or none of the operating system's
 	Empty                 // nothing has arrived
 	Bytes                 // bytes have arrived
-	EOF                   // the peer has closed its side, and all bytes before that are read
+	EOF                   // the peer has closed its side or reset the connection, and all bytes before that are read
 )
 
 // Connected reports whether a connection has been established, also if the process that opens it has not noticed yet.
@@ -67,7 +67,7 @@
 				state = Empty
 			case err == nil && got > 0:
 				state, n = Bytes, got
-			case err == nil:
+			case err == nil, errors.Is(err, syscall.ECONNRESET):
 				state = EOF
 			}
 			return
--- a/internal/transport/sockbuf/sockbuf_test.go
+++ b/internal/transport/sockbuf/sockbuf_test.go
@@ -28,6 +28,11 @@
 	await(t, far, EOF)
 	far.Close()
 	is.Equal(Received(far), Unknown)
+	near, far = connect(t)
+	is.NoErr(near.(*net.TCPConn).SetLinger(0))
+	near.Close()
+	await(t, far, EOF)
+	is.Equal(Received(far), EOF) // the reset is reported once by the system
 	piped, _ := net.Pipe()
 	is.Equal(Received(piped), Unknown)
 }
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -85,13 +85,18 @@
 // errUnfinishedHeads is returned by Read of a connection on which more of a head arrives while Config.MaxUnfinishedHeads is reached.
 var errUnfinishedHeads = errors.New("the heads of too many responses are large and not complete")
 
-// errUnsolicited is returned by Read and Write of a connection on which bytes arrived that belong to no request.
-var errUnsolicited = errors.New("bytes arrived that belong to no request")
+// errUnsolicited is returned by Read and Write of a connection on which bytes arrived that belong to no request, errEnded by Write of one that the
+// upstream has closed before the request.
+var (
+	errUnsolicited = errors.New("bytes arrived that belong to no request")
+	errEnded       = errors.New("the upstream has closed the connection")
+)
 
 // guardedConn prevents bytes that arrive between two requests from being read as the response of the later request. net/http
 // detects such bytes only if it looks at them before the next request has been started. guardedConn closes this gap: the
 // connection becomes idle, and thus reusable, only when net/http calls Read again, which it does when its buffer is empty.
-// If bytes arrive before the first byte of the next request is written, the connection fails.
+// If bytes arrive before the first byte of the next request is written, or the upstream closes the connection, the connection fails, also if the process
+// has not read that yet.
 type guardedConn struct {
 	net.Conn
 	writeTimeout time.Duration
@@ -135,7 +140,15 @@
 func (c *guardedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.state == readyForRequest {
-		c.state = awaitingResponse
+		switch sockbuf.Received(c.Conn) {
+		case sockbuf.Bytes:
+			c.state = unsolicited
+		case sockbuf.EOF:
+			c.mu.Unlock()
+			return 0, errEnded
+		default:
+			c.state = awaitingResponse
+		}
 	}
 	ok := c.state == awaitingResponse
 	c.written = c.written || ok
@@ -232,12 +245,19 @@
 	return call
 }
 
+// ended reports whether the upstream has closed the connection, or bytes have arrived that the process has not read. It may be called while no response
+// is due.
+func (c *guardedConn) ended() bool {
+	received := sockbuf.Received(c.Conn)
+	return received == sockbuf.Bytes || received == sockbuf.EOF
+}
+
 // beginRequest makes an idle connection ready for a request. It returns false if the connection is not idle, for example because bytes
 // arrived that belong to no request.
 func (c *guardedConn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != idle {
+	if c.state != idle || c.ended() {
 		return false
 	}
 	c.state, c.written, c.writtenAt, c.head = readyForRequest, false, time.Time{}, headScanner{}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -131,6 +131,9 @@
 
 func (c *conn) close() { c.http.Close() }
 
+// ended reports whether the upstream has ended the idle connection, also if the process has not noticed yet.
+func (c *conn) ended() bool { return c.http.Err() != nil || c.guarded.ended() }
+
 // get returns an idle connection to the endpoint that suits the request, or nil. It prefers the one that was used last, because that one is most likely
 // still open, or the one that has been idle for longest if the request asks for it. closed says that the endpoint had closed an idle connection.
 func (p *Pool) get(id endpoints.ID, now time.Time, c *executor.Call) (idle *conn, closed bool) {
@@ -143,15 +146,16 @@
 	for {
 		at := p.chooseIdle(list, c)
 		if at < 0 {
-			return nil, closed || len(list) > 0 && !slices.ContainsFunc(list, func(cn *conn) bool { return cn.http.Err() == nil })
+			return nil, closed || len(list) > 0 && !slices.ContainsFunc(list, func(cn *conn) bool { return !cn.ended() })
 		}
 		cn := list[at]
 		list = slices.Delete(list, at, at+1)
 		sh.idle[id] = list
-		if !cn.idleTooLong(now) && cn.http.Err() == nil && cn.guarded.beginRequest() {
+		expired := cn.idleTooLong(now)
+		if !expired && cn.http.Err() == nil && cn.guarded.beginRequest() {
 			return cn, closed
 		}
-		closed = closed || cn.http.Err() != nil
+		closed = closed || !expired || cn.ended()
 		unusable = append(unusable, cn)
 	}
 }
