--- a/internal/transport/upstreamconn/contact_test.go
+++ b/internal/transport/upstreamconn/contact_test.go
@@ -19,6 +19,15 @@
 // TestNoRequestAfterLostContact guards against a request on a new connection to an endpoint that has closed the idle ones, because it may have
 // started again since. A health check is sent, and requests follow it.
 func TestNoRequestAfterLostContact(t *testing.T) {
+	for name, id := range map[string]func(sent int) string{
+		"ids of their own":                    func(sent int) string { return fmt.Sprint("r", sent) },
+		"one id, which the idle one has sent": func(int) string { return "r" },
+	} {
+		t.Run(name, func(t *testing.T) { testNoRequestAfterLostContact(t, id) })
+	}
+}
+
+func testNoRequestAfterLostContact(t *testing.T, id func(sent int) string) {
 	is := is.New(t)
 	var requests atomic.Int64
 	first := make(chan net.Conn, 10)
@@ -36,7 +45,7 @@
 	sent := 0
 	send := func(healthCheck bool) error {
 		sent++
-		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: "/x", RequestID: fmt.Sprint("r", sent), Header: http.Header{},
+		resp, err := p.Send(t.Context(), u.endpoint, &executor.Call{Method: http.MethodGet, Path: "/x", RequestID: id(sent), Header: http.Header{},
 			RecentContact: !healthCheck, HealthCheck: healthCheck})
 		if err != nil {
 			return err
