gateway: a request whose time has passed is refused before anything is spent on it

Callers saw: requests that a late host read after their deadline were passed on to an endpoint (routes that may not be repeated included), or held for a permit, probes and waits, while those whose callers still waited came later.

Fix: Serve refuses such a request as not run (503) as soon as its deadline is known: no permit, probe or wait, one line (msg=refused reason=deadline_unreachable unread_ms=, limited as a kind of its own) and requests_expired_total. The same for requests of other hosts.

--- a/internal/coordination/detour/hop.go
+++ b/internal/coordination/detour/hop.go
@@ -18,7 +18,7 @@
 	From    string `cbor:"1,keyasint"` // host that got the request from its caller
 	Service string `cbor:"2,keyasint"` // service that it has chosen
 	Version uint64 `cbor:"3,keyasint"` // of its configuration
-	Waited  int64  `cbor:"4,keyasint"` // ms since the host has read the request
+	Waited  int64  `cbor:"4,keyasint"` // ms since the request reached the host
 	// Attempts is the number of endpoints to which the request may be sent.
 	Attempts int            `cbor:"5,keyasint"`
 	Caller   netip.Addr     `cbor:"6,keyasint"`           // address of the caller
--- a/internal/gateway/arrival_test.go
+++ b/internal/gateway/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,7 +14,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusspan/arbutusspan/internal/coordination/detour"
+	"github.com/arbutusspan/arbutusspan/internal/protocol/hop"
 	"github.com/arbutusspan/arbutusspan/internal/state/routing"
+	"github.com/arbutusspan/arbutusspan/internal/transport/ingress"
 )
 
 // unreadFor starts a host and sends it three requests on one connection, which may not run concurrently: the endpoint runs the first for the given time, the second
@@ -67,3 +71,34 @@
 		}
 	}
 }
+
+// TestPassedDeadlineOfUnreadRequest guards against requests that are run, or hold a permit or a place in a queue, although their callers had left when this host
+// read them.
+func TestPassedDeadlineOfUnreadRequest(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	is.Equal(unreadFor(t, d, 400*time.Millisecond, 300*time.Millisecond), http.StatusServiceUnavailable)
+	is.Equal(d.ran.Load(), int64(2))
+	waitFor(t, "log line", func() bool { return strings.Contains(d.logged(), "id=r3 reason=deadline_unreachable") })
+	is.Equal(strings.Count(d.logged(), "id=r3"), 1)
+}
+
+// TestPassedDeadlineOfUnreadHop guards against requests of other hosts that this host seeks an endpoint for, although their callers had left when it read them.
+func TestPassedDeadlineOfUnreadHop(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 1, "/lots/")
+	h := d.start(t)
+	waitFor(t, "readiness", h.ready)
+	for _, unread := range []time.Duration{0, time.Minute} {
+		header := http.Header{hop.HeaderDeadlineMS: {"60000"}, hop.HeaderRequestID: {"h1"}}
+		is.NoErr(hop.SetRequest(header, &detour.HopRequest{From: "another", Service: "lotdesk", Version: 1, Attempts: 1}))
+		resp := hopHandler{h.gateway}.Serve(context.Background(), &ingress.Request{Method: http.MethodGet, Target: "/lots/1", Path: "/lots/1", Host: "shop.example", Header: header,
+			HeaderReadAt: time.Now(), Unread: unread})
+		result, err := hop.GetResult(resp.Header)
+		is.NoErr(err)
+		is.Equal(result.Outcome == "answered", unread == 0)
+		is.Equal(d.ran.Load(), int64(1))
+		is.Equal(strings.Contains(h.gateway.metrics.String(), `"hops_refused_total": 1`), unread > 0)
+	}
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -93,8 +93,11 @@
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.RequestMalformed, Ran: refusals.RanNo, Revision: table.Version,
 			Detail: "the stated deadline is not a positive number of milliseconds", Remedy: "state the milliseconds that are left"})
 	}
-	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
 	deadline := r.ArrivedAt().Add(timeout)
+	if !time.Now().Before(deadline) {
+		return g.refuseExpired(r, id, route, table)
+	}
+	service := table.Service(route.ServiceAt(g.nextSplitPosition(route.Name)))
 	if g.mayBeCut(deadline) {
 		g.log.InfoOf(string(refusals.HostDraining), "refused", "id", id, "reason", refusals.HostDraining, "path", r.Path, "version", table.Version)
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -162,7 +162,7 @@
 	}
 	timeout, _ := g.requestTimeout(r.Header.Get(hop.HeaderDeadlineMS), route)
 	deadline := r.ArrivedAt().Add(timeout)
-	if timeout <= 0 {
+	if timeout <= 0 || !time.Now().Before(deadline) {
 		return h.refuse(r, id, request, forward.RefusedUnsent, "no time is left for the request")
 	}
 	if g.mayBeCut(deadline) {
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/lateness"
+	"github.com/arbutusspan/arbutusspan/internal/state/refusals"
+	"github.com/arbutusspan/arbutusspan/internal/state/routing"
 	"github.com/arbutusspan/arbutusspan/internal/transport/ingress"
 )
 
@@ -27,3 +29,16 @@
 	}
 	return []any{"unread_ms", ms(r.Unread)}
 }
+
+// expiredRetryAfter is the delay stated to callers that still wait when the timeout of their route has passed: a host that reads requests so late needs time.
+const expiredRetryAfter = 250 * time.Millisecond
+
+// refuseExpired refuses a request whose time had passed when this host began to handle it, without a permit, a probe or a wait.
+func (g *Gateway) refuseExpired(r *ingress.Request, id string, route *routing.Route, table *routing.Table) *ingress.Response {
+	const detail = "the time of the request had passed when this host read it"
+	g.metrics.Add("requests_expired_total", 1)
+	g.log.InfoOf("expired", "refused", append([]any{"id", id, "reason", refusals.DeadlineUnreachable, "path", r.Path, "version", table.Version, "detail", detail},
+		unreadField(r)...)...)
+	return g.refuse(r, id, &refusals.Refusal{Reason: refusals.DeadlineUnreachable, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
+		RetryAfter: expiredRetryAfter, Detail: detail, Remedy: "use another address, or come back after the stated delay"})
+}
