gateway: a late host ends a request's waits while its refusal can still reach the caller

Callers saw: on hosts whose timers and reads were up to a second late, refusals after waits for a permit or an endpoint that were written when the caller had left (quota_unavailable 180 ms after it, refused_connect 235 ms after it).

Cause: waits went on until the deadline, as if the end of a wait were seen, and the refusal written, at once.

Fix: Request.ReadLate is the part of Unread in which the connection waited for being accepted, or its reader for the request; time behind other requests of the connection says nothing about the host. Call.AnswerDelay is that, from lateness.Bound on: waits for permits, the queue's decisions, late waits and repeats after sends that failed end that much earlier. A request that finds a free slot or a permit at once is served as before, and a send that is under way keeps the deadline, so that ready answers go out. On a host that reads in time nothing changes.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -113,6 +113,9 @@
 	CallerDue time.Time
 	// Arrived is when the request reached this host, also if it was read later.
 	Arrived time.Time
+	// AnswerDelay is how long this host takes at present to see what has arrived, and so to end a wait: the request does not wait for an endpoint in the last
+	// such time before Due, so that its refusal reaches the caller.
+	AnswerDelay time.Duration
 	// Caller is the address of the caller, without a port.
 	Caller netip.Addr
 	// Version is the version of the configuration that has the route.
--- a/internal/coordination/forward/sends.go
+++ b/internal/coordination/forward/sends.go
@@ -84,7 +84,7 @@
 // canRepeat reports whether the route allows another attempt and more than half of the request's usual duration is left before the
 // deadline.
 func (r *activeRequest) canRepeat() bool {
-	return r.sends < r.maxAttempts() && time.Until(r.call.Due) > r.serviceTime/2
+	return r.sends < r.maxAttempts() && time.Until(r.call.Due)-r.call.AnswerDelay > r.serviceTime/2
 }
 
 // repeat sends the request again after all sends have failed, if that is safe and the repeat budget allows it. It reports whether a send
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -39,8 +39,12 @@
 	if r.plain {
 		customer = "" // customers have no shares then
 	}
+	due, lateAt := c.Due.Add(-c.AnswerDelay), r.targetAt
+	if lateAt.After(due) {
+		lateAt = due
+	}
 	return overload.Request{CustomerPriority: c.CustomerPriority, RoutePriority: c.Route.Priority, Route: c.Route.Name, Guest: c.Handover != nil, Customer: customer,
-		Work: r.serviceTime, FirstSent: c.Arrived.Add(-r.waitedFor), LateAt: r.targetAt, Due: c.Due, CallerDue: c.callerDue(), Plain: r.plain}
+		Work: r.serviceTime, FirstSent: c.Arrived.Add(-r.waitedFor), LateAt: lateAt, Due: due, CallerDue: c.callerDue(), Plain: r.plain}
 }
 
 // waitedBefore returns how long the caller had waited before this attempt, by the times that it states. The estimate is made once for a call.
@@ -90,7 +94,7 @@
 // found, if any, has no free slot, and nothing but load keeps the request from the service.
 func (r *activeRequest) mayWaitLate(best *placement.EndpointView) bool {
 	return !r.plain && (best == nil || !best.HasFreeSlot()) && r.result.Candidates > 0 && r.allRejectingUntil.IsZero() && !r.limits.all && !r.mayBeLate() &&
-		time.Until(r.call.Due) > r.serviceTime
+		time.Until(r.call.Due) > r.serviceTime+r.call.AnswerDelay
 }
 
 // waitForTurn returns true when the request should look for an endpoint again: after a wake-up, after an interval if it is the first of the queue,
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -103,7 +103,7 @@
 		return g.refuse(r, id, &refusals.Refusal{Reason: refusals.HostDraining, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
 			RetryAfter: stopRetryAfter, Detail: "this host stops before the deadline of the request", Remedy: "send the request to another host"})
 	}
-	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.ArrivedAt(), Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
+	call := &forward.Call{Route: route, Service: service, Due: deadline, Arrived: r.ArrivedAt(), AnswerDelay: answerDelay(r), Caller: r.Caller, Version: table.Version, Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target,
 		Header: g.endpointHeader(table, r.Header, who, nil), Body: r.Body, RetainBody: r.RetainBody, Deadline: deadline, Host: r.Host}}
 	call.CallerDue = r.ArrivedAt().Add(statedTime(r.Header.Get(g.adapter.Dialect.DeadlineMS)))
 	who.addTo(call)
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -182,7 +182,7 @@
 	case !route.GoesTo(service):
 		service = route.ServiceAt(g.nextSplitPosition(route.Name))
 	}
-	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.ArrivedAt().Add(-request.WaitedFor()), Caller: request.Caller, Version: table.Version,
+	call := &forward.Call{Route: route, Service: table.Service(service), Due: deadline, Arrived: r.ArrivedAt().Add(-request.WaitedFor()), AnswerDelay: answerDelay(r), Caller: request.Caller, Version: table.Version,
 		Handover: &forward.Handover{Host: request.From, Attempts: request.Attempts, Tried: request.Tried, Counted: request.Counted, Late: request.Late,
 			WaitedBefore: request.WaitedBeforeFor()},
 		Call: &executor.Call{RequestID: id, Method: r.Method, Path: r.Target, Header: g.endpointHeader(table, r.Header, who, hop.IsHeader), Body: r.Body,
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -42,3 +42,11 @@
 	return g.refuse(r, id, &refusals.Refusal{Reason: refusals.DeadlineUnreachable, Ran: refusals.RanNo, Operation: route.Name, Revision: table.Version,
 		RetryAfter: expiredRetryAfter, Detail: detail, Remedy: "use another address, or come back after the stated delay"})
 }
+
+// answerDelay returns how long this host takes at present to see what has arrived, as far as the request shows it.
+func answerDelay(r *ingress.Request) time.Duration {
+	if r.ReadLate <= lateness.Bound {
+		return 0
+	}
+	return r.ReadLate
+}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -62,7 +62,8 @@
 		return nil, nil
 	}
 	start := time.Now()
-	result := g.quota.Acquire(ctx, c.Customer, g.forwarder.CanOnlyBeLate(c, start), min(quotaWait, c.Due.Sub(start)), min(2*quotaWait, c.Due.Sub(start)))
+	left := max(0, c.Due.Sub(start)-c.AnswerDelay)
+	result := g.quota.Acquire(ctx, c.Customer, g.forwarder.CanOnlyBeLate(c, start), min(quotaWait, left), min(2*quotaWait, left))
 	g.metrics.Observe("quota_wait_duration", time.Since(start))
 	l := result.Limit
 	r := &refusals.Refusal{Ran: refusals.RanNo, Operation: c.Route.Name, Revision: table.Version, Customer: c.Customer, RetryAfter: result.RetryAfter,
--- a/internal/transport/ingress/arrival_test.go
+++ b/internal/transport/ingress/arrival_test.go
@@ -26,16 +26,22 @@
 }
 
 // TestUnreadRequestArrivedEarlier guards against a host that takes the time at which it reads a request for that of its arrival: the request may lie in the buffer
-// of its connection, or the connection in the accept queue, while the process has no processor, or other requests of the connection are handled.
+// of its connection, or the connection in the accept queue, while the process has no processor, or other requests of the connection are handled. Only the
+// former says that the host is late.
 func TestUnreadRequestArrivedEarlier(t *testing.T) {
 	const held = 300 * time.Millisecond
 	const resolution = 25 * time.Millisecond // of the kernel's clock, and the time that a test needs to send
-	check := func(t *testing.T, r *Request, sent time.Time) {
+	check := func(t *testing.T, r *Request, sent time.Time, late bool) {
 		t.Helper()
 		is := is.New(t)
 		is.True(!r.ArrivedAt().Before(sent))
 		is.True(r.ArrivedAt().Sub(sent) <= resolution)
 		is.True(r.Unread >= held-resolution)
+		if late {
+			is.Equal(r.ReadLate, r.Unread)
+		} else {
+			is.True(r.ReadLate < resolution)
+		}
 	}
 	t.Run("reader", func(t *testing.T) {
 		h := &unreadHandler{got: make(chan *Request, 8)}
@@ -49,7 +55,7 @@
 		time.Sleep(resolution) // until the reader is held back
 		sent := time.Now()
 		send(t, c, get("/3"))
-		check(t, <-h.got, sent)
+		check(t, <-h.got, sent, true)
 	})
 	t.Run("accept queue", func(t *testing.T) {
 		h := &unreadHandler{got: make(chan *Request, 8)}
@@ -63,7 +69,7 @@
 		withRequest(t, dial(), "/2")
 		time.Sleep(held)
 		close(starved.release)
-		check(t, <-h.got, sent)
+		check(t, <-h.got, sent, true)
 	})
 	for _, together := range []bool{true, false} {
 		t.Run(fmt.Sprint("behind others, together: ", together), func(t *testing.T) {
@@ -84,7 +90,7 @@
 			close(h.release)
 			second := <-h.got
 			is.New(t).True(second.Unread < resolution)
-			check(t, <-h.got, sent)
+			check(t, <-h.got, sent, false)
 		})
 	}
 }
--- a/internal/transport/ingress/conn.go
+++ b/internal/transport/ingress/conn.go
@@ -49,6 +49,7 @@
 	// Used by the reader alone:
 	readsHead bool      // it reads the head of a request
 	arrivedAt time.Time // when the bytes of the last read had arrived at the latest
+	awaitedAt time.Time // since when the request that is read, or the next one, is awaited; zero for the first one, which is from the start
 
 	// Used by the reader alone, for the report:
 	unread     int64    // bytes that were read and discarded after the last request
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -35,6 +35,8 @@
 	// Unread is for how long the header had lain in the kernel's buffer before it was read, by the time at which the latest bytes of the read that completed it
 	// had arrived: at least that long, since the header cannot have arrived later. It is 0 if that time is not known, and on a host that reads at once.
 	Unread time.Duration
+	// ReadLate is the part of Unread in which the connection waited for being accepted, or its reader for the request: for so long the host had no processor for it.
+	ReadLate time.Duration
 	// BodyDiscarded says that the body was read and discarded, because the handler did not need it.
 	BodyDiscarded bool
 	// RetainBody keeps the memory of Body until the function that it returns is called. Otherwise it may be freed once Serve has returned. Nil means
--- a/internal/transport/ingress/parse.go
+++ b/internal/transport/ingress/parse.go
@@ -85,10 +85,9 @@
 		p.disconnected = true
 		return
 	}
-	readAt, unread := time.Now(), time.Duration(0)
+	readAt, unread, late := time.Now(), time.Duration(0), time.Duration(0)
 	if p.conn != nil {
-		unread = max(0, readAt.Sub(p.conn.arrivedAt))
-		p.conn.readsHead = false
+		unread, late = p.conn.headRead(readAt)
 	}
 	if !p.admitHead(head) {
 		return
@@ -103,7 +102,7 @@
 		return
 	}
 	p.keepAlive = !r.Close && r.ProtoAtLeast(1, 1)
-	p.request = &Request{Method: r.Method, Target: r.RequestURI, Path: pathOf(r.RequestURI), Host: r.Host, Header: r.Header, HeaderReadAt: readAt, Unread: unread}
+	p.request = &Request{Method: r.Method, Target: r.RequestURI, Path: pathOf(r.RequestURI), Host: r.Host, Header: r.Header, HeaderReadAt: readAt, Unread: unread, ReadLate: late}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		delete(r.Header, "Expect")
 		p.sendContinue()
--- a/internal/transport/ingress/reading.go
+++ b/internal/transport/ingress/reading.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// headRead returns for how long a head that is read now had lain unread, and for how much of that time the reader had waited for it.
+func (c *conn) headRead(now time.Time) (unread, late time.Duration) {
+	c.readsHead = false
+	unread = max(0, now.Sub(c.arrivedAt))
+	return unread, min(unread, now.Sub(c.awaitedAt))
+}
+
 // readLate takes back the request to end the connection, and moves the deadline once, because bytes were read after the deadline had passed.
 func (c *conn) readLate() {
 	c.mu.Lock()
@@ -84,6 +91,9 @@
 // arrived and the connection was idle for too long, makes room for another, or the server stops.
 func (c *conn) awaitRequest(br *bufio.Reader) bool {
 	c.readsHead = true
+	if c.activity.requests.Load() > 0 {
+		c.awaitedAt = time.Now()
+	}
 	for first := true; c.beginWait(first); first = false {
 		_, err := br.Peek(1)
 		if isTimeout(err) {
