gateway: a request that is read late shows that the host is late

Cause: the host knew its lateness from its own timers alone; where none was due while it stood still, that time did not count.

Fix: the time for which a request had waited for its reader (Request.ReadLate, more than lateness.Bound) is recorded like that of a late timer; read_late_duration has its distribution. On a host that reads in time this is one comparison.

Evidence: TestLateReadsMakeHostLate failed without the call in Serve (0 s recorded) and passes.

--- a/internal/gateway/arrival_test.go
+++ b/internal/gateway/arrival_test.go
@@ -102,3 +102,24 @@
 		is.Equal(strings.Contains(h.gateway.metrics.String(), `"hops_refused_total": 1`), unread > 0)
 	}
 }
+
+// TestLateReadsMakeHostLate guards against timeouts that count against endpoints and hosts, although this host read nothing in their time: no timer of it was due
+// then.
+func TestLateReadsMakeHostLate(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 1, "/lots/")
+	h := d.start(t)
+	waitFor(t, "readiness", h.ready)
+	now := time.Now()
+	read := func(late time.Duration) {
+		h.gateway.Serve(context.Background(), &ingress.Request{Method: http.MethodGet, Target: "/lots/1", Path: "/lots/1", Host: "shop.example", Header: http.Header{},
+			HeaderReadAt: now, Unread: time.Hour, ReadLate: late})
+	}
+	from := now.Add(-time.Hour) // before the start
+	own := h.gateway.lateness.Between(from, h.gateway.started)
+	read(4 * time.Millisecond) // as on any host
+	is.Equal(h.gateway.lateness.Between(from, h.gateway.started), own)
+	read(time.Hour)
+	is.Equal(h.gateway.lateness.Between(from, h.gateway.started), h.gateway.started.Sub(from))
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -60,6 +60,7 @@
 // Serve implements ingress.Handler.
 func (g *Gateway) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
 	g.received.Add(1)
+	g.recordRead(r)
 	id := r.Header.Get(g.adapter.Dialect.RequestID)
 	sequence, status := g.recent.begin(id, r.ArrivedAt()), requestPanicked
 	defer func() { g.recent.end(sequence, status, time.Now()) }()
--- a/internal/gateway/detour.go
+++ b/internal/gateway/detour.go
@@ -132,6 +132,7 @@
 func (h hopHandler) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
 	g := h.g
 	g.received.Add(1)
+	g.recordRead(r)
 	g.metrics.Add("hops_received_total", 1)
 	id := r.Header.Get(g.adapter.Dialect.RequestID)
 	sequence, status := g.recent.begin(id, r.ArrivedAt()), requestPanicked
--- a/internal/gateway/lateness.go
+++ b/internal/gateway/lateness.go
@@ -43,6 +43,14 @@
 		RetryAfter: expiredRetryAfter, Detail: detail, Remedy: "use another address, or come back after the stated delay"})
 }
 
+// recordRead records for how long this host had no processor to read a request, which its own timers need not show.
+func (g *Gateway) recordRead(r *ingress.Request) {
+	if r.ReadLate > lateness.Bound {
+		g.metrics.Observe("read_late_duration", r.ReadLate)
+		g.lateness.Observe(r.HeaderReadAt.Add(-r.ReadLate), r.HeaderReadAt)
+	}
+}
+
 // answerDelay returns how long this host takes at present to see what has arrived, as far as the request shows it.
 func answerDelay(r *ingress.Request) time.Duration {
 	if r.ReadLate <= lateness.Bound {
