quarantine: hosts share the ends that no other endpoint's answer confirms

What callers saw: a request that had ended all endpoints of its service was sent on and on.

The cause: a host drops the end of an endpoint if no other endpoint answers it at that moment, since it may have lost its own way to all. A request that ends all of them leaves no evidence, and runs again when they are back. To count such ends once the next processes are listed condemned proper requests: while all are down, requests that come later break as well.

Such an end is held back now, with its requests. It is proven when another process is listed at the address within 10 s, and told to all hosts only then (quarantine.Update 4, which older builds ignore); a host that is cut off tells nothing. Proven ends become evidence when a later process at an address has ended under the same request, seen by any host, and no endpoint has answered the request since. Requests that only came too early are answered by the next processes. State: 256 ends with 32 requests each.

TestEndsWithoutAnyAnswer has the cases of three hosts.

--- a/internal/coordination/quarantine/exchange.go
+++ b/internal/coordination/quarantine/exchange.go
@@ -64,17 +64,22 @@
 	Crashes  []CrashReport    `cbor:"1,keyasint,omitempty"`
 	Verdicts []VerdictReport  `cbor:"2,keyasint,omitempty"`
 	Answered []AnsweredReport `cbor:"3,keyasint,omitempty"`
+	// Held are ends that are proven, but hidden: no endpoint answered the sender, so requests that came later may have been taken for the cause.
+	Held []CrashReport `cbor:"4,keyasint,omitempty"`
 }
 
-// Limits of an Update. A crash takes up to 2.6 KB, usually 200 bytes, a verdict or an answered request 50 bytes.
+// Limits of an Update. A crash takes up to 2.6 KB, an end that is held back up to 1.3 KB, usually 200 bytes, a verdict or an answered request 50 bytes.
 const (
 	MaxCrashes  = 8
 	MaxVerdicts = 16
 	MaxAnswered = 16
+	MaxHeld     = 8
 )
 
 // Empty reports whether the update says nothing.
-func (n *Update) Empty() bool { return n == nil || len(n.Crashes)+len(n.Verdicts)+len(n.Answered) == 0 }
+func (n *Update) Empty() bool {
+	return n == nil || len(n.Crashes)+len(n.Verdicts)+len(n.Answered)+len(n.Held) == 0
+}
 
 // Check returns an error if the update is none that a host sends.
 func (n *Update) Check() error {
@@ -86,6 +91,11 @@
 			return err
 		}
 	}
+	for i := range n.Held {
+		if err := n.Held[i].Check(); err != nil {
+			return err
+		}
+	}
 	for i := range n.Verdicts {
 		if err := n.Verdicts[i].Check(); err != nil {
 			return err
@@ -102,16 +112,16 @@
 // ZoneUpdate returns the update for the next message to the hosts of this zone, and RelayUpdate the one for the hosts of other zones that pass it on. Both
 // return nil if there is none.
 func (g *Guard) ZoneUpdate(now time.Time) *Update {
-	return g.update(g.crashUpdates.Zone.Next(MaxCrashes), g.verdictUpdates.Zone.Next(MaxVerdicts), g.answeredUpdates.Zone.Next(MaxAnswered), now)
+	return g.update(g.crashUpdates.Zone.Next(MaxCrashes), g.verdictUpdates.Zone.Next(MaxVerdicts), g.answeredUpdates.Zone.Next(MaxAnswered), g.heldUpdates.Zone.Next(MaxHeld), now)
 }
 
 // RelayUpdate is described with ZoneUpdate.
 func (g *Guard) RelayUpdate(now time.Time) *Update {
-	return g.update(g.crashUpdates.Relays.Next(MaxCrashes), g.verdictUpdates.Relays.Next(MaxVerdicts), g.answeredUpdates.Relays.Next(MaxAnswered), now)
+	return g.update(g.crashUpdates.Relays.Next(MaxCrashes), g.verdictUpdates.Relays.Next(MaxVerdicts), g.answeredUpdates.Relays.Next(MaxAnswered), g.heldUpdates.Relays.Next(MaxHeld), now)
 }
 
-func (g *Guard) update(crashes []endpoints.ID, verdicts, answered []Fingerprint, now time.Time) *Update {
-	if len(crashes)+len(verdicts)+len(answered) == 0 {
+func (g *Guard) update(crashes []endpoints.ID, verdicts, answered []Fingerprint, held []endpoints.ID, now time.Time) *Update {
+	if len(crashes)+len(verdicts)+len(answered)+len(held) == 0 {
 		return nil
 	}
 	g.mu.Lock()
@@ -132,6 +142,11 @@
 			n.Answered = append(n.Answered, AnsweredReport{Request: f, AgoMS: age(at, now)})
 		}
 	}
+	for _, id := range held {
+		if h := g.held[id]; h != nil && now.Sub(h.at) <= evidenceLifetime {
+			n.Held = append(n.Held, CrashReport{Endpoint: id, Requests: slices.Clone(h.requests), AgoMS: age(h.at, now)})
+		}
+	}
 	return n
 }
 
@@ -151,6 +166,12 @@
 			urgent = true
 		}
 	}
+	for _, r := range n.Held[:min(MaxHeld, len(n.Held))] {
+		if g.addHeld(Crash{Endpoint: r.Endpoint, Requests: r.Requests, At: before(r.AgoMS)}, from) && !ownZone {
+			g.heldUpdates.Forward(r.Endpoint)
+			urgent = true
+		}
+	}
 	for _, r := range n.Answered[:min(MaxAnswered, len(n.Answered))] {
 		if g.addAnswered(r.Request, before(r.AgoMS), from) && !ownZone {
 			g.answeredUpdates.Forward(r.Request)
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -43,13 +43,15 @@
 	RefusesConnections func(ctx context.Context, e endpoints.Endpoint) bool
 	// ClosesUnanswered reports whether it closes connections without a response. Nil means that this is not known.
 	ClosesUnanswered func(ctx context.Context, e endpoints.Endpoint) bool
-	// OthersAnswer reports whether another endpoint answers this host at the moment. If none does, this host may have lost its own way to all of them, which
-	// says nothing about their processes. Nil means that others always answer.
+	// OthersAnswer reports whether another endpoint answers this host at the moment. If none does, this host may have lost its own way to all of them, and
+	// the end is held back until a later process at the address has ended under the request too. Nil means that others always answer.
 	OthersAnswer func(ctx context.Context, e endpoints.Endpoint) bool
 	// MayTry reports whether this host is the one that sends a quarantined request once more, see Try.
 	MayTry func(pattern Fingerprint) bool
 	// OnCrash is called when this host has noticed, or has first heard, that an endpoint ended under requests. source is SourceSelf or the name of a host.
 	OnCrash func(c Crash, source string)
+	// OnHeld is called when this host knows, or has first heard, that an end which is held back is proven. It may be nil.
+	OnHeld func(c Crash, source string)
 	// OnVerdict is called when requests are quarantined or no longer are. evidence is the number of endpoints that ended under them, 0 if it is not known.
 	OnVerdict func(v Verdict, evidence int, source string)
 	// OnUrgent is called when the other hosts should get this host's updates at once.
@@ -102,12 +104,14 @@
 	crashUpdates    announce.Broadcast[endpoints.ID]
 	verdictUpdates  announce.Broadcast[Fingerprint]
 	answeredUpdates announce.Broadcast[Fingerprint]
+	heldUpdates     announce.Broadcast[endpoints.ID]
 	active          atomic.Bool  // there is evidence or a verdict
 	doubted         atomic.Int64 // number of doubts
 
 	mu       sync.Mutex
 	doubts   map[endpoints.ID]map[*doubt]bool
 	crashes  map[endpoints.ID]*Crash
+	held     map[endpoints.ID]*heldEnd       // by process
 	verdicts map[Fingerprint]*entry          // by pattern
 	stored   map[string]map[Fingerprint]bool // by key, the patterns of the lists in the store
 	answered map[Fingerprint]time.Time       // by pattern, when an endpoint has last answered a suspected request that matches it
@@ -115,7 +119,8 @@
 
 // New returns a guard without evidence.
 func New(cfg Config) *Guard {
-	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, stored: map[string]map[Fingerprint]bool{}, crashes: map[endpoints.ID]*Crash{}, verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
+	return &Guard{cfg: cfg, doubts: map[endpoints.ID]map[*doubt]bool{}, stored: map[string]map[Fingerprint]bool{}, crashes: map[endpoints.ID]*Crash{}, held: map[endpoints.ID]*heldEnd{},
+		verdicts: map[Fingerprint]*entry{}, answered: map[Fingerprint]time.Time{}}
 }
 
 // Active reports whether there is evidence or a verdict. If not, no request has to be identified.
@@ -169,6 +174,7 @@
 	ctx = context.WithoutCancel(ctx)
 	evidence := func() {
 		if g.cfg.OthersAnswer != nil && !g.check(ctx, "others "+e.ID.String(), func(ctx context.Context) bool { return g.cfg.OthersAnswer(ctx, e) }) {
+			g.hold(Crash{Endpoint: e.ID, Requests: []Fingerprint{f}, At: at})
 			return
 		}
 		g.addCrash(Crash{Endpoint: g.process(e.ID), Requests: []Fingerprint{f}, At: at}, SourceSelf)
@@ -243,6 +249,7 @@
 			d.answered.Store(true)
 		}
 	}
+	g.releaseHeld(id, connectedAt, sentAt)
 	id = g.processLocked(id)
 	c := g.crashes[id]
 	wrong := c != nil && !c.Alive && connectedAt.Before(c.At) && sentAt.After(c.At)
@@ -263,11 +270,14 @@
 	return g.processLocked(id)
 }
 
+// processSeparator divides the incarnation under which a process was listed from the number of an earlier end under it.
+const processSeparator = "+"
+
 // processLocked is process with g.mu held.
 func (g *Guard) processLocked(id endpoints.ID) endpoints.ID {
 	process := id
 	for n := 1; g.crashes[process] != nil && g.crashes[process].replaced; n++ {
-		process.Incarnation = id.Incarnation + "+" + strconv.Itoa(n)
+		process.Incarnation = id.Incarnation + processSeparator + strconv.Itoa(n)
 	}
 	return process
 }
@@ -280,8 +290,17 @@
 	}
 }
 
-// addCrash adds evidence and decides anew. It returns whether the evidence is new.
+// addCrash adds evidence, also what it makes of ends that are held back, and decides anew. It returns whether the evidence is new.
 func (g *Guard) addCrash(c Crash, source string) (isNew bool) {
+	isNew = g.recordCrash(c, source)
+	if isNew && !c.Alive {
+		g.promote(c.Requests, source)
+	}
+	return isNew
+}
+
+// recordCrash is addCrash without the ends that are held back.
+func (g *Guard) recordCrash(c Crash, source string) (isNew bool) {
 	g.mu.Lock()
 	known := g.crashes[c.Endpoint]
 	switch {
@@ -332,7 +351,7 @@
 }
 
 // updateActive sets active. g.mu must be held.
-func (g *Guard) updateActive() { g.active.Store(len(g.crashes)+len(g.verdicts) > 0) }
+func (g *Guard) updateActive() { g.active.Store(len(g.crashes)+len(g.held)+len(g.verdicts) > 0) }
 
 // Evict removes evidence and verdicts that have expired.
 func (g *Guard) Evict(now time.Time) {
@@ -341,6 +360,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.evictHeld(now)
 	for id, c := range g.crashes {
 		if now.Sub(c.At) > evidenceLifetime {
 			delete(g.crashes, id)
--- a/internal/coordination/quarantine/verdicts.go
+++ b/internal/coordination/quarantine/verdicts.go
@@ -90,6 +90,11 @@
 			return true
 		}
 	}
+	for _, h := range g.held {
+		if h.at.After(g.answered[pattern]) && !h.at.After(at) && slices.ContainsFunc(h.requests, pattern.matches) {
+			return true
+		}
+	}
 	return false
 }
 
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -127,6 +127,8 @@
 	}
 	if g.endpoints.Withdrawn(c.ID) {
 		g.pool.CloseEndpoint(c.ID)
+	} else if c.State == registry.StateUsable {
+		g.crashGuard.Listed(c.ID, time.Now())
 	}
 	g.log.Info("endpoint", "name", c.Name, "service", c.Service, "address", c.Address, "state", c.State, "source", source, "version", g.endpoints.Version())
 	return true
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -171,6 +171,13 @@
 	return false
 }
 
+// logHeldEnd logs that an endpoint has ended while no other one answered the host that noticed it.
+func (g *Gateway) logHeldEnd(c quarantine.Crash, source string) {
+	g.metrics.Add("endpoint_ends_held_total", 1)
+	g.log.Info("endpoint_end_held", "name", registry.EndpointName(c.Endpoint), "address", c.Endpoint.Address, "requests", fingerprints(c.Requests), "source", source,
+		"age_ms", ms(time.Since(c.At)))
+}
+
 // logCrash logs that an endpoint has ended under requests, or that it has answered since.
 func (g *Gateway) logCrash(c quarantine.Crash, source string) {
 	g.metrics.Add("endpoint_crashes_total", 1)
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -69,6 +69,9 @@
 	ID                            endpoints.ID
 }
 
+// StateUsable is the state of a Change by which an endpoint is listed.
+const StateUsable = "usable"
+
 // Table builds snapshots from entries. It is safe for concurrent use. A snapshot is built when it is read and a change was applied since
 // the last one, so that a burst of changes without reads in between costs one snapshot.
 type Table struct {
@@ -236,7 +239,7 @@
 		t.updateService(old)
 	}
 	t.updateService(r)
-	state := "usable"
+	state := StateUsable
 	if !r.usable {
 		state = "leaving"
 	} else if !t.listed(r) {
