gateway: TestPlannedStop waits for the line of the log

The test failed once beside load: it looked for msg=drained as soon as Run had returned, and the log is written by a goroutine of its own. It still needs the line.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -451,7 +451,7 @@
 	is.Equal(got.status, http.StatusOK)
 	is.NoErr(<-h.ended)
 	close(h.ended)
-	is.True(strings.Contains(d.logged(), "msg=drained host="+h.settings.Host))
+	waitFor(t, "the line of the drain", func() bool { return strings.Contains(d.logged(), "msg=drained host="+h.settings.Host) })
 }
 
 // TestSettings guards against invalid settings that are accepted: the error must name the field and the valid values.
