upstreamconn: the time left is stated when a request is written

Endpoints were told more time than was left, by what setting up the connection or a first connection that had ended took of it: the header was made before. On a host without a free processor that is 150 ms and more, and an endpoint works on for a caller that has gone.

TestStatedDeadlineCountsDial failed before (the whole second was stated after 0.1 s of set-up).

--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -107,7 +108,7 @@
 	cn, closed := p.get(e.ID, time.Now(), c)
 	if cn != nil {
 		cn.recordSent(c)
-		resp, err := cn.http.RoundTrip(req)
+		resp, err := cn.http.RoundTrip(p.stateDeadline(req, c))
 		if err == nil {
 			return cn, resp, nil
 		}
@@ -132,7 +133,7 @@
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
 	cn.recordSent(c)
-	resp, err := cn.http.RoundTrip(req)
+	resp, err := cn.http.RoundTrip(p.stateDeadline(req, c))
 	if err != nil {
 		cn.close()
 		return nil, nil, cn.sendError(ctx, start, err)
@@ -173,9 +174,6 @@
 		header["User-Agent"] = nil // otherwise net/http would send its own
 	}
 	d := &p.cfg.Dialect
-	if !c.Deadline.IsZero() {
-		header[d.DeadlineMS] = []string{strconv.FormatInt(max(1, time.Until(c.Deadline).Milliseconds()), 10)}
-	}
 	if c.RequestID != "" {
 		header[d.RequestID] = []string{c.RequestID}
 	}
@@ -188,6 +186,18 @@
 	return req, nil
 }
 
+// stateDeadline returns the request with the header that states the time left, which connection set-up or an earlier connection may have used up in part. It
+// does not modify the request, which that connection may still read.
+func (p *Pool) stateDeadline(req *http.Request, c *executor.Call) *http.Request {
+	if c.Deadline.IsZero() {
+		return req
+	}
+	stated := *req
+	stated.Header = maps.Clone(req.Header)
+	stated.Header[p.cfg.Dialect.DeadlineMS] = []string{strconv.FormatInt(max(1, time.Until(c.Deadline).Milliseconds()), 10)}
+	return &stated
+}
+
 // responseBody is the body of a response. If it is read up to io.EOF, its connection returns to the pool; otherwise Close closes the
 // connection.
 type responseBody struct {
