peers: callers sent to other zones get no small hosts that add no capacity

What callers saw: once all hosts of a zone have lost their way to the endpoints, its callers are given the ready hosts of other zones, all of them, in the order of their addresses. Callers spread evenly, so that hosts of few cores get as many requests as large ones, just when a whole zone's requests move to them.

Evidence: TestSmallHostsElsewhereGetNoLargeShare failed before: the nine hosts of another zone (two of 0.8 cores, seven of 0.16) were all given, of which nine times the smallest is less than twice the largest.

Why the fix works: the hosts are ordered by cores, and Table.advertisedCount leaves out those that add no capacity, as in a host's own zone. It keeps as many as have the most capacity: the rate of other zones is known only in part, and equal hosts are all kept as before. A host that has restarted under another name is taken once.

--- a/internal/coordination/peers/advertised.go
+++ b/internal/coordination/peers/advertised.go
@@ -175,14 +175,23 @@
 	return cutOff
 }
 
-// reachingElsewhere returns the caller addresses of the live hosts of other zones that accept requests and have not lost their way to endpoints, in order.
-// t.mu must be held.
+// reachingElsewhere returns the caller addresses of the live hosts of other zones that accept requests and have not lost their way to endpoints, those with the
+// most cores first. Hosts that add no capacity to the others are left out: callers spread evenly over these hosts too. t.mu must be held.
 func (t *Table) reachingElsewhere(now time.Time) (list []string) {
+	byAddress := map[string]Host{}
 	for _, p := range t.hosts {
-		if p.Zone != t.cfg.Self.Zone && t.isLive(p, now) && p.Ready && !p.Leaving && !p.CutOff {
-			list = append(list, p.CallerAddress)
+		if p.Zone == t.cfg.Self.Zone || !t.isLive(p, now) || !p.Ready || p.Leaving || p.CutOff {
+			continue
+		}
+		if other, ok := byAddress[p.CallerAddress]; !ok || other.replacedBy(p.Host) {
+			byAddress[p.CallerAddress] = p.Host
 		}
 	}
-	slices.Sort(list)
-	return slices.Compact(list)
+	ranked := slices.SortedFunc(maps.Values(byAddress), func(a, b Host) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.CallerAddress, b.CallerAddress))
+	})
+	for _, h := range ranked[:t.advertisedCount(ranked, math.Inf(1))] {
+		list = append(list, h.CallerAddress)
+	}
+	return list
 }
