--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -42,3 +42,13 @@
 	is.NoErr(soak.Run(t.Context(), soak.Config{Seed: 4, Hosts: 3, Length: 8 * time.Second, Only: []string{"crashing-request", "endpoint-limits", "endpoint-killed", "kill"},
 		Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
 }
+
+// TestSoakCopiedRejections guards against a rejection that an endpoint sends once more, before the response to a request that it runs, and that is taken for the
+// rejection of this request.
+func TestSoakCopiedRejections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	bin, err := testbed.Build(t.TempDir(), "arbutusspan")
+	is.NoErr(err)
+	is.NoErr(soak.Run(t.Context(), soak.Config{Seed: 9201, Hosts: 3, Length: 14 * time.Second, Only: []string{"rejection-copies"}, Program: bin["arbutusspan"], Dir: t.TempDir(), Out: t.Output()}))
+}
