upstreamconn: refuse responses whose status line HTTP/1.1 does not allow

Cause: net/http reads the status with strconv.Atoi and checks neither its first digit nor the major version nor the bytes of the reason, and nothing behind it asked again. Statuses 000, 007, 099, +20, -00 and 600 to 999 passed, HTTP/0.9 and HTTP/2.0 as versions, two spaces, and control bytes in the reason. The health check of endpoints took status 000 for healthy, since it is below 500.

The scanner that counts the lines of a head on its way to net/http is now strictresponse.Scanner, and checks each status line, also the interim ones. It sees the bytes before they are parsed, so that all readers of the pool are covered: requests, hops, load probes and health checks. The request fails as after any broken connection: 502, sent again only if it is idempotent, no promise. RFC 9110 calls statuses outside 100 to 599 invalid; higher minor versions of HTTP/1, an empty reason and bytes above 127 in it are allowed and still pass (TestUnusualAnswer).

--- a/internal/testbed/rawserver/rawserver.go
+++ b/internal/testbed/rawserver/rawserver.go
@@ -9,15 +9,15 @@
 	"strings"
 )
 
-// WholeAnswer is a complete HTTP/1.1 answer.
-type WholeAnswer struct {
+// Answer is the text of an answer.
+type Answer struct {
 	Name, Method string // method of the request
 	Text         string // %s stands for further header fields, each with its line end
 	UntilClose   bool   // the end of the connection ends the body
 }
 
 // WholeAnswers are answers whose ends are found in all ways that HTTP/1.1 has.
-var WholeAnswers = []WholeAnswer{
+var WholeAnswers = []Answer{
 	{"length", http.MethodGet, "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nbody", false},
 	{"no content", http.MethodGet, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", false},
 	{"length first", http.MethodGet, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n", false},
@@ -36,8 +36,39 @@
 	{"HTTP/1.0", http.MethodGet, "HTTP/1.0 200 OK\r\n%s\r\nbody", true},
 }
 
+// MalformedAnswers are no HTTP/1.1 answers.
+var MalformedAnswers = []Answer{
+	{"status 000", http.MethodGet, "HTTP/1.1 000 OK\r\n%sContent-Length: 4\r\n\r\nbody", false},
+	{"status 000, chunked", http.MethodGet, "HTTP/1.1 000 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
+	{"status 000, until close", http.MethodGet, "HTTP/1.1 000 OK\r\n%s\r\nbody", true},
+	{"status 000 after interim", http.MethodGet, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status 007", http.MethodGet, "HTTP/1.1 007 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status 099", http.MethodGet, "HTTP/1.1 099 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status +20", http.MethodGet, "HTTP/1.1 +20 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status -00", http.MethodGet, "HTTP/1.1 -00 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status 600", http.MethodGet, "HTTP/1.1 600 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status 999, no reason", http.MethodGet, "HTTP/1.1 999\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status of two digits", http.MethodGet, "HTTP/1.1 20\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"status of four digits", http.MethodGet, "HTTP/1.1 2000 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"two spaces", http.MethodGet, "HTTP/1.1  200 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"HTTP/0.9", http.MethodGet, "HTTP/0.9 200 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"HTTP/2.0", http.MethodGet, "HTTP/2.0 200 OK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"control byte in the reason", http.MethodGet, "HTTP/1.1 200 O\x01K\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"CR in the reason", http.MethodGet, "HTTP/1.1 200 O\rK\r\n%sContent-Length: 0\r\n\r\n", false},
+	{"two CR", http.MethodGet, "HTTP/1.1 200 OK\r\r\n%sContent-Length: 0\r\n\r\n", false},
+}
+
+// UnusualAnswers are whole answers with forms that HTTP/1.1 has recipients accept, though they are rarely sent.
+var UnusualAnswers = []Answer{
+	{"HTTP/1.2", http.MethodGet, "HTTP/1.2 200 OK\r\n%sContent-Length: 4\r\n\r\nbody", false},
+	{"empty reason", http.MethodGet, "HTTP/1.1 200 \r\n%sContent-Length: 4\r\n\r\nbody", false},
+	{"tab and bytes above 127 in the reason", http.MethodGet, "HTTP/1.1 200 \tgr\xc3\xbc\xc3\x9f \r\n%sContent-Length: 4\r\n\r\nbody", false},
+	{"status 599", http.MethodGet, "HTTP/1.1 599 OK\r\n%sContent-Length: 4\r\n\r\nbody", false},
+	{"folded field", http.MethodGet, "HTTP/1.1 200 OK\r\nX: 1,\r\n 2\r\n%sContent-Length: 4\r\n\r\nbody", false},
+}
+
 // With returns the text of the answer with further header fields, which end their lines with CR LF.
-func (a WholeAnswer) With(fields string) string {
+func (a Answer) With(fields string) string {
 	if !strings.Contains(a.Text, "\r\n") {
 		fields = strings.ReplaceAll(fields, "\r\n", "\n")
 	}
@@ -59,7 +90,7 @@
 
 // EndAt returns the number of bytes of text, a result of With, from which on a client has to take the answer for whole if the connection is closed, or is
 // reset, behind them.
-func (a WholeAnswer) EndAt(text string, reset bool) int {
+func (a Answer) EndAt(text string, reset bool) int {
 	switch {
 	case !a.UntilClose:
 		return len(text)
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -1,7 +1,6 @@
 package upstreamconn
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"sync"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
 // connState is the state of a guardedConn.
@@ -22,63 +22,13 @@
 	unsolicited                       // bytes arrived that belong to no request
 )
 
-// maxHeaderLines is the maximum number of lines in a response's status line and header, including those of interim (1xx) responses.
+// maxHeaderLines is the maximum number of lines in a response's status line and header, including those of interim (1xx) responses. Many short lines take
+// many times their size in memory when they are parsed.
 const maxHeaderLines = 256
 
 // errHeaderLines is returned by Read of a connection on which a response has a longer header.
 var errHeaderLines = errors.New("the header of the response has too many lines")
 
-// headScanner finds the end of the head of a response, which consists of interim responses and the final status line and header, in the bytes
-// of a connection, and counts its lines. Many short lines take many times their size in memory when they are parsed.
-type headScanner struct {
-	lines   int
-	start   [len("HTTP/1.1 1")]byte // of the current status line
-	column  int                     // length of the current line so far
-	onlyCR  bool                    // the current line so far is a carriage return
-	inHead  bool                    // the current line belongs to a header; otherwise it is a status line
-	ended   bool
-	interim bool // the current header is that of an interim response
-}
-
-// scan scans the next bytes. It returns false if the head has more than maxHeaderLines lines.
-func (s *headScanner) scan(b []byte) bool {
-	for len(b) > 0 && !s.ended {
-		i := bytes.IndexByte(b, '\n')
-		line, found := b, i >= 0
-		if found {
-			line, b = b[:i], b[i+1:]
-		} else {
-			b = nil
-		}
-		if !s.inHead && s.column < len(s.start) {
-			copy(s.start[s.column:], line)
-		}
-		if len(line) > 0 {
-			s.onlyCR = s.column == 0 && line[0] == '\r' && len(line) == 1
-		}
-		s.column += len(line)
-		if found {
-			s.endLine()
-		}
-	}
-	return s.lines <= maxHeaderLines
-}
-
-// endLine records the end of a line.
-func (s *headScanner) endLine() {
-	s.lines++
-	blank := s.column == 0 || s.onlyCR
-	switch {
-	case !s.inHead:
-		s.inHead, s.interim = true, s.start[len(s.start)-1] == '1'
-	case blank && s.interim:
-		s.inHead = false
-	case blank:
-		s.ended = true
-	}
-	s.column, s.onlyCR = 0, false
-}
-
 // smallHeadBytes is the size in bytes up to which a response's head does not count for Config.MaxUnfinishedHeads.
 const smallHeadBytes = 8 << 10
 
@@ -109,9 +59,9 @@
 
 	mu      sync.Mutex
 	state   connState
-	head    headScanner // of the current response
-	size    int64       // of what has arrived of the head
-	counted int64       // the part of size that unfinishedHeads has
+	head    strictresponse.Scanner // of the current response
+	size    int64                  // of what has arrived of the head
+	counted int64                  // the part of size that unfinishedHeads has
 	closed  bool
 	reading bool   // a Read is in progress
 	written bool   // a byte of the current request may have been passed to the kernel
@@ -185,7 +135,10 @@
 	if c.state == unsolicited {
 		return 0, errUnsolicited
 	}
-	if !c.head.scan(b[:n]) {
+	if err := c.head.Scan(b[:n]); err != nil {
+		return 0, err
+	}
+	if c.head.Lines() > maxHeaderLines {
 		return 0, errHeaderLines
 	}
 	if !c.countLocked(n) {
@@ -196,7 +149,7 @@
 
 // countLocked counts n more bytes of an unfinished head. It returns false if there are too many on all connections.
 func (c *guardedConn) countLocked(n int) bool {
-	if c.head.ended || c.closed {
+	if c.head.Ended() || c.closed {
 		c.uncountLocked()
 		return true
 	}
@@ -260,7 +213,7 @@
 	if c.state != idle || c.ended() {
 		return false
 	}
-	c.state, c.written, c.writtenAt, c.head = readyForRequest, false, time.Time{}, headScanner{}
+	c.state, c.written, c.writtenAt, c.head = readyForRequest, false, time.Time{}, strictresponse.Scanner{}
 	c.uncountLocked()
 	return true
 }
@@ -277,12 +230,12 @@
 func (c *guardedConn) answerUnseen() (writtenAt time.Time, unseen bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writtenAt, c.unread || c.head.ended
+	return c.writtenAt, c.unread || c.head.Ended()
 }
 
 // headerBegun reports whether a part of a response's status line or header has arrived, but not its end.
 func (c *guardedConn) headerBegun() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.inHead && !c.head.ended || c.head.column > 0
+	return c.head.Begun()
 }
