upstreamconn: a response without a length is not whole if its connection was reset

An endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; the client got that part as a complete answer (MIXED).

Cause: the kernel reports a reset once. The write of the upload that fails takes ECONNRESET, the read after it returns an end of file, and that ends a body without a length in order. TestResetMetByWrite shows the kernel's part on a connection of its own. A second way to the same: Close asks sockbuf whether a response lies in the receive buffer, and takes the error from a Read that waits (TestPeekBeforeClose). The other peeks come before a request is written and give the connection up, so that no response can follow.

An end of file counts only if the connection is not dead, which TCP_INFO tells without taking anything, or if no write met anything but EPIPE: that is what a write gets when the reset follows the peer's end of file, and all that the peer had sent has arrived then. A reader that finds the connection dead waits for a write in progress, which fails at once, so that the order of the two goroutines does not matter. Responses with a length or in chunks do not depend on the end of their connection.

--- a/internal/transport/sockbuf/sockbuf.go
+++ b/internal/transport/sockbuf/sockbuf.go
@@ -76,6 +76,16 @@
 	return state, n
 }
 
+// Dead reports whether a connection was reset, or has failed otherwise: nothing can be sent or received any more, apart from what lies in the receive buffer. It
+// is false for a connection that the peer alone has closed, and if the connection does not tell. It leaves the connection's error to the next read or write.
+func Dead(c net.Conn) (is bool) {
+	control(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		is = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return is
+}
+
 // Writable reports whether the send buffer has room for a write that waits for it. It takes no notice of deadlines.
 func Writable(c net.Conn) bool { return ready(c, unix.POLLOUT) }
 
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -129,6 +130,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
+	if err == io.EOF && c.closed { // Close may have taken the error that ended the connection
+		err = net.ErrClosed
+	}
 	if n > 0 && c.state != awaitingResponse {
 		c.state = unsolicited
 	}
--- a/internal/transport/upstreamconn/owndelay_test.go
+++ b/internal/transport/upstreamconn/owndelay_test.go
@@ -68,12 +68,13 @@
 				if err != nil {
 					return nil, err
 				}
-				guarded := nc.(*guardedConn)
-				socket := &unreadConn{guarded.Conn.(*net.TCPConn), make(chan struct{})}
-				guarded.Conn = socket
-				sockets <- socket
+				wrapSocket(nc, func(c *net.TCPConn) net.Conn {
+					socket := &unreadConn{c, make(chan struct{})}
+					sockets <- socket
+					return socket
+				})
 				time.Sleep(c.dialDelay)
-				return guarded, nil
+				return nc, nil
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
 	"github.com/arbutusspan/arbutusspan/internal/state/endpoints"
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
 // Config configures a Pool.
@@ -102,7 +103,7 @@
 				return nil, err
 			}
 			guarded := ctx.Value(guardedConnKey{}).(*guardedConn) // always set, because only dial opens connections
-			guarded.Conn = nc
+			guarded.Conn = strictresponse.NewResetConn(nc)
 			return guarded, nil
 		},
 	}
--- a/internal/transport/upstreamconn/unread_test.go
+++ b/internal/transport/upstreamconn/unread_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
 // lateReader is a connection of a process whose reader gets no processor after the first response, until release or Close is called.
@@ -45,14 +46,21 @@
 		if err != nil {
 			return nil, err
 		}
-		guarded := nc.(*guardedConn)
-		c := &lateReader{TCPConn: guarded.Conn.(*net.TCPConn), reads: reads, released: make(chan struct{})}
-		guarded.Conn = c
-		opened(c)
-		return guarded, nil
+		wrapSocket(nc, func(socket *net.TCPConn) net.Conn {
+			c := &lateReader{TCPConn: socket, reads: reads, released: make(chan struct{})}
+			opened(c)
+			return c
+		})
+		return nc, nil
 	}
 }
 
+// wrapSocket replaces the socket of a new connection of a pool.
+func wrapSocket(c net.Conn, wrap func(*net.TCPConn) net.Conn) {
+	reset := c.(*guardedConn).Conn.(*strictresponse.ResetConn)
+	reset.Conn = wrap(reset.Conn.(*net.TCPConn))
+}
+
 // TestUnreadBeforeRequest guards against a request that is written to an idle connection, and so counts as sent, although the upstream had closed it or
 // written bytes that belong to no request, because the process has not read them yet.
 func TestUnreadBeforeRequest(t *testing.T) {
