httpfetch: the same rule for answers of the store and of other hosts

A host took an append for done, and the state of another host for whole, on the word of bytes that are no HTTP/1.1 answer; an upload to the store that was reset could end in a part of an answer. The causes are those of the pool, in the two places that read answers through http.Transport.

strictresponse.Transport applies Scanner and ResetConn to an http.Transport. httptrace says which connection a request has got, so that the scanner knows where a response begins, also on a kept connection. httpfetch.NewClient makes the clients of Do with it, so that a caller does not have to remember the limit on headers either. sockbuf asks the innermost of connections that wrap one another.

A connection that is closed in the moment after an end of file does not tell any more whether it was reset; ResetConn then returns that it is closed. In the pool guardedConn said so already.

--- a/internal/gateway/cut_state_test.go
+++ b/internal/gateway/cut_state_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -31,6 +32,15 @@
 		{"chunked", fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)},
 		{"until close", head + "\r\n" + body},
 	} {
+		t.Run(c.framing+", malformed", func(t *testing.T) {
+			is := is.New(t)
+			malformed := strings.Replace(c.whole, "\r\n", "\r\nX Y: 1\r\n", 1)
+			server, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) { return malformed, rawserver.Close })
+			is.NoErr(err)
+			defer server.Close()
+			is.True(!late.fetchConfiguration(t.Context(), 4, peers.Host{Name: "peer", StateAddress: server.Address()}))
+			is.Equal(late.version(), uint64(3))
+		})
 		for _, end := range []rawserver.End{rawserver.Reset, rawserver.Close} {
 			t.Run(fmt.Sprintf("%s, reset %t", c.framing, end == rawserver.Reset), func(t *testing.T) {
 				is := is.New(t)
--- a/internal/gateway/state_transfer.go
+++ b/internal/gateway/state_transfer.go
@@ -162,7 +162,7 @@
 		return nil, trace.Wrap(err)
 	}
 	req.Header.Set("Accept-Encoding", "gzip")
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: httpfetch.MaxHeaderBytes}}
+	client := httpfetch.NewClient(&http.Transport{DisableKeepAlives: true, DisableCompression: true})
 	begin := time.Now()
 	resp, err := httpfetch.Do(client, req, httpfetch.Limits{Idle: idle, Bytes: maxTransferBytes})
 	if err != nil {
--- a/internal/testbed/rawserver/rawserver.go
+++ b/internal/testbed/rawserver/rawserver.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // Answer is the text of an answer.
@@ -131,6 +132,7 @@
 	Keep End = iota
 	Close
 	Reset
+	ResetLater // a millisecond after the answer
 )
 
 // Server answers requests with bytes that need not be HTTP.
@@ -178,7 +180,10 @@
 			return
 		}
 		switch end {
-		case Reset:
+		case Reset, ResetLater:
+			if end == ResetLater {
+				time.Sleep(time.Millisecond)
+			}
 			if tcp, ok := c.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0) // fails only if the connection has ended
 			}
--- a/internal/transport/httpfetch/httpfetch.go
+++ b/internal/transport/httpfetch/httpfetch.go
@@ -11,12 +11,18 @@
 	"github.com/gravitational/trace"
 
 	"github.com/arbutusspan/arbutusspan/internal/transport/errtext"
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
-// MaxHeaderBytes is the maximum size of a response's status line and header in bytes. The transports of clients that are passed to Do should
-// have it as their limit; that of net/http is 10 MiB.
+// MaxHeaderBytes is the maximum size of a response's status line and header in bytes. The default of net/http is 10 MiB.
 const MaxHeaderBytes = 64 << 10
 
+// NewClient returns a client for Do. It takes t over, with MaxHeaderBytes as its limit, and accepts only what HTTP/1.1 allows as a response.
+func NewClient(t *http.Transport) *http.Client {
+	t.MaxResponseHeaderBytes = MaxHeaderBytes
+	return &http.Client{Transport: strictresponse.NewTransport(t)}
+}
+
 // Limits bound a call.
 type Limits struct {
 	Idle  time.Duration // maximum time without progress: until the response's header, and then until the next bytes of its body
@@ -34,7 +40,7 @@
 	Body   []byte
 }
 
-// Do makes a call and reads the whole response. The error is a trace.ConnectionProblem if the call failed, the response ended early or made no
+// Do makes a call with a client of NewClient and reads the whole response. The error is a trace.ConnectionProblem if the call failed, the response ended early or made no
 // progress, and a trace.LimitExceeded if its body is too large. The call's connection is then closed.
 func Do(client *http.Client, req *http.Request, limits Limits) (*Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
--- /dev/null
+++ b/internal/transport/httpfetch/malformed_answer_test.go
@@ -0,0 +1,103 @@
+package httpfetch
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+
+	"github.com/arbutusspan/arbutusspan/internal/testbed/rawserver"
+)
+
+// answering starts a server that sends a whole answer to the first request of each connection if kept is set, and the text of a to each other one.
+func answering(t *testing.T, a rawserver.Answer, kept bool) *rawserver.Server {
+	t.Helper()
+	s, err := rawserver.New(func(nth int, _ *http.Request) (string, rawserver.End) {
+		if kept && nth == 0 {
+			return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", rawserver.Keep
+		}
+		return a.With(""), rawserver.Close
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// fetch makes a call whose request cannot be sent again.
+func fetch(t *testing.T, client *http.Client, s *rawserver.Server, method string) (*Response, error) {
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.Address()+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Do(client, req, Limits{Idle: time.Second, Bytes: 100})
+}
+
+// TestMalformedAnswer guards against bytes that are no HTTP/1.1 response and are taken for one, on new and on kept connections.
+func TestMalformedAnswer(t *testing.T) {
+	for _, a := range rawserver.MalformedAnswers {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept %t", a.Name, kept), func(t *testing.T) {
+				is := is.New(t)
+				s, client := answering(t, a, kept), NewClient(&http.Transport{})
+				defer client.CloseIdleConnections()
+				if kept {
+					_, err := fetch(t, client, s, http.MethodGet)
+					is.NoErr(err)
+				}
+				r, err := fetch(t, client, s, http.MethodPost) // a GET may be sent again, on a new connection
+				if !trace.IsConnectionProblem(err) {
+					t.Errorf("%+v, %v", r, err)
+				}
+			})
+		}
+	}
+}
+
+// TestAllowedAnswer guards against the loss of responses that HTTP/1.1 allows, on new and on kept connections.
+func TestAllowedAnswer(t *testing.T) {
+	for _, a := range slices.Concat(rawserver.WholeAnswers, rawserver.UnusualAnswers) {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept %t", a.Name, kept), func(t *testing.T) {
+				is := is.New(t)
+				s, client := answering(t, a, kept), NewClient(&http.Transport{})
+				defer client.CloseIdleConnections()
+				if kept {
+					r, err := fetch(t, client, s, http.MethodGet)
+					is.NoErr(err)
+					is.Equal(string(r.Body), "first")
+				}
+				r, err := fetch(t, client, s, a.Method)
+				is.NoErr(err)
+				is.True(string(r.Body) != "first")
+			})
+		}
+	}
+}
+
+// TestResetWhileSending guards against the part of a response without a length that is taken as whole, if the server resets the connection while the
+// request's body is being written.
+func TestResetWhileSending(t *testing.T) {
+	is := is.New(t)
+	const runs = 25
+	s, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) {
+		return "HTTP/1.1 200 OK\r\n\r\npart", rawserver.ResetLater
+	})
+	is.NoErr(err)
+	defer s.Close()
+	whole := 0
+	for range runs {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Address()+"/", bytes.NewReader(make([]byte, 8<<20)))
+		is.NoErr(err)
+		if _, err := Do(NewClient(&http.Transport{DisableKeepAlives: true}), req, Limits{Idle: time.Second, Bytes: 100}); err == nil {
+			whole++
+		}
+	}
+	is.Equal(whole, 0)
+}
--- a/internal/transport/sockbuf/sockbuf.go
+++ b/internal/transport/sockbuf/sockbuf.go
@@ -1,5 +1,5 @@
 // Package sockbuf tells what lies in the kernel's buffers of a connection or listener. A process that gets a processor late must not take what
-// it has not read yet for something that has not arrived.
+// it has not read yet for something that has not arrived. Of connections that wrap another one, the functions ask the innermost.
 package sockbuf
 
 import (
@@ -118,8 +118,14 @@
 	return is
 }
 
+// wrapper is implemented by connections that pass reads and writes on to another one, like those of crypto/tls.
+type wrapper interface{ NetConn() net.Conn }
+
 // control calls f with the descriptor of a connection or listener. It does not if there is none, or if it is closed.
 func control(c any, f func(fd int)) {
+	for w, ok := c.(wrapper); ok; w, ok = c.(wrapper) {
+		c = w.NetConn()
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return
--- a/internal/transport/strictresponse/reset.go
+++ b/internal/transport/strictresponse/reset.go
@@ -1,11 +1,13 @@
 package strictresponse
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
@@ -17,6 +19,7 @@
 	net.Conn
 	writing  sync.Mutex // held while Write calls the connection
 	writeErr error      // of the first Write that met a failure of the connection; guarded by writing
+	closed   atomic.Bool
 }
 
 // NewResetConn returns c as a ResetConn. Nothing else may read the errors of c, for example with sockbuf.Received, while a response is read.
@@ -37,21 +40,31 @@
 // Read implements net.Conn.
 func (c *ResetConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err == io.EOF && sockbuf.Dead(c.Conn) {
-		c.writing.Lock() // a Write in progress fails at once, perhaps with the error that is missing here
-		defer c.writing.Unlock()
-		if c.writeErr != nil {
-			return n, c.writeErr
-		}
+	if err == io.EOF {
+		err = c.endError()
 	}
 	return n, err
 }
 
-// SyscallConn implements syscall.Conn.
-func (c *ResetConn) SyscallConn() (syscall.RawConn, error) {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errors.ErrUnsupported
+// endError returns what a Read that got an end of file returns.
+func (c *ResetConn) endError() error {
+	dead := sockbuf.Dead(c.Conn)
+	if c.closed.Load() { // a closed connection does not tell whether it was dead
+		return net.ErrClosed
 	}
-	return s.SyscallConn()
+	if !dead {
+		return io.EOF
+	}
+	c.writing.Lock() // a Write in progress fails at once, perhaps with the error that is missing here
+	defer c.writing.Unlock()
+	return cmp.Or(c.writeErr, io.EOF)
 }
+
+// Close implements net.Conn.
+func (c *ResetConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// NetConn returns the connection that c reads and writes.
+func (c *ResetConn) NetConn() net.Conn { return c.Conn }
--- a/internal/transport/strictresponse/reset_test.go
+++ b/internal/transport/strictresponse/reset_test.go
@@ -110,6 +110,36 @@
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
 
+// closedAtEndConn calls close when Read has got an end of file.
+type closedAtEndConn struct {
+	*net.TCPConn
+	close func()
+}
+
+func (c *closedAtEndConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if err == io.EOF {
+		c.close()
+	}
+	return n, err
+}
+
+// TestResetMetByWriteBeforeClose guards against an end of file for a connection that was reset, if it is closed before it is asked whether it was.
+func TestResetMetByWriteBeforeClose(t *testing.T) {
+	is := is.New(t)
+	near, far := connect(t)
+	closing := &closedAtEndConn{TCPConn: near}
+	c := NewResetConn(closing)
+	closing.close = func() { c.Close() }
+	is.NoErr(far.SetLinger(0))
+	is.NoErr(far.Close())
+	awaitDead(t, c)
+	_, err := c.Write([]byte("upload"))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, net.ErrClosed))
+}
+
 // TestEndOfFileDuringWrite guards against a reader that waits for a write which the peer does not read.
 func TestEndOfFileDuringWrite(t *testing.T) {
 	is := is.New(t)
