client: the same rule for responses of entry hosts

A program that uses the client got bytes that are no HTTP/1.1 response as one, and the part of a response without a length whose connection was reset while the request's body was written as a whole one.

Connections are strictresponse.Conns now, which check each response from its beginning on. Such a call counts as sent, with an unknown outcome.

--- a/client/conn.go
+++ b/client/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
 const (
@@ -30,21 +32,22 @@
 
 type conn struct {
 	*http.ClientConn
-	written *atomic.Int64
-	idleAt  time.Time
+	wire   *wire
+	idleAt time.Time
 }
 
-// writtenKey is the context key of the counter for the bytes written to a new connection.
-type writtenKey struct{}
+// wireKey is the context key of the wire that a new connection becomes.
+type wireKey struct{}
 
-// writeCounter counts bytes before they are passed to the kernel, because a write that fails may have sent a part of them.
-type writeCounter struct {
-	net.Conn
-	n *atomic.Int64
+// wire is a connection that accepts only what HTTP/1.1 allows as a response. It counts bytes before they are passed to the kernel, because a write that
+// fails may have sent a part of them.
+type wire struct {
+	*strictresponse.Conn
+	written atomic.Int64
 }
 
-func (w writeCounter) Write(b []byte) (int, error) {
-	w.n.Add(int64(len(b)))
+func (w *wire) Write(b []byte) (int, error) {
+	w.written.Add(int64(len(b)))
 	return w.Conn.Write(b)
 }
 
@@ -58,7 +61,9 @@
 			if err != nil {
 				return nil, err
 			}
-			return writeCounter{c, ctx.Value(writtenKey{}).(*atomic.Int64)}, nil
+			w := ctx.Value(wireKey{}).(*wire)
+			w.Conn = strictresponse.NewConn(c)
+			return w, nil
 		}}}
 }
 
@@ -87,11 +92,12 @@
 		// NopCloser hides the reader's type, so that net/http cannot rewind the body and send the request again.
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	}
-	before := c.written.Load()
+	before := c.wire.written.Load()
+	c.wire.BeginResponse()
 	resp, err := c.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		c.Close()
-		return nil, &attemptError{sent: c.written.Load() > before, err: err}
+		return nil, &attemptError{sent: c.wire.written.Load() > before, err: err}
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	resp.Body.Close()
@@ -114,12 +120,12 @@
 	if c := p.takeIdle(address); c != nil {
 		return c, nil
 	}
-	written := &atomic.Int64{}
-	cc, err := p.transport.NewClientConn(context.WithValue(ctx, writtenKey{}, written), "http", address)
+	w := &wire{}
+	cc, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, w), "http", address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{ClientConn: cc, written: written}, nil
+	return &conn{ClientConn: cc, wire: w}, nil
 }
 
 func (p *connPool) takeIdle(address string) *conn {
