platform: the same rule for responses of the log and of the host list

The daemon for customers' contracts took an append to the log for done, and a list of hosts for whole, on the word of bytes that are no HTTP/1.1 response, or of a part of one.

Failed before: 11 cases of TestMalformedAnswer; TestResetWhileSending in 20 of 25 runs. Now none, also in 20 runs of the latter.

--- a/internal/transport/platform/traffic.go
+++ b/internal/transport/platform/traffic.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
 // traffic counts the bytes that one client's connections have sent and received, without TCP and IP headers.
@@ -13,7 +15,7 @@
 // Traffic returns the numbers of bytes that the client has sent and received.
 func (t *traffic) Traffic() (sent, received int64) { return t.sent.Load(), t.received.Load() }
 
-// newClient returns an HTTP client whose connections add their bytes to t.
+// newClient returns an HTTP client whose connections add their bytes to t. It accepts only what HTTP/1.1 allows as a response.
 func (t *traffic) newClient() *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	dial := transport.DialContext
@@ -24,7 +26,7 @@
 		}
 		return &countedConn{c, t}, nil
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: strictresponse.NewTransport(transport)}
 }
 
 // countedConn is a connection that counts its bytes.
@@ -44,3 +46,6 @@
 	c.t.sent.Add(int64(n))
 	return n, err
 }
+
+// NetConn returns the connection that c reads and writes.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
