ctl: the same rule for responses of hosts

arbutusctl took a change for accepted if a host's response had status 000, since only statuses from 400 on were failures, and also if its head was malformed otherwise. Such a change now ends with the exit code for an unknown outcome, and a query asks the next host.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/arbutusspan/arbutusspan/internal/transport/admin"
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
 // Exit codes. Scripts may branch on them.
@@ -46,6 +47,11 @@
 	http  *http.Client
 }
 
+// newHTTPClient returns a client that accepts only what HTTP/1.1 allows as a response.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: strictresponse.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+}
+
 // maxResponseBytes limits how much of a host's response is read.
 const maxResponseBytes = 64 << 20
 
--- a/internal/ctl/gateway_hosts.go
+++ b/internal/ctl/gateway_hosts.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutusspan/arbutusspan/internal/gateway"
+	"github.com/arbutusspan/arbutusspan/internal/transport/strictresponse"
 )
 
 const (
@@ -152,7 +153,7 @@
 }
 
 func gatewayClient(address string) *client {
-	return &client{hosts: []string{"http://" + address}, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &client{hosts: []string{"http://" + address}, http: &http.Client{Transport: strictresponse.NewTransport(&http.Transport{DisableKeepAlives: true})}}
 }
 
 // label returns how messages name a host.
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -71,7 +70,7 @@
 		ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
 		defer cancel()
 		return run(ctx, &session{
-			client:  &client{hosts: hosts, token: cmd.String("token"), http: &http.Client{}},
+			client:  &client{hosts: hosts, token: cmd.String("token"), http: newHTTPClient()},
 			printer: newPrinter(cmd),
 			cmd:     cmd,
 		})
