strictresponse: errors say what is malformed

The log line of a request (result="lost: ...") named the same reason for each malformed head. It now tells a status line, a field and framing apart. Which heads are refused is the same; FuzzScanner still agrees with its regular expressions on the kept inputs.

--- a/internal/transport/strictresponse/scanner.go
+++ b/internal/transport/strictresponse/scanner.go
@@ -8,8 +8,12 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrMalformed is the error of a response whose head HTTP/1.1 does not allow.
-var ErrMalformed = errors.New("the status line or header of the response is malformed")
+// Errors of Scan.
+var (
+	errStatusLine = errors.New("the status line of the response is malformed")
+	errField      = errors.New("a field in the header of the response has no valid name")
+	errAmbiguous  = errors.New("the response has a Transfer-Encoding beside a Content-Length, or in HTTP/1.0")
+)
 
 // Scanner checks the head of a response as its bytes arrive. The head consists of interim (1xx) responses and the final status line and header; what
 // follows it is ignored. Lines may end with LF alone (RFC 9112, section 2.2).
@@ -21,9 +25,9 @@
 	nameEnded bool // the current line is past the name of its field
 	cr        bool // the last byte of the current line so far is a CR
 	ended     bool
-	malformed bool
-	status    int // digits of the current status
-	minor     int // digit of the current minor version
+	err       error // why the head is malformed
+	status    int   // digits of the current status
+	minor     int   // digit of the current minor version
 
 	name         [len(transferEncoding)]byte // the beginning of the current field's name, in lower case
 	codings      bool                        // the current header has a Transfer-Encoding
@@ -36,9 +40,9 @@
 	contentLength    = "content-length"
 )
 
-// Scan scans the next bytes. It returns ErrMalformed for the rest of the response once its head is malformed.
+// Scan scans the next bytes. Once the head is malformed, it returns the same error for the rest of the response.
 func (s *Scanner) Scan(b []byte) error {
-	for len(b) > 0 && !s.ended && !s.malformed {
+	for len(b) > 0 && !s.ended && s.err == nil {
 		line, rest, found := bytes.Cut(b, []byte{'\n'})
 		b = rest
 		for i, c := range line {
@@ -54,14 +58,18 @@
 			s.column += len(line)
 			s.cr = line[len(line)-1] == '\r'
 		}
-		if found && !s.malformed {
+		if found && s.err == nil {
 			s.endLine()
 		}
 	}
-	if s.malformed {
-		return ErrMalformed
+	return s.err
+}
+
+// require records that the head is malformed unless ok.
+func (s *Scanner) require(ok bool, err error) {
+	if !ok && s.err == nil {
+		s.err = err
 	}
-	return nil
 }
 
 // statusLineStart is the form of a status line up to its reason: d stands for a digit, and c for the class of the status, from 1 to 5. Higher minor versions
@@ -96,7 +104,7 @@
 	case column >= statusBegin && column < statusEnd:
 		s.status = 10*s.status + int(c-'0')
 	}
-	s.malformed = s.malformed || !ok
+	s.require(ok, errStatusLine)
 }
 
 // scanName checks the byte c of a line of the header, up to the colon after the name. net/http checks the values of fields.
@@ -118,7 +126,7 @@
 			s.name[column] = c | 0x20 // the lower case of letters; what it makes of others is in neither of the names
 		}
 	}
-	s.malformed = s.malformed || !ok
+	s.require(ok, errField)
 }
 
 // endName records the end of the name of a field.
@@ -151,11 +159,11 @@
 	switch {
 	case !s.inHead:
 		s.inHead, s.anyField, s.codings, s.statesLength = true, false, false, false
-		s.malformed = length < statusEnd
+		s.require(length >= statusEnd, errStatusLine)
 	case length > 0:
-		s.malformed = !nameEnded
+		s.require(nameEnded, errField)
 	case s.isAmbiguous():
-		s.malformed = true
+		s.err = errAmbiguous
 	case s.status < 200 && s.status != 101: // no response follows Switching Protocols
 		s.inHead, s.status = false, 0
 	default:
