platform: show that unusual answers reach callers, and trailers do not

An answer whose trailer has a blank in a name gives its caller the whole body, without the trailer, which recipients may discard (RFC 9112, section 7.1.2).

--- a/internal/testbed/rawserver/rawserver.go
+++ b/internal/testbed/rawserver/rawserver.go
@@ -80,7 +80,7 @@
 	{"blank before the first name", http.MethodGet, "HTTP/1.1 200 OK\r\n X: 1\r\n%sContent-Length: 0\r\n\r\n", false},
 }
 
-// UnusualAnswers are whole answers with forms that HTTP/1.1 has recipients accept, though they are rarely sent.
+// UnusualAnswers are whole answers in forms that are rarely sent. HTTP/1.1 allows recipients to accept them; trailers may be discarded.
 var UnusualAnswers = []Answer{
 	{"HTTP/1.2", http.MethodGet, "HTTP/1.2 200 OK\r\n%sContent-Length: 4\r\n\r\nbody", false},
 	{"empty reason", http.MethodGet, "HTTP/1.1 200 \r\n%sContent-Length: 4\r\n\r\nbody", false},
@@ -88,6 +88,7 @@
 	{"status 599", http.MethodGet, "HTTP/1.1 599 OK\r\n%sContent-Length: 4\r\n\r\nbody", false},
 	{"all characters of names", http.MethodGet, "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n%sContent-Length: 4\r\n\r\nbody", false},
 	{"blank line as a fold", http.MethodGet, "HTTP/1.1 200 OK\r\nX: 1\r\n\t\r\n%sContent-Length: 4\r\n\r\nbody", false},
+	{"blank in the name of a trailer", http.MethodGet, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: trailer\r\n\r\n", false},
 	{"folded field", http.MethodGet, "HTTP/1.1 200 OK\r\nX: 1,\r\n 2\r\n%sContent-Length: 4\r\n\r\nbody", false},
 }
 
