--- a/internal/transport/httpfetch/malformed_answer_test.go
+++ b/internal/transport/httpfetch/malformed_answer_test.go
@@ -14,29 +14,31 @@
 	"github.com/arbutusspan/arbutusspan/internal/testbed/rawserver"
 )
 
-// answering starts a server that sends a whole answer to the first request of each connection if kept is set, and the text of a to each other one.
-func answering(t *testing.T, a rawserver.Answer, kept bool) *rawserver.Server {
+// fetch makes a call that gets the text of a, on a new connection or on one that has carried a whole response before.
+func fetch(t *testing.T, a rawserver.Answer, kept bool, method string) (*Response, error) {
 	t.Helper()
+	is := is.New(t)
 	s, err := rawserver.New(func(nth int, _ *http.Request) (string, rawserver.End) {
 		if kept && nth == 0 {
 			return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", rawserver.Keep
 		}
 		return a.With(""), rawserver.Close
 	})
-	if err != nil {
-		t.Fatal(err)
+	is.NoErr(err)
+	defer s.Close()
+	client := NewClient(&http.Transport{})
+	defer client.CloseIdleConnections()
+	call := func(method string) (*Response, error) {
+		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.Address()+"/", nil)
+		is.NoErr(err)
+		return Do(client, req, Limits{Idle: time.Second, Bytes: 100})
 	}
-	t.Cleanup(s.Close)
-	return s
-}
-
-// fetch makes a call whose request cannot be sent again.
-func fetch(t *testing.T, client *http.Client, s *rawserver.Server, method string) (*Response, error) {
-	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.Address()+"/", nil)
-	if err != nil {
-		t.Fatal(err)
+	if kept {
+		first, err := call(http.MethodGet)
+		is.NoErr(err)
+		is.Equal(string(first.Body), "first")
 	}
-	return Do(client, req, Limits{Idle: time.Second, Bytes: 100})
+	return call(method)
 }
 
 // TestMalformedAnswer guards against bytes that are no HTTP/1.1 response and are taken for one, on new and on kept connections.
@@ -44,14 +46,7 @@
 	for _, a := range rawserver.MalformedAnswers {
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, kept %t", a.Name, kept), func(t *testing.T) {
-				is := is.New(t)
-				s, client := answering(t, a, kept), NewClient(&http.Transport{})
-				defer client.CloseIdleConnections()
-				if kept {
-					_, err := fetch(t, client, s, http.MethodGet)
-					is.NoErr(err)
-				}
-				r, err := fetch(t, client, s, http.MethodPost) // a GET may be sent again, on a new connection
+				r, err := fetch(t, a, kept, http.MethodPost) // a GET may be sent again, on a new connection
 				if !trace.IsConnectionProblem(err) {
 					t.Errorf("%+v, %v", r, err)
 				}
@@ -66,14 +61,7 @@
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, kept %t", a.Name, kept), func(t *testing.T) {
 				is := is.New(t)
-				s, client := answering(t, a, kept), NewClient(&http.Transport{})
-				defer client.CloseIdleConnections()
-				if kept {
-					r, err := fetch(t, client, s, http.MethodGet)
-					is.NoErr(err)
-					is.Equal(string(r.Body), "first")
-				}
-				r, err := fetch(t, client, s, a.Method)
+				r, err := fetch(t, a, kept, a.Method)
 				is.NoErr(err)
 				is.True(string(r.Body) != "first")
 			})
