upstreamconn: an end of file before the end of the upload does not end a response

ResetConn now counts what has been written of a request. Where a response has neither a length nor chunks, its end of file is held back until the request is written and the peer's system has acknowledged it (TIOCOUTQ), and becomes an error if a write fails, the connection is reset or it is closed before. An endpoint that reads on after its end of file is heard to the end; a request without a body, or one that was taken before, does not wait. The deadline, WriteTimeout and a caller that leaves close the connection as before, which ends the wait and frees the upload. Heads and bodies with a length or chunks that end early fail at once, as before.

TestResetAfterEndOfFile said that a response is whole if a reset follows its end of file. For a request whose body had not arrived, nothing on the wire tells the close of a server that is done from the fault above, so both of its cases now expect an error. The cases of a request without a body, where the end of file is the end in order, are new and expect the whole response.

--- a/internal/transport/strictresponse/reset.go
+++ b/internal/transport/strictresponse/reset.go
@@ -3,41 +3,65 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
-// ResetConn is a connection whose Read returns io.EOF only if the peer has closed its side. The kernel reports a reset once: if a Write meets it, a Read
-// after that returns io.EOF, and a response that ends with its connection looks complete.
+// Errors of ConfirmEnd.
+var (
+	errRequestCut    = fmt.Errorf("the connection has failed before the peer has taken the whole request: %w", syscall.ECONNRESET)
+	errUnknownLength = errors.New("the response ends with its connection, and the request states no length")
+)
+
+// Intervals at which ConfirmEnd asks for the state of the connection.
+const (
+	minConfirmInterval = time.Millisecond
+	maxConfirmInterval = 20 * time.Millisecond
+)
+
+// ResetConn is a connection that distinguishes a response that its peer has ended in order from one that a reset has cut. The kernel reports a reset once:
+// if a Write meets it, a Read after that returns io.EOF. A reset that follows the peer's end of file is not reported to a Read at all. A response that ends
+// with its connection looks complete in both cases.
 type ResetConn struct {
 	net.Conn
-	writing  sync.Mutex // held while Write calls the connection
-	writeErr error      // of the first Write that met a failure of the connection; guarded by writing
-	closed   atomic.Bool
+	writing   sync.Mutex // held while Write calls the connection
+	mu        sync.Mutex // guards writeErr and request
+	writeErr  error      // of the first Write that failed
+	request   requestProgress
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 // NewResetConn returns c as a ResetConn. Nothing else may read the errors of c, for example with sockbuf.Received, while a response is read.
-func NewResetConn(c net.Conn) *ResetConn { return &ResetConn{Conn: c} }
+func NewResetConn(c net.Conn) *ResetConn { return &ResetConn{Conn: c, closed: make(chan struct{})} }
+
+// BeginRequest must be called before each request is written whose response may end with the connection. bodyLength is the length of the request's body in
+// bytes, or -1 if it is not known.
+func (c *ResetConn) BeginRequest(bodyLength int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request = requestProgress{bodyLength: bodyLength}
+}
 
 // Write implements net.Conn.
 func (c *ResetConn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
-	// After a reset that follows the peer's end of file, writes fail with EPIPE. All that the peer had sent has arrived then.
-	if err != nil && c.writeErr == nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.writeErr = err
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request.add(b[:n])
+	c.writeErr = cmp.Or(c.writeErr, err)
 	return n, err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. An io.EOF ends a response that has neither a length nor chunks only if ConfirmEnd says so.
 func (c *ResetConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err == io.EOF {
@@ -49,7 +73,7 @@
 // endError returns what a Read that got an end of file returns.
 func (c *ResetConn) endError() error {
 	dead := sockbuf.Dead(c.Conn)
-	if c.closed.Load() { // a closed connection does not tell whether it was dead
+	if c.isClosed() { // a closed connection does not tell whether it was dead
 		return net.ErrClosed
 	}
 	if !dead {
@@ -57,14 +81,97 @@
 	}
 	c.writing.Lock() // a Write in progress fails at once, perhaps with the error that is missing here
 	defer c.writing.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return cmp.Or(c.writeErr, io.EOF)
 }
 
+// ConfirmEnd returns io.EOF if the end of file that Read has returned is the end of a response that has neither a length nor chunks. The peer may end its
+// side of the connection before it has read the request's body, and reset the connection later: such a response was cut. ConfirmEnd therefore waits until the
+// peer's system has acknowledged the body, and returns an error if the connection fails or is closed before. It does not wait if there is no body.
+//
+// What the peer's system has acknowledged may lie in its receive buffer. A peer that resets the connection without having read it is not noticed, unless the
+// reset has arrived when ConfirmEnd is called.
+func (c *ResetConn) ConfirmEnd() error {
+	for interval := minConfirmInterval; ; interval = min(2*interval, maxConfirmInterval) {
+		if taken, err := c.requestTaken(); err != nil {
+			return err
+		} else if taken {
+			return io.EOF
+		}
+		select {
+		case <-c.closed:
+			return net.ErrClosed
+		case <-time.After(interval):
+		}
+	}
+}
+
+// requestTaken reports whether the request is written and the peer's system has acknowledged its body. The error says that this will not happen.
+func (c *ResetConn) requestTaken() (bool, error) {
+	c.mu.Lock()
+	request, writeErr := c.request, c.writeErr
+	c.mu.Unlock()
+	unacknowledged, dead := sockbuf.Unacknowledged(c.Conn), sockbuf.Dead(c.Conn)
+	switch {
+	case c.isClosed(): // a closed connection tells neither
+		return false, net.ErrClosed
+	case writeErr != nil:
+		return false, writeErr
+	case request.bodyLength < 0:
+		return false, errUnknownLength
+	case request.bodyLength == 0 && request.written():
+		return true, nil
+	case dead:
+		return false, errRequestCut
+	}
+	return request.written() && !unacknowledged, nil
+}
+
 // Close implements net.Conn.
 func (c *ResetConn) Close() error {
-	c.closed.Store(true)
+	c.closeOnce.Do(func() { close(c.closed) })
 	return c.Conn.Close()
 }
 
+func (c *ResetConn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // NetConn returns the connection that c reads and writes.
 func (c *ResetConn) NetConn() net.Conn { return c.Conn }
+
+// requestProgress is how much of a request has been written.
+type requestProgress struct {
+	bodyLength  int64 // -1 if it is not known
+	bodyWritten int64
+	headEnd     int // the length of the beginning of headEnd with which the head ends so far
+}
+
+// headEnd ends the head of a request. net/http writes no line end but CR LF.
+const headEnd = "\r\n\r\n"
+
+// add records that b was written.
+func (p *requestProgress) add(b []byte) {
+	for ; len(b) > 0 && p.headEnd < len(headEnd); b = b[1:] {
+		switch b[0] {
+		case headEnd[p.headEnd]:
+			p.headEnd++
+		case headEnd[0]:
+			p.headEnd = 1
+		default:
+			p.headEnd = 0
+		}
+	}
+	p.bodyWritten += int64(len(b))
+}
+
+// written reports whether the request is written to its end.
+func (p *requestProgress) written() bool {
+	return p.headEnd == len(headEnd) && p.bodyLength >= 0 && p.bodyWritten >= p.bodyLength
+}
--- a/internal/transport/strictresponse/reset_test.go
+++ b/internal/transport/strictresponse/reset_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
+	_ "github.com/arbutusspan/arbutusspan/internal/fixedseed"
 	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
@@ -60,28 +62,180 @@
 	is.Equal(err, io.EOF) // what ResetConn is for
 }
 
-// TestResetAfterEndOfFile guards against the loss of a whole response: the peer closes its side, and resets the connection because of what arrives then.
+const requestHead = "POST / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// readToEnd reads what the peer has sent, and returns it with the result of ConfirmEnd.
+func readToEnd(t *testing.T, c *ResetConn) (string, error) {
+	t.Helper()
+	data, err := io.ReadAll(c)
+	if err != nil {
+		return string(data), err
+	}
+	return string(data), c.ConfirmEnd()
+}
+
+// TestResetAfterEndOfFile guards against a part that is taken as whole: the peer closes the connection before the request's body has arrived, and so resets
+// it when it does. A response to a request without a body is whole.
 func TestResetAfterEndOfFile(t *testing.T) {
-	for _, written := range []bool{false, true} {
+	for _, body := range []string{"", "upload"} {
+		for _, written := range []bool{false, true} {
+			is := is.New(t)
+			near, far := connect(t)
+			c := NewResetConn(near)
+			c.BeginRequest(int64(len(body)))
+			_, err := io.WriteString(c, requestHead)
+			is.NoErr(err)
+			_, err = io.ReadFull(far, make([]byte, len(requestHead)))
+			is.NoErr(err)
+			_, err = io.WriteString(far, "answer")
+			is.NoErr(err)
+			is.NoErr(far.CloseWrite())
+			if body == "" {
+				is.NoErr(far.SetLinger(0))
+			}
+			is.NoErr(far.Close())
+			if body != "" {
+				_, err = io.WriteString(c, body)
+				is.NoErr(err)
+			}
+			awaitDead(t, c)
+			if body != "" && written {
+				_, err = io.WriteString(c, "more")
+				is.True(errors.Is(err, syscall.EPIPE))
+			}
+			data, err := readToEnd(t, c)
+			is.Equal(data, "answer")
+			switch {
+			case body == "":
+				is.Equal(err, io.EOF)
+			case written:
+				is.True(errors.Is(err, syscall.EPIPE))
+			default:
+				is.True(errors.Is(err, syscall.ECONNRESET))
+			}
+		}
+	}
+}
+
+// TestEndOfFileBeforeReset guards against a part that is taken as whole because the reset arrives after ConfirmEnd was called: the peer has not read the
+// request's body then.
+func TestEndOfFileBeforeReset(t *testing.T) {
+	is := is.New(t)
+	near, far := connect(t)
+	c := NewResetConn(near)
+	body := make([]byte, 32<<20)
+	c.BeginRequest(int64(len(body)))
+	_, err := io.WriteString(c, requestHead)
+	is.NoErr(err)
+	_, err = io.WriteString(far, "part")
+	is.NoErr(err)
+	is.NoErr(far.CloseWrite())
+	go c.Write(body)
+	ended := make(chan error)
+	go func() {
+		_, err := readToEnd(t, c)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		t.Fatal("ended before the body was read:", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	is.NoErr(far.SetLinger(0))
+	is.NoErr(far.Close())
+	err = <-ended
+	is.True(errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+}
+
+// TestEndOfFileBeforeBodyIsRead guards against the loss of a whole response: the peer reads the request's body after its end of file.
+func TestEndOfFileBeforeBodyIsRead(t *testing.T) {
+	is := is.New(t)
+	near, far := connect(t)
+	c := NewResetConn(near)
+	body := make([]byte, 32<<20)
+	c.BeginRequest(int64(len(body)))
+	_, err := io.WriteString(far, "whole")
+	is.NoErr(err)
+	is.NoErr(far.CloseWrite())
+	go func() {
+		io.WriteString(c, requestHead)
+		c.Write(body)
+	}()
+	go io.Copy(io.Discard, far)
+	data, err := readToEnd(t, c)
+	is.Equal(data, "whole")
+	is.Equal(err, io.EOF)
+}
+
+// TestConfirmEndDoesNotWait guards against a response that is held back although the peer has taken the whole request.
+func TestConfirmEndDoesNotWait(t *testing.T) {
+	for _, body := range []string{"", "upload"} {
 		is := is.New(t)
 		near, far := connect(t)
 		c := NewResetConn(near)
-		_, err := io.WriteString(far, "whole")
+		c.BeginRequest(int64(len(body)))
+		_, err := io.WriteString(c, requestHead+body)
 		is.NoErr(err)
-		is.NoErr(far.Close())
-		_, err = c.Write([]byte("upload"))
+		_, err = io.ReadFull(far, make([]byte, len(requestHead+body)))
 		is.NoErr(err)
-		awaitDead(t, c)
-		if written {
-			_, err = c.Write([]byte("upload"))
-			is.True(errors.Is(err, syscall.EPIPE))
-		}
-		data, err := io.ReadAll(c)
+		_, err = io.WriteString(far, "whole")
+		is.NoErr(err)
+		is.NoErr(far.CloseWrite())
+		_, err = io.ReadAll(c)
+		is.NoErr(err)
+		taken, err := c.requestTaken()
 		is.NoErr(err)
-		is.Equal(string(data), "whole")
+		is.True(taken)
 	}
 }
 
+// TestConfirmEndAfterClose guards against a reader that outlives its connection.
+func TestConfirmEndAfterClose(t *testing.T) {
+	is := is.New(t)
+	near, far := connect(t)
+	c := NewResetConn(near)
+	c.BeginRequest(1)
+	_, err := io.WriteString(c, requestHead)
+	is.NoErr(err)
+	is.NoErr(far.CloseWrite())
+	ended := make(chan error)
+	go func() { ended <- c.ConfirmEnd() }()
+	time.Sleep(10 * time.Millisecond)
+	is.NoErr(c.Close())
+	is.Equal(<-ended, net.ErrClosed)
+	is.Equal(c.ConfirmEnd(), net.ErrClosed)
+}
+
+// TestConfirmEndOfUnknownLength guards against a reader that waits for the end of a request which it cannot find.
+func TestConfirmEndOfUnknownLength(t *testing.T) {
+	is := is.New(t)
+	near, _ := connect(t)
+	c := NewResetConn(near)
+	c.BeginRequest(-1)
+	is.Equal(c.ConfirmEnd(), errUnknownLength)
+}
+
+// TestRequestProgress guards against a request that counts as written before its end or not at its end, however it is split into writes.
+func TestRequestProgress(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// Bodies and values may contain what ends a head, or a part of it.
+		body := rapid.StringOfN(rapid.RuneFrom([]rune("\r\nx")), 0, 20, -1).Draw(t, "body")
+		request := "POST / HTTP/1.1\r\nX: \r\r\n\r\n" + body
+		p := requestProgress{bodyLength: int64(len(body))}
+		for at := 0; at < len(request); {
+			if p.written() {
+				t.Fatalf("written with %d of %d bytes", at, len(request))
+			}
+			n := rapid.IntRange(1, len(request)-at).Draw(t, "n")
+			p.add([]byte(request[at : at+n]))
+			at += n
+		}
+		if !p.written() {
+			t.Fatal("not written")
+		}
+	})
+}
+
 // slowWriteConn returns from Write a while after the connection has.
 type slowWriteConn struct {
 	*net.TCPConn
--- a/internal/transport/strictresponse/scanner.go
+++ b/internal/transport/strictresponse/scanner.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/http"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -177,5 +178,10 @@
 // Ended reports whether the head is complete.
 func (s *Scanner) Ended() bool { return s.ended }
 
+// EndsWithConnection reports whether the head is complete and states neither a length nor chunks. A body that follows it then ends with the connection.
+func (s *Scanner) EndsWithConnection() bool {
+	return s.ended && !s.codings && !s.statesLength && s.status != http.StatusNoContent && s.status != http.StatusNotModified
+}
+
 // Begun reports whether a part of a status line or header has arrived, but not its end.
 func (s *Scanner) Begun() bool { return s.inHead && !s.ended || s.column > 0 }
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -50,6 +50,7 @@
 // has not read that yet.
 type guardedConn struct {
 	net.Conn
+	reset        *strictresponse.ResetConn // Conn, or what it wraps
 	writeTimeout time.Duration
 	// onClose is called exactly once: when the connection is closed or could not be established.
 	onClose   func()
@@ -128,27 +129,39 @@
 	}
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.reading = false
-	if err == io.EOF && c.closed { // Close may have taken the error that ended the connection
-		err = net.ErrClosed
+	closed, refusal := c.closed, c.checkLocked(b[:n])
+	endsWithConnection := c.state == awaitingResponse && c.head.EndsWithConnection()
+	c.mu.Unlock()
+	switch {
+	case refusal != nil:
+		return 0, refusal
+	case err == io.EOF && closed: // Close may have taken the error that ended the connection
+		return n, net.ErrClosed
+	case err == io.EOF && endsWithConnection:
+		return n, c.reset.ConfirmEnd()
 	}
-	if n > 0 && c.state != awaitingResponse {
+	return n, err
+}
+
+// checkLocked checks the next bytes that have arrived.
+func (c *guardedConn) checkLocked(b []byte) error {
+	if len(b) > 0 && c.state != awaitingResponse {
 		c.state = unsolicited
 	}
 	if c.state == unsolicited {
-		return 0, errUnsolicited
+		return errUnsolicited
 	}
-	if err := c.head.Scan(b[:n]); err != nil {
-		return 0, err
+	if err := c.head.Scan(b); err != nil {
+		return err
 	}
 	if c.head.Lines() > maxHeaderLines {
-		return 0, errHeaderLines
+		return errHeaderLines
 	}
-	if !c.countLocked(n) {
-		return 0, errUnfinishedHeads
+	if !c.countLocked(len(b)) {
+		return errUnfinishedHeads
 	}
-	return n, err
+	return nil
 }
 
 // countLocked counts n more bytes of an unfinished head. It returns false if there are too many on all connections.
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -103,7 +103,8 @@
 				return nil, err
 			}
 			guarded := ctx.Value(guardedConnKey{}).(*guardedConn) // always set, because only dial opens connections
-			guarded.Conn = strictresponse.NewResetConn(nc)
+			guarded.reset = strictresponse.NewResetConn(nc)
+			guarded.Conn = guarded.reset
 			return guarded, nil
 		},
 	}
