strictresponse: the same for the store, the log, the client library and arbutusctl

An append to the store or the log, a request of the client library or a change sent by arbutusctl counted as accepted, with a part of the response, if the server ended its side of the connection behind that part and reset it while the body was being written.

Conn asks ConfirmEnd as the pool does. A request of Transport whose length is not known gets an error in place of an end of file, since its end cannot be found; all requests of this project that have a body state its length.

--- a/client/conn.go
+++ b/client/conn.go
@@ -93,7 +93,7 @@
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
 	}
 	before := c.wire.written.Load()
-	c.wire.BeginResponse()
+	c.wire.BeginExchange(int64(len(body)))
 	resp, err := c.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		c.Close()
--- a/client/malformed_answer_test.go
+++ b/client/malformed_answer_test.go
@@ -41,21 +41,23 @@
 }
 
 // TestResetWhileSending guards against the part of a response without a length that is taken as whole, if the host resets the connection while the request's
-// body is being written.
+// body is being written, also if it has ended its side of the connection in order before.
 func TestResetWhileSending(t *testing.T) {
-	is := is.New(t)
-	s, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) {
-		return "HTTP/1.1 200 OK\r\n\r\npart", rawserver.ResetLater
-	})
-	is.NoErr(err)
-	defer s.Close()
-	p, body, whole := newConnPool(nil), make([]byte, 8<<20), 0
-	for range 25 {
-		req, err := http.NewRequest(http.MethodPost, "http://"+s.Address()+"/", nil)
-		is.NoErr(err)
-		if _, failed := p.send(t.Context(), s.Address(), req, body); failed == nil {
-			whole++
-		}
+	for name, end := range map[string]rawserver.End{"reset": rawserver.ResetLater, "end, then reset": rawserver.EndThenReset} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) { return "HTTP/1.1 200 OK\r\n\r\npart", end })
+			is.NoErr(err)
+			defer s.Close()
+			p, body, whole := newConnPool(nil), make([]byte, 8<<20), 0
+			for range 25 {
+				req, err := http.NewRequest(http.MethodPost, "http://"+s.Address()+"/", nil)
+				is.NoErr(err)
+				if _, failed := p.send(t.Context(), s.Address(), req, body); failed == nil {
+					whole++
+				}
+			}
+			is.Equal(whole, 0)
+		})
 	}
-	is.Equal(whole, 0)
 }
--- a/internal/testbed/rawserver/rawserver.go
+++ b/internal/testbed/rawserver/rawserver.go
@@ -133,7 +133,8 @@
 	Keep End = iota
 	Close
 	Reset
-	ResetLater // a millisecond after the answer
+	ResetLater   // a millisecond after the answer
+	EndThenReset // ends the server's side of the connection behind the answer, and resets it a millisecond later
 )
 
 // Server answers requests with bytes that need not be HTTP.
@@ -181,11 +182,15 @@
 			return
 		}
 		switch end {
-		case Reset, ResetLater:
-			if end == ResetLater {
+		case Reset, ResetLater, EndThenReset:
+			tcp, ok := c.(*net.TCPConn)
+			if ok && end == EndThenReset {
+				_ = tcp.CloseWrite() // fails only if the connection has ended
+			}
+			if end != Reset {
 				time.Sleep(time.Millisecond)
 			}
-			if tcp, ok := c.(*net.TCPConn); ok {
+			if ok {
 				_ = tcp.SetLinger(0) // fails only if the connection has ended
 			}
 			return
--- a/internal/transport/httpfetch/malformed_answer_test.go
+++ b/internal/transport/httpfetch/malformed_answer_test.go
@@ -70,22 +70,24 @@
 }
 
 // TestResetWhileSending guards against the part of a response without a length that is taken as whole, if the server resets the connection while the
-// request's body is being written.
+// request's body is being written, also if it has ended its side of the connection in order before.
 func TestResetWhileSending(t *testing.T) {
-	is := is.New(t)
-	const runs = 25
-	s, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) {
-		return "HTTP/1.1 200 OK\r\n\r\npart", rawserver.ResetLater
-	})
-	is.NoErr(err)
-	defer s.Close()
-	whole := 0
-	for range runs {
-		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Address()+"/", bytes.NewReader(make([]byte, 8<<20)))
-		is.NoErr(err)
-		if _, err := Do(NewClient(&http.Transport{DisableKeepAlives: true}), req, Limits{Idle: time.Second, Bytes: 100}); err == nil {
-			whole++
-		}
+	for name, end := range map[string]rawserver.End{"reset": rawserver.ResetLater, "end, then reset": rawserver.EndThenReset} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const runs = 25
+			s, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) { return "HTTP/1.1 200 OK\r\n\r\npart", end })
+			is.NoErr(err)
+			defer s.Close()
+			whole := 0
+			for range runs {
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Address()+"/", bytes.NewReader(make([]byte, 8<<20)))
+				is.NoErr(err)
+				if _, err := Do(NewClient(&http.Transport{DisableKeepAlives: true}), req, Limits{Idle: time.Second, Bytes: 100}); err == nil {
+					whole++
+				}
+			}
+			is.Equal(whole, 0)
+		})
 	}
-	is.Equal(whole, 0)
 }
--- a/internal/transport/platform/malformed_answer_test.go
+++ b/internal/transport/platform/malformed_answer_test.go
@@ -33,19 +33,21 @@
 }
 
 // TestResetWhileSending guards against the part of a response without a length that is taken as whole, if the platform resets the connection while a record
-// is being written.
+// is being written, also if it has ended its side of the connection in order before.
 func TestResetWhileSending(t *testing.T) {
-	is := is.New(t)
-	s, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) {
-		return "HTTP/1.1 200 OK\r\n\r\n{\"offset\":5}", rawserver.ResetLater
-	})
-	is.NoErr(err)
-	defer s.Close()
-	whole := 0
-	for range 25 {
-		if _, err := NewLog("http://"+s.Address(), "stream").Append(t.Context(), make([]byte, 8<<20)); err == nil {
-			whole++
-		}
+	for name, end := range map[string]rawserver.End{"reset": rawserver.ResetLater, "end, then reset": rawserver.EndThenReset} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := rawserver.New(func(int, *http.Request) (string, rawserver.End) { return "HTTP/1.1 200 OK\r\n\r\n{\"offset\":5}", end })
+			is.NoErr(err)
+			defer s.Close()
+			whole := 0
+			for range 25 {
+				if _, err := NewLog("http://"+s.Address(), "stream").Append(t.Context(), make([]byte, 8<<20)); err == nil {
+					whole++
+				}
+			}
+			is.Equal(whole, 0)
+		})
 	}
-	is.Equal(whole, 0)
 }
--- a/internal/transport/strictresponse/transport.go
+++ b/internal/transport/strictresponse/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -12,15 +13,17 @@
 type Conn struct {
 	*ResetConn
 	mu    sync.Mutex
-	begun bool // BeginResponse was called
+	begun bool // BeginExchange was called
 	head  Scanner
 }
 
 // NewConn returns c as a Conn.
 func NewConn(c net.Conn) *Conn { return &Conn{ResetConn: NewResetConn(c)} }
 
-// BeginResponse must be called before each request is written. What arrives before the first call is not checked.
-func (c *Conn) BeginResponse() {
+// BeginExchange must be called before each request is written. What arrives before the first call is not checked. bodyLength is the length of the request's
+// body in bytes, or -1 if it is not known.
+func (c *Conn) BeginExchange(bodyLength int64) {
+	c.BeginRequest(bodyLength)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun, c.head = true, Scanner{}
@@ -29,18 +32,28 @@
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.ResetConn.Read(b)
+	endsWithConnection, malformed := c.scan(b[:n])
+	if malformed != nil {
+		return 0, malformed
+	}
+	if err == io.EOF && endsWithConnection {
+		err = c.ConfirmEnd()
+	}
+	return n, err
+}
+
+// scan checks the next bytes of a response. It reports whether the response's body ends with the connection.
+func (c *Conn) scan(b []byte) (endsWithConnection bool, malformed error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.begun {
-		if malformed := c.head.Scan(b[:n]); malformed != nil {
-			return 0, malformed
-		}
+		malformed = c.head.Scan(b)
 	}
-	return n, err
+	return c.head.EndsWithConnection(), malformed
 }
 
-// Transport is an http.Transport whose requests over HTTP/1.1 fail if the response is malformed, or ends with a connection that was reset. It does not check
-// responses over TLS.
+// Transport is an http.Transport whose requests over HTTP/1.1 fail if the response is malformed, or ends with a connection that was reset or did not take the
+// whole request. It does not check responses over TLS.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport that sends its requests through t. It takes t over and changes its DialContext.
@@ -61,9 +74,13 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	bodyLength := r.ContentLength
+	if bodyLength == 0 && r.Body != nil && r.Body != http.NoBody {
+		bodyLength = -1
+	}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
-			c.BeginResponse()
+			c.BeginExchange(bodyLength)
 		}
 	}})
 	return t.Transport.RoundTrip(r.WithContext(ctx))
