--- a/internal/gateway/cut_hop_test.go
+++ b/internal/gateway/cut_hop_test.go
@@ -31,6 +31,9 @@
 	target string // IP:port
 	bytes  atomic.Int64
 	reset  atomic.Bool
+	// replace, if set, returns what is sent in place of a response, and early what is sent before the request's body is read.
+	replace atomic.Pointer[func(response string) string]
+	early   atomic.Pointer[func(r *http.Request) string]
 
 	mu  sync.Mutex
 	cut map[string]bool // by request id: whether bytes of its response were left out
@@ -51,15 +54,21 @@
 }
 
 func (s *cuttingServer) answer(_ int, r *http.Request) (string, rawserver.End) {
+	if early := s.early.Load(); early != nil && r.URL.Path != healthPath {
+		s.record(r, true)
+		return (*early)(r), rawserver.EndThenReset
+	}
 	response, err := s.passOn(r)
 	if err != nil {
 		return "", rawserver.Close
 	}
+	if replace := s.replace.Load(); replace != nil && r.URL.Path != healthPath {
+		s.record(r, true)
+		return (*replace)(string(response)), rawserver.Close
+	}
 	n := int(s.bytes.Load())
 	whole := r.URL.Path == healthPath || n >= len(response)
-	s.mu.Lock()
-	s.cut[r.Header.Get("Upstream-Request-Id")] = !whole
-	s.mu.Unlock()
+	s.record(r, !whole)
 	switch {
 	case whole:
 		return string(response), rawserver.Keep
@@ -69,6 +78,13 @@
 	return string(response[:n]), rawserver.Close
 }
 
+// record records that the response to a request passes, and whether it is cut.
+func (s *cuttingServer) record(r *http.Request, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[r.Header.Get("Upstream-Request-Id")] = cut
+}
+
 // passOn sends a request to the target and returns the bytes of the response.
 func (s *cuttingServer) passOn(r *http.Request) ([]byte, error) {
 	c, err := net.Dial("tcp", s.target)
@@ -119,8 +135,8 @@
 	return p
 }
 
-// send sends a request to the near host, which sends it through the far one, and returns what the caller gets.
-func (p *hopPair) send(t *testing.T) (id string, resp *http.Response, whole bool) {
+// send sends a request with a body of the given size to the near host, which sends it through the far one, and returns what the caller gets.
+func (p *hopPair) send(t *testing.T, bodyBytes int) (id string, resp *http.Response, whole bool) {
 	t.Helper()
 	for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
 		now := time.Now()
@@ -135,7 +151,13 @@
 		id = fmt.Sprintf("r%05d", p.requests)
 		c, err := net.Dial("tcp", p.near.settings.CallerAddress)
 		is.New(t).NoErr(err)
-		fmt.Fprintf(c, "GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\nUpstream-Request-Id: %s\r\n\r\n", id)
+		length := ""
+		if bodyBytes > 0 {
+			length = fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)
+		}
+		fmt.Fprintf(c, "GET /orders/1 HTTP/1.1\r\nHost: shop.example\r\nUpstream-Request-Id: %s\r\n%s\r\n", id, length)
+		_, err = c.Write(make([]byte, bodyBytes))
+		is.New(t).NoErr(err)
 		resp, err = http.ReadResponse(bufio.NewReader(c), nil)
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
@@ -163,15 +185,12 @@
 				n := 0
 				for cut := true; cut; n++ {
 					s.bytes.Store(int64(n))
-					id, resp, whole := p.send(t)
+					id, resp, whole := p.send(t, 0)
 					cut, _ = s.answered(id)
 					success := resp != nil && resp.StatusCode == http.StatusOK && whole
 					is.Equal(success, !cut)
-					if cut && resp != nil && whole {
-						is.True(resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout)
-						for name := range resp.Header {
-							is.True(!strings.HasPrefix(name, "Arbutusspan-Hop"))
-						}
+					if cut {
+						checkFailure(t, resp, whole)
 					}
 				}
 				t.Logf("%d bytes", n)
@@ -180,3 +199,49 @@
 		}
 	}
 }
+
+// checkFailure checks that the caller gets no success, no promise that its request has not run, and nothing that only hosts say to each other.
+func checkFailure(t *testing.T, resp *http.Response, whole bool) {
+	t.Helper()
+	if resp == nil || !whole {
+		return // the caller has seen that the response was cut
+	}
+	if resp.StatusCode != http.StatusBadGateway && resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d, header %v", resp.StatusCode, resp.Header)
+	}
+	for name := range resp.Header {
+		is.New(t).True(!strings.HasPrefix(name, "Arbutusspan-Hop"))
+	}
+}
+
+// TestMalformedAnswerOverHop guards against a caller that gets a status 000 as an answer, if the endpoint sends it to the host through which the request was
+// sent, or that host sends it in place of the status of its answer.
+func TestMalformedAnswerOverHop(t *testing.T) {
+	p := startHopPair(t)
+	replace := func(response string) string { return strings.Replace(response, "HTTP/1.1 200", "HTTP/1.1 000", 1) }
+	for name, s := range map[string]*cuttingServer{"hop": p.hop, "endpoint": p.upstream} {
+		t.Run(name, func(t *testing.T) {
+			s.replace.Store(&replace)
+			defer s.replace.Store(nil)
+			for range 5 {
+				_, resp, whole := p.send(t, 0)
+				checkFailure(t, resp, whole)
+			}
+		})
+	}
+}
+
+// TestResetUploadOverHop guards against a caller that gets a part of an answer as a complete one: its upload is sent through another host, and the endpoint
+// answers at once, ends its side of the connection in order and resets it while the upload is being written.
+func TestResetUploadOverHop(t *testing.T) {
+	const uploadBytes = 8 << 20
+	p := startHopPair(t)
+	early := func(r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nUpstream-Request-Id: " + r.Header.Get("Upstream-Request-Id") + "\r\n\r\npart"
+	}
+	p.upstream.early.Store(&early)
+	for range 5 {
+		_, resp, whole := p.send(t, uploadBytes)
+		checkFailure(t, resp, whole)
+	}
+}
