ingress, wire: a response without a valid status is answered with 500

A host would have sent "HTTP/1.1 000" itself: ingress printed whatever Response.Status held as three digits, so a response that was given no status, or 7, 100 or 999, left as one. No place that makes such a response was found by reading; answers of endpoints and of other hosts are checked where they arrive. A status that is none now does not leave a host, whoever made it.

The caller gets 500, which promises nothing, without the header and body of the response, and the connection closes. The log has response_undelivered with the status and the request's id. A host that gets 500 over a hop counts the request as one that may have run. The daemon takes the reply of another host for an answer only if its status is 200 to 599; it had checked the lower bound alone.

--- a/internal/protocol/wire/relay.go
+++ b/internal/protocol/wire/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/executor"
+	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/state/contract"
 	"github.com/arbutusspan/arbutusspan/internal/state/keys"
 	"github.com/arbutusspan/arbutusspan/internal/state/limits"
@@ -92,7 +93,7 @@
 		return nil, &refusals.Refusal{Reason: refusals.Reason(f.Reason), Ran: refusals.Ran(f.Ran), Detail: f.Detail, Remedy: f.Remedy,
 			Clause: f.Clause, Limit: f.Limit, Observed: f.Observed, Unit: f.Unit, RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond}, nil
 	}
-	if out.Status < http.StatusOK {
+	if !callerapi.IsFinalStatus(out.Status) {
 		return nil, nil, errors.New("the reply holds neither an answer nor a refusal")
 	}
 	return executor.ResponseFromRecord(&keys.RecordedResponse{Status: out.Status, Header: out.Header, Body: out.Body, Upstream: out.Upstream}), nil, nil
--- a/internal/protocol/wire/relay_test.go
+++ b/internal/protocol/wire/relay_test.go
@@ -149,3 +149,27 @@
 	_, r = call(key("4"))
 	is.Equal(r.Ran, refusals.RanNo)
 }
+
+// repliesWith is a peer connection on which every call gets a reply with a status.
+type repliesWith int
+
+func (status repliesWith) Call(_ context.Context, _, _ string, _, out any) error {
+	*out.(*RelayReply) = RelayReply{Status: int(status), Body: []byte("body")}
+	return nil
+}
+
+// TestRelayReplyWithoutStatus guards against a caller that gets the reply of another host as an answer although its status is none.
+func TestRelayReplyWithoutStatus(t *testing.T) {
+	is := is.New(t)
+	c := &executor.Call{Operation: &contract.Operation{Name: "reserve"}, Limits: &limits.ServiceLimits{}, Deadline: time.Now().Add(time.Minute)}
+	for _, status := range []int{-1, 0, 7, 99, 100, 199, 600, 1000} {
+		_, _, err := RelayClient{repliesWith(status)}.Relay(t.Context(), "far", c)
+		is.True(err != nil)
+	}
+	for _, status := range []int{200, 599} {
+		answer, refusal, err := RelayClient{repliesWith(status)}.Relay(t.Context(), "far", c)
+		is.NoErr(err)
+		is.Equal(refusal, nil)
+		is.Equal(answer.Status, status)
+	}
+}
--- a/internal/transport/ingress/ingress.go
+++ b/internal/transport/ingress/ingress.go
@@ -51,7 +51,7 @@
 
 // Response is the response to a request. Its content is Body, or Stream if that is not nil.
 type Response struct {
-	Status int
+	Status int         // 200 to 599
 	Header http.Header // without hop-by-hop headers
 	Body   []byte
 	// Stream is read to io.EOF and closed. Any other error aborts the connection, so that the caller notices that the content is
@@ -111,6 +111,7 @@
 	ErrCallerLeft = errors.New("the caller disconnected")
 	ErrStopped    = errors.New("the server stopped before the request was answered")
 	ErrIdle       = errors.New("the connection was idle")
+	ErrStatus     = errors.New("the response has no valid status; its caller gets 500")
 )
 
 // Limits of a connection.
--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
+	"github.com/arbutusspan/arbutusspan/internal/protocol/callerapi"
 	"github.com/arbutusspan/arbutusspan/internal/transport/sockbuf"
 )
 
@@ -14,7 +16,7 @@
 func (c *conn) write() {
 	bw := bufio.NewWriterSize(connWriter{c}, 4<<10)
 	for x := range c.queue {
-		resp := <-x.response
+		resp := c.checkStatus(x, <-x.response)
 		if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, ErrStopped) {
 			if resp.Stream != nil {
 				resp.Stream.Close()
@@ -31,6 +33,18 @@
 	}
 }
 
+// checkStatus returns resp, or a response with status 500 in its place if its status is none that a caller could read.
+func (c *conn) checkStatus(x *exchange, resp *Response) *Response {
+	if callerapi.IsFinalStatus(resp.Status) {
+		return resp
+	}
+	if resp.Stream != nil {
+		resp.Stream.Close()
+	}
+	c.reportUndelivered(x, resp, ErrStatus)
+	return &Response{Status: http.StatusInternalServerError, CloseConnection: true}
+}
+
 // reportUndelivered calls OnUndelivered.
 func (c *conn) reportUndelivered(x *exchange, resp *Response, cause error) {
 	if c.server.cfg.OnUndelivered != nil && x.request != nil {
