--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// checkStatus returns resp, or a response with status 500 in its place if its status is none that a caller could read.
+// checkStatus returns resp, or a response with status 500 in its place if resp has no final status.
 func (c *conn) checkStatus(x *exchange, resp *Response) *Response {
 	if callerapi.IsFinalStatus(resp.Status) {
 		return resp
--- a/internal/transport/strictresponse/reset.go
+++ b/internal/transport/strictresponse/reset.go
@@ -112,9 +112,9 @@
 	request := c.request
 	c.mu.Unlock()
 	unacknowledged, dead := sockbuf.Unacknowledged(c.Conn), sockbuf.Dead(c.Conn)
-	closed := c.isClosed() // then it tells neither
+	closed := c.isClosed() // a closed connection tells neither
 	c.mu.Lock()
-	writeErr := c.writeErr // net/http closes the connection after it
+	writeErr := c.writeErr // after closed: net/http closes the connection because of it
 	c.mu.Unlock()
 	switch {
 	case writeErr != nil:
@@ -153,7 +153,7 @@
 type requestProgress struct {
 	bodyLength  int64 // -1 if it is not known
 	bodyWritten int64
-	headEnd     int // the length of the beginning of headEnd with which the head ends so far
+	matched     int // how many bytes of headEnd the head ends with so far
 }
 
 // headEnd ends the head of a request. net/http writes no line end but CR LF.
@@ -161,14 +161,14 @@
 
 // add records that b was written.
 func (p *requestProgress) add(b []byte) {
-	for ; len(b) > 0 && p.headEnd < len(headEnd); b = b[1:] {
+	for ; len(b) > 0 && p.matched < len(headEnd); b = b[1:] {
 		switch b[0] {
-		case headEnd[p.headEnd]:
-			p.headEnd++
+		case headEnd[p.matched]:
+			p.matched++
 		case headEnd[0]:
-			p.headEnd = 1
+			p.matched = 1
 		default:
-			p.headEnd = 0
+			p.matched = 0
 		}
 	}
 	p.bodyWritten += int64(len(b))
@@ -176,5 +176,5 @@
 
 // written reports whether the request is written to its end.
 func (p *requestProgress) written() bool {
-	return p.headEnd == len(headEnd) && p.bodyLength >= 0 && p.bodyWritten >= p.bodyLength
+	return p.matched == len(headEnd) && p.bodyLength >= 0 && p.bodyWritten >= p.bodyLength
 }
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -71,9 +71,8 @@
 	return c.HealthCheck || (p.cfg.Dialect.EchoesID || len(cn.unnamed) == 0) && !slices.Contains(cn.sent, hashID(c.RequestID))
 }
 
-// recordSent records that the connection carries a request, before it is written. The ids of health checks are never used again.
+// recordSent records that the connection carries a request. The ids of health checks are never used again.
 func (cn *conn) recordSent(c *executor.Call) {
-	cn.guarded.reset.BeginRequest(int64(len(c.Body)))
 	if !c.HealthCheck {
 		cn.sent = append(cn.sent, hashID(c.RequestID))
 	}
--- a/internal/transport/upstreamconn/guard.go
+++ b/internal/transport/upstreamconn/guard.go
@@ -50,7 +50,7 @@
 // has not read that yet.
 type guardedConn struct {
 	net.Conn
-	reset        *strictresponse.ResetConn // Conn, or what it wraps
+	reset        *strictresponse.ResetConn // the same connection as Conn
 	writeTimeout time.Duration
 	// onClose is called exactly once: when the connection is closed or could not be established.
 	onClose   func()
--- a/internal/transport/upstreamconn/send.go
+++ b/internal/transport/upstreamconn/send.go
@@ -107,8 +107,7 @@
 	}
 	cn, closed := p.get(e.ID, time.Now(), c)
 	if cn != nil {
-		cn.recordSent(c)
-		resp, err := cn.http.RoundTrip(p.stateDeadline(req, c))
+		resp, err := p.sendOn(cn, req, c)
 		if err == nil {
 			return cn, resp, nil
 		}
@@ -132,8 +131,7 @@
 		cn.close()
 		return nil, nil, sendError(false, executor.ErrWithdrawn)
 	}
-	cn.recordSent(c)
-	resp, err := cn.http.RoundTrip(p.stateDeadline(req, c))
+	resp, err := p.sendOn(cn, req, c)
 	if err != nil {
 		cn.close()
 		return nil, nil, cn.sendError(ctx, start, err)
@@ -141,6 +139,13 @@
 	return cn, resp, nil
 }
 
+// sendOn writes the request to the connection and reads the head of its response.
+func (p *Pool) sendOn(cn *conn, req *http.Request, c *executor.Call) (*http.Response, error) {
+	cn.recordSent(c)
+	cn.guarded.reset.BeginRequest(int64(len(c.Body)))
+	return cn.http.RoundTrip(p.stateDeadline(req, c))
+}
+
 // needsContact reports whether a request may not be sent on a new connection to an endpoint before a health check, because the endpoint may have
 // started again. closed says that the endpoint had closed an idle connection.
 func (p *Pool) needsContact(id endpoints.ID, closed bool, c *executor.Call) bool {
