ingress: a response that is not written is dropped in one place

checkStatus repeated what the writer does with the response of a caller that has left: close its stream and report it. respond looks at the status only of what is written, so that a response without a status whose caller has left is reported once and not twice. No other change of behaviour.

--- a/internal/transport/ingress/write.go
+++ b/internal/transport/ingress/write.go
@@ -16,15 +16,11 @@
 func (c *conn) write() {
 	bw := bufio.NewWriterSize(connWriter{c}, 4<<10)
 	for x := range c.queue {
-		resp := c.checkStatus(x, <-x.response)
+		resp := <-x.response
 		if cause := context.Cause(c.ctx); cause != nil && !errors.Is(cause, ErrStopped) {
-			if resp.Stream != nil {
-				resp.Stream.Close()
-			}
-			c.reportUndelivered(x, resp, cause)
-		} else if err := writeResponse(bw, x.request, resp, c.connectionField(resp)); err != nil {
-			c.reportUndelivered(x, resp, err)
-			c.abort(err)
+			c.dropResponse(x, resp, cause)
+		} else {
+			c.respond(bw, x, resp)
 		}
 		c.progress()
 		x.release()
@@ -33,16 +29,24 @@
 	}
 }
 
-// checkStatus returns resp, or a response with status 500 in its place if resp has no final status.
-func (c *conn) checkStatus(x *exchange, resp *Response) *Response {
-	if callerapi.IsFinalStatus(resp.Status) {
-		return resp
+// respond writes a response, or one with status 500 in its place if it has no final status.
+func (c *conn) respond(bw *bufio.Writer, x *exchange, resp *Response) {
+	if !callerapi.IsFinalStatus(resp.Status) {
+		c.dropResponse(x, resp, ErrStatus)
+		resp = &Response{Status: http.StatusInternalServerError, CloseConnection: true}
 	}
+	if err := writeResponse(bw, x.request, resp, c.connectionField(resp)); err != nil {
+		c.reportUndelivered(x, resp, err)
+		c.abort(err)
+	}
+}
+
+// dropResponse reports and closes a response that is not written.
+func (c *conn) dropResponse(x *exchange, resp *Response, cause error) {
 	if resp.Stream != nil {
 		resp.Stream.Close()
 	}
-	c.reportUndelivered(x, resp, ErrStatus)
-	return &Response{Status: http.StatusInternalServerError, CloseConnection: true}
+	c.reportUndelivered(x, resp, cause)
 }
 
 // reportUndelivered calls OnUndelivered.
