follow: values of entries that no host can use are dropped

Cause: follow.hold kept an invalid record with its value so that peers would not take its key for removed, and each state had it: in the copy, as CBOR and compressed. Unconfirmed records had no bound either.

Why this works: only the key and the offset are needed, and only after a read of a whole topic. Both kinds of unused records have a limit of 2% of the memory; beyond it an unconfirmed record counts with its owner's next one, and a state that lacks keys says so, so that its receiver removes no endpoint. Large unconfirmed entries are reduced to the fields that hosts read. Hosts of earlier versions get one zero byte in place of a value, and their own large states are refused.

--- a/internal/coordination/follow/apply.go
+++ b/internal/coordination/follow/apply.go
@@ -166,9 +166,12 @@
 	} else if r.copyEnd > 0 {
 		f.lowerCopyEnd(i, r.copyEnd, recentOutage, now)
 	}
+	if r.complete {
+		f.unused[i].resetKeys(r.keysOmitted)
+	}
 	listed := f.applyRecords(i, r, &u, recentOutage, now)
 	if r.complete {
-		f.removeUnlisted(i, r.next, listed, &u, recentOutage, now)
+		f.removeUnlisted(i, r, listed, &u, recentOutage, now)
 	}
 	f.nextOffsets[i] = max(f.nextOffsets[i], r.next)
 	f.confirm(recentOutage, now)
@@ -213,7 +216,7 @@
 		u.Records = append(u.Records, rec)
 	}
 	for n, rec := range r.records {
-		if validity[n] != Valid && (rec.Offset >= f.nextOffsets[i] || r.complete) && f.hold(i, rec, validity[n]) {
+		if validity[n] != Valid && (rec.Offset >= f.nextOffsets[i] || r.complete) && f.hold(i, rec, validity[n], r.complete) {
 			u.Records = append(u.Records, rec)
 			if _, ok := first[rec.Key]; !ok {
 				first[rec.Key] = max(rec.Offset, u.From)
@@ -229,16 +232,15 @@
 	return listed
 }
 
-// removeUnlisted removes the keys that a read of a whole topic, which ended at next, does not list, and adds their removals to the update.
-// f.mu must be held.
-func (f *Follower) removeUnlisted(i int, next int64, listed map[string]bool, u *FeedUpdate, recentOutage bool, now time.Time) {
+// removeUnlisted removes the keys that a read of a whole topic does not list, and adds their removals to the update. f.mu must be held.
+func (f *Follower) removeUnlisted(i int, r feedRead, listed map[string]bool, u *FeedUpdate, recentOutage bool, now time.Time) {
 	for _, known := range f.keyed(i) {
 		switch key := known.Key; {
 		case listed[key]:
-		case known.Offset >= next: // a page may be older than the record
+		case r.keysOmitted, known.Offset >= r.next: // a page may be older than the record
 			listed[key] = true
 		default:
-			removal := Record{Key: key, Offset: max(u.From, next-1)}
+			removal := Record{Key: key, Offset: max(u.From, r.next-1)}
 			f.depart(i, key, removal.Offset, now)
 			f.removed[i].add(key, removal.Offset)
 			u.Records = append(u.Records, removal)
@@ -254,9 +256,9 @@
 	}
 	sortByOffset(u.Records)
 	if u.From < 0 || u.RecordsOmitted {
-		f.removed[i].since = next // what was removed before the first read is unknown
+		f.removed[i].since = r.next // what was removed before the first read is unknown
 	} else {
-		f.removed[i].addUnseen(span{u.From, next})
+		f.removed[i].addUnseen(span{u.From, r.next})
 	}
 }
 
@@ -264,7 +266,10 @@
 func (f *Follower) keyed(i int) []Record {
 	all := maps.Clone(f.newest[i])
 	maps.Copy(all, f.skipped[i])
-	maps.Copy(all, f.held[i])
+	maps.Copy(all, f.unused[i].unconfirmed)
+	for key, offset := range f.unused[i].keys {
+		all[key] = Record{Key: key, Offset: offset}
+	}
 	return slices.Collect(maps.Values(all))
 }
 
@@ -291,9 +296,7 @@
 		f.adoptAhead(i, rec, now)
 		return early
 	}
-	if held, ok := f.held[i][rec.Key]; ok && held.Offset < rec.Offset {
-		delete(f.held[i], rec.Key)
-	}
+	f.unused[i].forgetBefore(rec.Key, rec.Offset)
 	earlier, inherited := f.inherited[i][rec.Key]
 	delete(f.inherited[i], rec.Key)
 	delete(f.departed[i], rec.Key)
--- a/internal/coordination/follow/catchup.go
+++ b/internal/coordination/follow/catchup.go
@@ -91,7 +91,7 @@
 				fs.Records = append(fs.Records, rec)
 			}
 		}
-		for _, rec := range f.held[i] {
+		for _, rec := range f.unused[i].unconfirmed {
 			if rec.Offset >= since {
 				fs.Records = append(fs.Records, rec)
 			}
@@ -107,6 +107,10 @@
 			}
 		} else {
 			fs.Records = slices.AppendSeq(fs.Records, maps.Values(f.skipped[i]))
+			for key, offset := range f.unused[i].keys {
+				fs.Records = append(fs.Records, Record{Key: key, Value: droppedValue, Offset: offset})
+			}
+			fs.KeysOmitted = f.unused[i].keysOmitted
 			fs.Inherited = slices.Collect(maps.Values(f.inherited[i]))
 			for _, d := range f.departed[i] {
 				d.AgeMS = max(0, now.Sub(d.at).Milliseconds())
@@ -231,7 +235,7 @@
 		if fs.Unseen != nil && fs.Changes {
 			f.removed[i].addUnseen(*fs.Unseen)
 		}
-		f.applyRead(i, feedRead{complete: !fs.Changes, torn: fs.Torn, copyEnd: fs.CopyEnd, next: fs.Next, records: fs.Records}, recentOutage, received)
+		f.applyRead(i, fs.read(), recentOutage, received)
 		newer = newer || !f.cfg.Feeds[i].AllowGaps
 		if f.cancelRead[i] != nil {
 			f.cancelRead[i]() // a read over a slow link may still take long
--- a/internal/coordination/follow/epoch.go
+++ b/internal/coordination/follow/epoch.go
@@ -120,7 +120,7 @@
 		}
 		f.newest[i], f.removed[i], f.nextOffsets[i] = map[string]Record{}, removals{}, -1
 		f.announced[i], f.readAt[i] = 0, time.Time{}
-		f.readWhole[i], f.skipped[i], f.held[i] = false, map[string]Record{}, map[string]Record{}
+		f.readWhole[i], f.skipped[i], f.unused[i] = false, map[string]Record{}, newUnusedRecords(f.cfg.MaxUnusedBytes)
 		f.copyEnd[i] = unknownEnd
 		change.Kept += len(f.inherited[i])
 	}
@@ -215,7 +215,7 @@
 	delete(f.inherited[i], key)
 	delete(f.newest[i], key)
 	delete(f.skipped[i], key)
-	delete(f.held[i], key)
+	f.unused[i].forget(key)
 }
 
 // superseded reports whether a record of the store belongs to a key that was removed in an earlier epoch and may not have been written since: the
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -74,6 +74,9 @@
 	Prepare func(r Record)
 	// Validate, if set, says whether a record that is no tombstone counts. Programs other than the owners of the keys may write to a topic.
 	Validate func(r Record) Validity
+	// Reduce, if set, returns a large record without what no host uses of its value, or false if it is Invalid whatever the other feeds hold. Small records
+	// and tombstones are returned as they are. It is called from several goroutines.
+	Reduce func(r Record) (Record, bool)
 	// RefreshesPerRead is the number of refreshes from one read of the topic to the next. Changes of some topics also reach the host
 	// directly from its peers, so that these need no frequent reads.
 	RefreshesPerRead int
@@ -118,6 +121,9 @@
 	OnEpochChange func(EpochChange)
 	// OnSkip is called when a record of the store is not used, once for each record. Nil means that nothing is called.
 	OnSkip func(Skip)
+	// MaxUnusedBytes bounds the memory of the unconfirmed records of a feed, and that of the keys of its invalid records, in bytes each. 0 means
+	// defaultMaxUnusedBytes. An unconfirmed record beyond it counts only from its owner's next one on.
+	MaxUnusedBytes int
 }
 
 const (
@@ -171,7 +177,7 @@
 	copyEnd             []int64                // of each feed, an offset at or after the end of the copy from which the store returned, or unknownEnd
 	progress            progress               // how far the copies had reached, which bounds copyEnd
 	skipped             []map[string]Record    // of each feed, the records that are not used although the store lists them, see superseded
-	held                []map[string]Record    // of each feed, records that are not applied because they are not valid, see hold
+	unused              []unusedRecords        // of each feed, records that are not applied because they are not valid, see hold
 	validityChanged     bool                   // a feed without Validate has changed, so that unconfirmed records may have become valid
 	rechecked           bool                   // the feeds with skipped keys were read or fetched as a whole once more
 	epochChanged        bool                   // the epoch has changed while this host or the peer from which it has its copy had a copy
@@ -207,18 +213,21 @@
 	if cfg.ReadDelay == nil {
 		cfg.ReadDelay = func() time.Duration { return 0 }
 	}
+	if cfg.MaxUnusedBytes == 0 {
+		cfg.MaxUnusedBytes = defaultMaxUnusedBytes
+	}
 	if cfg.OnSkip == nil {
 		cfg.OnSkip = func(Skip) {}
 	}
 	f := &Follower{cfg: cfg, wake: make(chan struct{}, 1), nextOffsets: make([]int64, len(cfg.Feeds)),
 		newest: make([]map[string]Record, len(cfg.Feeds)), removed: make([]removals, len(cfg.Feeds)), readWhole: make([]bool, len(cfg.Feeds)),
-		torn: make([]bool, len(cfg.Feeds)), copyEnd: make([]int64, len(cfg.Feeds)), skipped: make([]map[string]Record, len(cfg.Feeds)), held: make([]map[string]Record, len(cfg.Feeds)),
+		torn: make([]bool, len(cfg.Feeds)), copyEnd: make([]int64, len(cfg.Feeds)), skipped: make([]map[string]Record, len(cfg.Feeds)), unused: make([]unusedRecords, len(cfg.Feeds)),
 		inherited: make([]map[string]Inherited, len(cfg.Feeds)), departed: make([]map[string]Departure, len(cfg.Feeds)),
 		announced: make([]int64, len(cfg.Feeds)), readAt: make([]time.Time, len(cfg.Feeds)), cancelRead: make([]context.CancelFunc, len(cfg.Feeds))}
 	for i := range f.nextOffsets {
 		f.copyEnd[i] = unknownEnd
 		f.nextOffsets[i], f.newest[i], f.inherited[i], f.departed[i] = -1, map[string]Record{}, map[string]Inherited{}, map[string]Departure{}
-		f.skipped[i], f.held[i] = map[string]Record{}, map[string]Record{}
+		f.skipped[i], f.unused[i] = map[string]Record{}, newUnusedRecords(cfg.MaxUnusedBytes)
 	}
 	return f
 }
--- a/internal/coordination/follow/refresh.go
+++ b/internal/coordination/follow/refresh.go
@@ -102,8 +102,9 @@
 
 // finishRefresh applies what a refresh has read and reports it.
 func (f *Follower) finishRefresh(start time.Time, info RefreshInfo, reads []feedRead, err error) error {
-	for i, r := range reads {
-		f.prepare(i, r.records)
+	for i := range reads {
+		reads[i].records = f.reduce(i, reads[i].records)
+		f.prepare(i, reads[i].records)
 	}
 	if err = f.applyReads(start, reads, err); err != nil {
 		return err
@@ -128,10 +129,12 @@
 	torn     bool  // with complete: records may reflect later ones than those before next
 	complete bool  // records holds the newest record of each key, not those since an offset
 	copyEnd  int64 // of a peer's state; 0 if the feed was read from the store
-	epoch    int64 // of the store; also with an error
-	next     int64
-	records  []Record
-	err      error
+	// keysOmitted is set with complete if keys may be listed that records does not have.
+	keysOmitted bool
+	epoch       int64 // of the store; also with an error
+	next        int64
+	records     []Record
+	err         error
 }
 
 // beginRead returns a function that reads a feed from the end of this host's copy on.
@@ -184,11 +187,13 @@
 	}
 }
 
-// prepareState calls Prepare with the records of a peer's state. f.mu must not be held.
+// prepareState reduces the records of a peer's state and calls Prepare with them. f.mu must not be held.
 func (f *Follower) prepareState(s *State) {
-	for _, fs := range s.Feeds {
+	for n := range s.Feeds {
+		fs := &s.Feeds[n]
 		for i := range f.cfg.Feeds {
 			if f.cfg.Feeds[i].Topic == fs.Topic {
+				fs.Records = f.reduce(i, fs.Records)
 				f.prepare(i, fs.Records)
 			}
 		}
--- a/internal/coordination/follow/state.go
+++ b/internal/coordination/follow/state.go
@@ -36,6 +36,8 @@
 	Unseen *span `cbor:"8,keyasint,omitempty"`
 	// Torn is set if the copy may lack keys that were removed after Next.
 	Torn bool `cbor:"9,keyasint,omitempty"`
+	// KeysOmitted is set if Records lacks keys whose records the sender does not use. The receiver cannot tell which of its own keys were removed.
+	KeysOmitted bool `cbor:"10,keyasint,omitempty"`
 }
 
 // inherits reports whether the state has inherited records.
@@ -137,7 +139,7 @@
 		return
 	}
 	f.installInherited(i, fs, recentOutage, received)
-	f.applyRead(i, feedRead{complete: true, torn: fs.Torn, copyEnd: fs.CopyEnd, next: fs.Next, records: fs.Records}, recentOutage, received)
+	f.applyRead(i, fs.read(), recentOutage, received)
 }
 
 // installAhead applies what a peer has of a feed from earlier epochs. f.mu must be held.
@@ -150,6 +152,11 @@
 	}
 }
 
+// read returns the feed as a read of its topic.
+func (s *FeedState) read() feedRead {
+	return feedRead{complete: !s.Changes, torn: s.Torn, copyEnd: s.CopyEnd, next: s.Next, records: s.Records, keysOmitted: s.KeysOmitted}
+}
+
 // hasFeed reports whether this host has read a feed in the current epoch. f.mu must be held.
 func (f *Follower) hasFeed() bool {
 	return slices.ContainsFunc(f.nextOffsets, func(next int64) bool { return next >= 0 })
--- a/internal/coordination/follow/validity.go
+++ b/internal/coordination/follow/validity.go
@@ -1,6 +1,9 @@
 package follow
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Validity says whether a record counts.
 type Validity uint8
@@ -8,8 +11,8 @@
 const (
 	// Valid records are applied.
 	Valid Validity = iota
-	// Unconfirmed records name something that no record in force of another feed names. They are kept beside the newest valid record of their
-	// key, and applied when they become valid before a newer record of the key is.
+	// Unconfirmed records name something that no record in force of another feed names. As many as there is room for are kept beside the newest valid
+	// record of their key, and applied when they become valid before a newer record of the key is.
 	Unconfirmed
 	// Invalid records change nothing: the last valid record of their key stays in force. The key counts as listed.
 	Invalid
@@ -20,11 +23,34 @@
 	if rec.Value == nil || f.cfg.Feeds[i].Validate == nil {
 		return Valid
 	}
+	if rec.dropped() {
+		return Invalid
+	}
 	return f.cfg.Feeds[i].Validate(rec)
 }
 
 func (f *Follower) invalid(i int, rec Record) bool { return f.validity(i, rec) == Invalid }
 
+// reduce returns the records of a feed without what no host uses of their values. The values of invalid ones are dropped. f.mu must not be held.
+func (f *Follower) reduce(i int, records []Record) []Record {
+	reduce := f.cfg.Feeds[i].Reduce
+	if reduce == nil {
+		return records
+	}
+	list := slices.Clone(records)
+	for n, rec := range list {
+		if rec.Value == nil || rec.dropped() {
+			continue
+		}
+		reduced, ok := reduce(rec)
+		if !ok {
+			reduced.Value = droppedValue
+		}
+		list[n] = reduced
+	}
+	return list
+}
+
 // validate returns the validity of each record that was read of a feed.
 func (f *Follower) validate(i int, r feedRead) []Validity {
 	list := make([]Validity, len(r.records))
@@ -34,31 +60,36 @@
 	return list
 }
 
-// hold keeps a record that is not valid, unless the copy has a newer one of its key. An invalid one is kept only if there is no other record of
-// the key, so that peers which copy this host's state do not take the key for removed. hold reports whether peers need the record: it is
-// unconfirmed and does more than renew the one that was kept before. f.mu must be held.
-func (f *Follower) hold(i int, rec Record, validity Validity) bool {
-	held, ok := f.held[i][rec.Key]
+// hold keeps a record that is not valid, unless the copy has a newer one of its key. Of an invalid one only the key is kept, so that peers which copy
+// this host's state do not take it for removed; whole is set if the record was read with its whole topic. In the log, the records before an invalid one tell
+// whether peers may have its key. hold reports whether peers need the record: it is unconfirmed and does more than renew the one that was kept before.
+// f.mu must be held.
+func (f *Follower) hold(i int, rec Record, validity Validity, whole bool) bool {
+	unused := &f.unused[i]
+	held, ok := unused.unconfirmed[rec.Key]
+	_, listed := unused.keys[rec.Key]
 	known, applied := f.newest[i][rec.Key]
 	switch {
 	case applied && rec.Offset <= known.Offset, ok && rec.Offset <= held.Offset:
 		return false
-	case validity == Invalid && (applied || ok):
+	case validity == Invalid && (applied || ok || !whole):
 		return false
 	}
 	f.revision++
-	f.held[i][rec.Key] = rec
-	if validity == Invalid {
-		return false
+	if validity == Unconfirmed && unused.addUnconfirmed(rec) {
+		_, renewal := f.cfg.Feeds[i].Handler.Compare(rec, held)
+		return !ok || !renewal
+	}
+	if !applied && (whole || ok || listed) {
+		unused.addKey(rec.Key, rec.Offset)
 	}
-	_, renewal := f.cfg.Feeds[i].Handler.Compare(rec, held)
-	return !ok || !renewal
+	return false
 }
 
 // applyFromPeer applies a record of a peer's update. f.mu must be held.
 func (f *Follower) applyFromPeer(i int, rec Record, recentOutage bool, now time.Time) {
 	if v := f.validity(i, rec); v != Valid {
-		f.hold(i, rec, v)
+		f.hold(i, rec, v, true)
 		return
 	}
 	f.apply(i, rec, recentOutage, now)
@@ -71,9 +102,9 @@
 	}
 	f.validityChanged = false
 	for i := range f.cfg.Feeds {
-		for key, rec := range f.held[i] {
+		for key, rec := range f.unused[i].unconfirmed {
 			if f.validity(i, rec) == Valid {
-				delete(f.held[i], key)
+				f.unused[i].forget(key)
 				f.apply(i, rec, recentOutage, now)
 			}
 		}
--- a/internal/gateway/feed_panics.go
+++ b/internal/gateway/feed_panics.go
@@ -25,6 +25,13 @@
 			return validate(r)
 		}
 	}
+	if reduce := f.Reduce; reduce != nil {
+		f.Reduce = func(r follow.Record) (reduced follow.Record, ok bool) {
+			reduced = r // stays so after a panic, with ok false
+			defer g.recoverRecord(f.Topic, r)
+			return reduce(r)
+		}
+	}
 	return f
 }
 
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -22,7 +22,8 @@
 // AllowGaps set, so that missed records are no reason to read the store: hosts also learn of each other by messages.
 func (g *Gateway) feeds() []follow.Feed {
 	list := []follow.Feed{
-		{Topic: g.adapter.EndpointTopic, Handler: endpointHandler{g}, Validate: endpointHandler{g}.validate, RefreshesPerRead: 1},
+		{Topic: g.adapter.EndpointTopic, Handler: endpointHandler{g}, Validate: endpointHandler{g}.validate, Reduce: endpointHandler{g}.reduce,
+			RefreshesPerRead: 1},
 		{Topic: g.adapter.ContractTopic, Handler: contractHandler{g}, Prepare: contractHandler{g}.prepare, RefreshesPerRead: 1, Watch: true,
 			KeepMissing: true},
 		{Topic: g.adapter.HostTopic, Handler: hostListHandler{g}, RefreshesPerRead: hostRefreshesPerRead, AllowGaps: true},
@@ -54,6 +55,20 @@
 	return follow.Valid
 }
 
+// reduce implements follow.Feed.Reduce. It reports large entries that cannot be read.
+func (h endpointHandler) reduce(r follow.Record) (follow.Record, bool) {
+	if h.g.adapter.ReduceEndpoint == nil {
+		return r, true
+	}
+	value, err := h.g.adapter.ReduceEndpoint(r.Key, r.Value)
+	if err != nil {
+		h.g.invalidEntries.report(h.g, r, err)
+		return r, false
+	}
+	r.Value = value
+	return r, true
+}
+
 // decodedEntry is a valid record of the endpoint topic that validate has decoded. Apply uses it up, which the follower calls under the same lock.
 type decodedEntry struct {
 	value []byte
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,10 @@
 	DecodeEvacuation func(key string) (zone string, ok bool)
 	// DecodeEndpoint decodes a record of EndpointTopic.
 	DecodeEndpoint func(key string, value []byte) (registry.Entry, error)
+	// ReduceEndpoint returns what hosts keep of a large record of EndpointTopic: DecodeEndpoint gives the same for it, and it has no more than some hundred
+	// bytes. The error is that of DecodeEndpoint. Small records are returned as they are, whether they can be decoded or not. It is called from several
+	// goroutines. Nil means that all records are kept as they are.
+	ReduceEndpoint func(key string, value []byte) ([]byte, error)
 	// Directory returns the handler that serves callers the addresses of the hosts to connect to. lookup returns the hosts' addresses and
 	// how long callers may keep them.
 	Directory func(lookup func() ([]string, time.Duration)) http.Handler
@@ -212,6 +216,7 @@
 		FetchChanges:    g.fetchChanges,
 		OnEpochChange:   g.beginStoreEpoch,
 		OnSkip:          g.logSkip,
+		MaxUnusedBytes:  maxUnusedBytes(s.MemoryMB),
 		OnCatchUpFailed: func(err error) { g.log.Warn("changes_not_fetched", "error", err) }})
 	return g
 }
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -25,8 +25,13 @@
 	// hopBodyFraction is for the bodies of requests that other hosts got, small and large ones each, and hopHeadFraction for their heads.
 	hopBodyFraction = 0.05
 	hopHeadFraction = 0.02
+	// unusedRecordsFraction is for the unconfirmed records of the endpoint topic, and the same for the keys of invalid ones.
+	unusedRecordsFraction = 0.02
 )
 
+// maxUnusedRecords bounds what unusedRecordsFraction gives on large hosts, in bytes. A state with as much has to fit into maxStateBytes.
+const maxUnusedRecords = 4 << 20
+
 // pipelinedPerCore and minPipelined bound the requests that run while an earlier one of their connection is unanswered. Callers that send many without
 // reading the responses then get one answered at a time, and leave the endpoints to others.
 //
@@ -58,6 +63,11 @@
 	return int64(memoryMB * responseHeadFraction * mebibyte)
 }
 
+// maxUnusedBytes returns follow.Config.MaxUnusedBytes of a process with the given memory in MiB.
+func maxUnusedBytes(memoryMB float64) int {
+	return min(maxUnusedRecords, int(memoryMB*unusedRecordsFraction*mebibyte))
+}
+
 // reserveResponse reserves memory for n more bytes of responses that are read before they are passed on. It returns false if there is none left.
 func (g *Gateway) reserveResponse(n int64) bool {
 	return g.memory.Reserve(membudget.Responses, netip.Addr{}, g.memory.Limit(membudget.Responses), n)
--- a/internal/gateway/state_cache.go
+++ b/internal/gateway/state_cache.go
@@ -13,8 +13,9 @@
 	// encodedStateLifetime is how long an encoded state is kept. The hosts of a zone that start at once, or miss the same update, request the same
 	// state within this time.
 	encodedStateLifetime = time.Second
-	// maxEncodedStates limits the number of encoded states that are kept.
+	// maxEncodedStates limits the number of encoded states that are kept, and maxEncodedBytes their size in bytes unless there is only one.
 	maxEncodedStates = 4
+	maxEncodedBytes  = 8 << 20
 )
 
 // encodedState is a state as compressed CBOR.
@@ -24,12 +25,15 @@
 	at      time.Time // when it was encoded
 	encoded sync.Once
 	err     error
+	bytes   int // size of data, once it is encoded
 }
 
 // encodedStateCache keeps encoded states, so that a state is encoded once for all hosts that request it.
 type encodedStateCache struct {
 	mu     sync.Mutex
 	states []*encodedState
+	// encoding is held while a state is encoded: its uncompressed form is in memory until then.
+	encoding sync.Mutex
 }
 
 // get returns the encoding of a state, whose records are those since the given position; nil means all.
@@ -40,9 +44,12 @@
 	}
 	e := c.entry(key, now)
 	e.encoded.Do(func() {
+		c.encoding.Lock()
+		defer c.encoding.Unlock()
 		oldest := *s
 		oldest.AgeMS += encodedStateLifetime.Milliseconds() // hosts of earlier versions read the age from here
 		e.data, e.err = encodeState(&oldest)
+		c.recordSize(e)
 	})
 	return e.data, e.err
 }
@@ -63,6 +70,31 @@
 	return e
 }
 
+// recordSize records the size of an encoded state and removes the oldest others while they are too large together.
+func (c *encodedStateCache) recordSize(e *encodedState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.bytes = len(e.data)
+	sum := 0
+	for _, s := range c.states {
+		sum += s.bytes
+	}
+	for len(c.states) > 1 && sum > maxEncodedBytes {
+		sum -= c.states[0].bytes
+		c.states = c.states[1:]
+	}
+}
+
+// size returns the size of the encoded states in bytes.
+func (c *encodedStateCache) size() (sum int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.states {
+		sum += s.bytes
+	}
+	return sum
+}
+
 // evictOld removes the states that were encoded more than encodedStateLifetime before.
 func (c *encodedStateCache) evictOld(now time.Time) {
 	c.mu.Lock()
--- a/internal/gateway/state_transfer.go
+++ b/internal/gateway/state_transfer.go
@@ -39,9 +39,10 @@
 	idleCatchUpTimeout = time.Second
 	// maxTransferTime limits a whole transfer. The transfer to a host with a slow link goes on as long as it makes progress.
 	maxTransferTime = 30 * time.Second
-	// maxTransferBytes limits the size of a state before decompression, and maxStateBytes after it, in bytes.
-	maxTransferBytes = 32 << 20
-	maxStateBytes    = 64 << 20
+	// maxTransferBytes limits the size of a state before decompression, and maxStateBytes after it, in bytes. Hosts of earlier versions keep the values of
+	// invalid records, however large, and send them. A host whose peer does so reads the store.
+	maxTransferBytes = 8 << 20
+	maxStateBytes    = 16 << 20
 	// maxStateAgeMS bounds the ages of a state in milliseconds. No process runs for longer.
 	maxStateAgeMS = 10 * 365 * 24 * 3_600_000
 	// stateAgeHeader is the header field with the age of the served state in milliseconds. The encoded state may be older than the response.
@@ -181,7 +182,7 @@
 	if err == nil {
 		_, err = io.Copy(io.Discard, limited) // to the checksum, behind the end of the state
 	}
-	if err == nil && limited.N == 0 {
+	if limited.N == 0 {
 		err = trace.LimitExceeded("it has %d bytes or more", maxStateBytes)
 	}
 	if err != nil {
--- a/internal/gateway/wire_format_test.go
+++ b/internal/gateway/wire_format_test.go
@@ -28,10 +28,10 @@
 // reservedFields are the fields that builds after 94d2088 may add, by format: the numbers on the way to each. What is below them is new too. The first five of
 // a message and the one of a hop are those of docs/design/customers-zones-overload.md section 4.8; ratelimit.Statement 5 (cold endpoints), in a
 // message's statements, requests and grants, was added beyond them, with a number that was never used, and so were the
-// versions of configurations: peers.Status 9 and detour.HopResult 6, ends that are held back: quarantine.Update 4, and copies with newer pages:
-// follow.FeedState 9.
+// versions of configurations: peers.Status 9 and detour.HopResult 6, ends that are held back: quarantine.Update 4, copies with newer pages:
+// follow.FeedState 9, and copies without all keys: follow.FeedState 10.
 var reservedFields = map[string][]string{"message": {".13", ".14", ".2.8", ".9.7", ".10.6", ".8.5", ".9.5.5", ".10.5.5", ".2.9", ".11.4"}, "request of a hop": {".10"},
-	"result of a hop": {".6"}, "state": {".2.9"}}
+	"result of a hop": {".6"}, "state": {".2.9", ".2.10"}}
 
 // wireFormat is a value of a format as a build has encoded it, with all fields that the build knows.
 type wireFormat struct {
