follow, platform: what is kept of a record is decided while a topic is read

A running host comes to the same if the store no longer has the log that it needs.

Cause: a read gathered all that a topic holds before anybody asked which records count, and a bound of 64 MiB on the pages failed the read with the endpoints' own entries in it.

Why this works: the follower is asked for each record as soon as its page is there, and keeps the endpoints' entries, a bounded number of keys and a bounded size of records whose validity is not known yet. If a starting host meets more records than it keeps unchecked before it has the configuration, it applies that first. A host whose read takes longer than 0.5 s looks for a peer's copy meanwhile, so that hosts behind slow links wait for the fastest reader, not for their own read.

--- a/internal/coordination/follow/apply.go
+++ b/internal/coordination/follow/apply.go
@@ -237,7 +237,7 @@
 	for _, known := range f.keyed(i) {
 		switch key := known.Key; {
 		case listed[key]:
-		case r.keysOmitted, known.Offset >= r.next: // a page may be older than the record
+		case r.ownKeysOmitted, known.Offset >= r.next: // a page may be older than the record
 			listed[key] = true
 		default:
 			removal := Record{Key: key, Offset: max(u.From, r.next-1)}
--- a/internal/coordination/follow/epoch_sim_test.go
+++ b/internal/coordination/follow/epoch_sim_test.go
@@ -107,10 +107,10 @@
 )
 
 // Newest and Read return the records of a topic, whose name begins its keys, late or not at all. Newest reads two pages.
-func (h *simHost) Newest(ctx context.Context, topic string) (Answer, error) {
-	first, err := h.s.fakeStore.Newest(ctx, topic)
+func (h *simHost) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
+	first, err := h.s.fakeStore.Newest(ctx, topic, keep)
 	time.Sleep(time.Duration(h.s.fate(4, h.index, " pages ", topic)) * 200 * time.Millisecond)
-	second, secondErr := h.s.fakeStore.Newest(ctx, topic)
+	second, secondErr := h.s.fakeStore.Newest(ctx, topic, keep)
 	if err == nil && (secondErr != nil || second.Epoch != first.Epoch) {
 		err, first.Epoch = errors.New("no second page"), second.Epoch
 	}
@@ -120,8 +120,8 @@
 	return h.answer(Answer{Epoch: first.Epoch, Records: records, Next: first.Next, Torn: second.Next > first.Next}, err, topic)
 }
 
-func (h *simHost) Read(ctx context.Context, topic string, from int64) (Answer, error) {
-	a, err := h.s.fakeStore.Read(ctx, topic, from)
+func (h *simHost) Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error) {
+	a, err := h.s.fakeStore.Read(ctx, topic, from, keep)
 	return h.answer(a, err, topic)
 }
 
--- a/internal/coordination/follow/epoch_test.go
+++ b/internal/coordination/follow/epoch_test.go
@@ -17,11 +17,11 @@
 	view *fakeStore // nil for the current one
 }
 
-func (s *staleStore) Newest(ctx context.Context, topic string) (Answer, error) {
+func (s *staleStore) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
 	if s.view != nil {
-		return s.view.Newest(ctx, topic)
+		return s.view.Newest(ctx, topic, keep)
 	}
-	return s.fakeStore.Newest(ctx, topic)
+	return s.fakeStore.Newest(ctx, topic, keep)
 }
 
 // TestStaleWholeRead guards against endpoints that disappear for good: a read of the whole topic that is older than this host's copy
--- a/internal/coordination/follow/follow.go
+++ b/internal/coordination/follow/follow.go
@@ -41,17 +41,32 @@
 // Store is a client of the platform's store, which keeps a log of records for each topic. A call returns an error if its response makes no
 // progress, but not because a large response takes long.
 type Store interface {
-	// Newest returns the newest record of each key of a topic.
-	Newest(ctx context.Context, topic string) (Answer, error)
+	// Newest returns the newest record of each key of a topic. Its memory is bounded by what is kept, not by what the topic holds.
+	Newest(ctx context.Context, topic string, keep Keep) (Answer, error)
 	// Read returns the records of a topic from an offset on. It may return ErrTruncated.
-	Read(ctx context.Context, topic string, from int64) (Answer, error)
+	Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error)
 	// Watch is Read for an offset that may be the end of the topic: the store answers as soon as it has a record from the offset on, or without one
 	// after the given time. arriving is called when records begin to arrive; if it returns false, the call ends with an error.
-	Watch(ctx context.Context, topic string, from int64, wait time.Duration, arriving func() bool) (Answer, error)
+	Watch(ctx context.Context, topic string, from int64, wait time.Duration, keep Keep, arriving func() bool) (Answer, error)
 	// Append appends a record to a topic. It becomes the newest record of its key. Append returns the store's epoch as Answer.Epoch does.
 	Append(ctx context.Context, topic, key string, value []byte) (epoch int64, err error)
 }
 
+// Keep says what to keep of a record that is being read: the record, with or without its value, or nothing. A Store calls it for each record as soon as it
+// has it, from the goroutine of the call. Nil keeps all records.
+type Keep func(Record) (Record, bool)
+
+// Append appends what is kept of a record to a list.
+func (k Keep) Append(list []Record, r Record) []Record {
+	if k == nil {
+		return append(list, r)
+	}
+	if kept, ok := k(r); ok {
+		list = append(list, kept)
+	}
+	return list
+}
+
 // Handler applies the records of a topic to the host's state. It is called from one goroutine at a time. recentOutage is true during an
 // outage of the store and shortly after it, when endpoints may have been unable to renew their entries.
 type Handler interface {
@@ -127,9 +142,11 @@
 }
 
 const (
-	// maxReadTime bounds the read of one topic. It leaves time for records of many megabytes over slow links: a read that is given up and
+	// maxReadTime bounds the read of a part of a topic's log. It leaves time for records of many megabytes over slow links: a read that is given up and
 	// begun again never ends. The Store gives up calls that make no progress much earlier.
 	maxReadTime = 30 * time.Second
+	// maxWholeReadTime is the same for all records of a topic. Other programs may have written some hundred megabytes to it, of which nothing is kept.
+	maxWholeReadTime = 5 * time.Minute
 	// firstRetryFactor is the pause after the first failed read, as a multiple of MaxAge. It doubles with each further failure up to
 	// maxRetryFactor, and Config.ReadDelay is added. Hosts with a later rank therefore also retry less often during an outage; the
 	// first-ranked hosts, which retry every 2 s, tell them when the store answers again.
--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -39,7 +39,7 @@
 	s.log = append(s.log, r)
 }
 
-func (s *fakeStore) Newest(context.Context, string) (Answer, error) {
+func (s *fakeStore) Newest(_ context.Context, _ string, keep Keep) (Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.newestCalls++
@@ -50,14 +50,14 @@
 	var list []Record
 	for _, r := range newest {
 		if r.Value != nil {
-			list = append(list, r)
+			list = keep.Append(list, r)
 		}
 	}
 	slices.SortFunc(list, func(a, b Record) int { return int(a.Offset - b.Offset) })
 	return Answer{Epoch: s.epoch, Records: list, Next: int64(len(s.log))}, s.outage
 }
 
-func (s *fakeStore) Read(_ context.Context, _ string, from int64) (Answer, error) {
+func (s *fakeStore) Read(_ context.Context, _ string, from int64, keep Keep) (Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readCalls++
@@ -67,7 +67,11 @@
 	if from < s.firstOffset || from > int64(len(s.log)) {
 		return Answer{Epoch: s.epoch}, ErrTruncated
 	}
-	return Answer{Epoch: s.epoch, Records: slices.Clone(s.log[from:]), Next: int64(len(s.log))}, nil
+	var list []Record
+	for _, r := range s.log[from:] {
+		list = keep.Append(list, r)
+	}
+	return Answer{Epoch: s.epoch, Records: list, Next: int64(len(s.log))}, nil
 }
 
 // calls returns the number of calls of Read and Newest.
--- /dev/null
+++ b/internal/coordination/follow/intake.go
@@ -0,0 +1,99 @@
+package follow
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+)
+
+// intake says what is kept of the records of one read of a topic while they arrive, so that a read takes little more memory than the copy does afterwards,
+// whatever other programs have written to the topic.
+type intake struct {
+	f     *Follower
+	feed  int
+	whole bool               // the read returns the newest record of each key
+	stop  context.CancelFunc // ends the read; set with whole
+
+	recordBytes int   // of the records that are kept whether they are valid or not
+	keyBytes    int   // of the keys whose values are dropped
+	keysOmitted bool  // keys were left out that this host does not know
+	err         error // why the read was ended
+}
+
+// errValidityUnknown ends the read of a topic with more records than a host keeps unchecked, before it has the records on which their validity depends. It
+// is read again after those.
+var errValidityUnknown = trace.CompareFailed("the topic has many records whose validity is not known yet")
+
+// keep implements Keep. Records in the log that count for nothing are dropped. In a read of a whole topic their keys are kept, see Follower.hold.
+func (in *intake) keep(rec Record) (Record, bool) {
+	feed := &in.f.cfg.Feeds[in.feed]
+	if rec.Value == nil || feed.Validate == nil {
+		return rec, true
+	}
+	if feed.Reduce != nil {
+		reduced, ok := feed.Reduce(rec)
+		if !ok {
+			return in.keepKey(rec)
+		}
+		rec = reduced
+	}
+	if !in.whole { // the Store bounds what it keeps of a log
+		return rec, true
+	}
+	limit := in.f.cfg.MaxUnusedBytes
+	if size := rec.bytes() + unusedOverhead; in.recordBytes+size <= limit {
+		in.recordBytes += size
+		return rec, true
+	}
+	in.f.mu.Lock()
+	defer in.f.mu.Unlock()
+	switch in.f.validity(in.feed, rec) {
+	case Valid:
+		return rec, true
+	case Unconfirmed:
+		if !in.f.validityKnown() {
+			in.err = errValidityUnknown
+			in.stop()
+		}
+	}
+	return in.keepKeyLocked(rec)
+}
+
+func (in *intake) keepKey(rec Record) (Record, bool) {
+	in.f.mu.Lock()
+	defer in.f.mu.Unlock()
+	return in.keepKeyLocked(rec)
+}
+
+// keepKeyLocked drops the value of a record, and its key too if there are many. Keys that this host's copy has stay: they are not removed. f.mu must be held.
+func (in *intake) keepKeyLocked(rec Record) (Record, bool) {
+	if !in.whole {
+		return Record{}, false
+	}
+	size := len(rec.Key) + unusedOverhead
+	if in.keyBytes+size > in.f.cfg.MaxUnusedBytes && !in.f.has(in.feed, rec.Key) {
+		in.keysOmitted = true
+		return Record{}, false
+	}
+	in.keyBytes += size
+	rec.Value = droppedValue
+	return rec, true
+}
+
+// has reports whether this host's copy of a feed has a record of a key that is or may be in use. f.mu must be held.
+func (f *Follower) has(i int, key string) bool {
+	_, newest := f.newest[i][key]
+	_, skipped := f.skipped[i][key]
+	_, inherited := f.inherited[i][key]
+	return newest || skipped || inherited
+}
+
+// validityKnown reports whether this host knows the records on which the validity of those of other feeds depends. f.mu must be held.
+func (f *Follower) validityKnown() bool {
+	for i, feed := range f.cfg.Feeds {
+		if feed.Validate == nil && !feed.AllowGaps && f.nextOffsets[i] < 0 && len(f.inherited[i]) == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/follow/outage_test.go
+++ b/internal/coordination/follow/outage_test.go
@@ -82,11 +82,11 @@
 	refuses atomic.Bool
 }
 
-func (s *refusingStore) Read(ctx context.Context, topic string, from int64) (Answer, error) {
+func (s *refusingStore) Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error) {
 	if s.refuses.Load() {
 		return Answer{}, errors.New("429")
 	}
-	return s.fakeStore.Read(ctx, topic, from)
+	return s.fakeStore.Read(ctx, topic, from, keep)
 }
 
 // sendHeartbeat delivers a heartbeat of a host to all hosts of its zone.
--- a/internal/coordination/follow/positions_test.go
+++ b/internal/coordination/follow/positions_test.go
@@ -112,14 +112,14 @@
 	between func()
 }
 
-func (s *pagedStore) Newest(ctx context.Context, topic string) (Answer, error) {
+func (s *pagedStore) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
 	if s.between == nil {
-		return s.fakeStore.Newest(ctx, topic)
+		return s.fakeStore.Newest(ctx, topic, keep)
 	}
-	first, err := s.fakeStore.Newest(ctx, topic)
+	first, err := s.fakeStore.Newest(ctx, topic, keep)
 	s.between()
 	s.between = nil
-	second, _ := s.fakeStore.Newest(ctx, topic)
+	second, _ := s.fakeStore.Newest(ctx, topic, keep)
 	second.Next, second.Torn = first.Next, second.Next > first.Next
 	return second, err
 }
@@ -169,18 +169,18 @@
 	unanswered string
 }
 
-func (s *topicStore) Newest(ctx context.Context, topic string) (Answer, error) {
+func (s *topicStore) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
 	if topic == s.unanswered {
 		return Answer{}, errors.New("no answer")
 	}
-	return s.fakeStore.Newest(ctx, topic)
+	return s.fakeStore.Newest(ctx, topic, keep)
 }
 
-func (s *topicStore) Read(ctx context.Context, topic string, from int64) (Answer, error) {
+func (s *topicStore) Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error) {
 	if topic == s.unanswered {
 		return Answer{}, errors.New("no answer")
 	}
-	return s.fakeStore.Read(ctx, topic, from)
+	return s.fakeStore.Read(ctx, topic, from, keep)
 }
 
 // newHostOfTwoTopics returns a host that has a second topic with the same records.
--- a/internal/coordination/follow/refresh.go
+++ b/internal/coordination/follow/refresh.go
@@ -75,16 +75,34 @@
 	}
 	var err error
 	for i := range reads {
-		if reads[i].err != nil {
+		if reads[i].err != nil && (err == nil || errors.Is(err, errValidityUnknown)) {
 			err = trace.Wrap(reads[i].err, "read topic %s", f.cfg.Feeds[i].Topic)
 		}
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if first && errors.Is(err, errValidityUnknown) {
+		if err := f.applyOtherReads(start, reads); err != nil {
+			return err
+		}
+		return f.refresh(ctx, waitForAll)
+	}
 	return f.finishRefresh(start, info, reads, err)
 }
 
+// applyOtherReads applies the reads of a refresh except those that ended with errValidityUnknown.
+func (f *Follower) applyOtherReads(start time.Time, reads []feedRead) error {
+	for i := range reads {
+		if errors.Is(reads[i].err, errValidityUnknown) {
+			reads[i] = feedRead{feed: i, skipped: true, canceled: true}
+		} else {
+			f.prepare(i, reads[i].records)
+		}
+	}
+	return f.applyReads(start, reads, nil)
+}
+
 // applySlowRead applies a read that ended after its refresh.
 func (f *Follower) applySlowRead(ctx context.Context, start time.Time, info RefreshInfo, r feedRead) {
 	reads := make([]feedRead, len(f.cfg.Feeds))
@@ -103,7 +121,6 @@
 // finishRefresh applies what a refresh has read and reports it.
 func (f *Follower) finishRefresh(start time.Time, info RefreshInfo, reads []feedRead, err error) error {
 	for i := range reads {
-		reads[i].records = f.reduce(i, reads[i].records)
 		f.prepare(i, reads[i].records)
 	}
 	if err = f.applyReads(start, reads, err); err != nil {
@@ -129,12 +146,12 @@
 	torn     bool  // with complete: records may reflect later ones than those before next
 	complete bool  // records holds the newest record of each key, not those since an offset
 	copyEnd  int64 // of a peer's state; 0 if the feed was read from the store
-	// keysOmitted is set with complete if keys may be listed that records does not have.
-	keysOmitted bool
-	epoch       int64 // of the store; also with an error
-	next        int64
-	records     []Record
-	err         error
+	// keysOmitted is set with complete if records lacks some of the keys that are listed, and ownKeysOmitted if they may be keys of this host's copy.
+	keysOmitted, ownKeysOmitted bool
+	epoch                       int64 // of the store; also with an error
+	next                        int64
+	records                     []Record
+	err                         error
 }
 
 // beginRead returns a function that reads a feed from the end of this host's copy on.
@@ -149,7 +166,7 @@
 	f.mu.Unlock()
 	return func() feedRead {
 		defer cancel()
-		r := f.readTopic(readCtx, f.cfg.Feeds[i].Topic, from, epoch)
+		r := f.readTopic(readCtx, i, from, epoch)
 		r.feed = i
 		if r.err != nil && readCtx.Err() != nil {
 			return feedRead{feed: i, skipped: true, canceled: true}
@@ -158,19 +175,26 @@
 	}
 }
 
-// readTopic reads a topic from an offset of an epoch on, or all its keys if from is negative, the store does not have the records, or the
+// readTopic reads a feed's topic from an offset of an epoch on, or all its keys if from is negative, the store does not have the records, or the
 // store is in a later epoch.
-func (f *Follower) readTopic(ctx context.Context, topic string, from, epoch int64) feedRead {
-	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
-	defer cancel()
+func (f *Follower) readTopic(ctx context.Context, i int, from, epoch int64) feedRead {
 	if from >= 0 {
-		a, err := f.cfg.Store.Read(ctx, topic, from)
+		logCtx, cancel := context.WithTimeout(ctx, maxReadTime)
+		defer cancel()
+		in := intake{f: f, feed: i}
+		a, err := f.cfg.Store.Read(logCtx, f.cfg.Feeds[i].Topic, from, in.keep)
 		if !errors.Is(err, ErrTruncated) && (err != nil || a.Epoch <= epoch) {
 			return feedRead{epoch: a.Epoch, next: a.Next, records: a.Records, err: err}
 		}
 	}
-	a, err := f.cfg.Store.Newest(ctx, topic)
-	return feedRead{complete: true, torn: a.Torn, epoch: a.Epoch, next: a.Next, records: a.Records, err: err}
+	ctx, cancel := context.WithTimeout(ctx, maxWholeReadTime)
+	defer cancel()
+	in := intake{f: f, feed: i, whole: true, stop: cancel}
+	a, err := f.cfg.Store.Newest(ctx, f.cfg.Feeds[i].Topic, in.keep)
+	if in.err != nil {
+		err = in.err
+	}
+	return feedRead{complete: true, torn: a.Torn, epoch: a.Epoch, next: a.Next, records: a.Records, keysOmitted: in.keysOmitted, err: err}
 }
 
 // prepare calls Prepare of a feed with the last record of each key. f.mu must not be held.
--- a/internal/coordination/follow/slow_transfer_test.go
+++ b/internal/coordination/follow/slow_transfer_test.go
@@ -19,7 +19,7 @@
 	slowRead time.Duration
 }
 
-func (s slowTopicStore) Read(ctx context.Context, topic string, from int64) (Answer, error) {
+func (s slowTopicStore) Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error) {
 	if topic == "large" {
 		pause(ctx, s.slowRead)
 		if ctx.Err() != nil {
@@ -29,7 +29,7 @@
 		defer s.mu.Unlock()
 		return Answer{Records: slices.Clone(s.log[from:]), Next: int64(len(s.log))}, nil
 	}
-	return s.fakeStore.Read(ctx, topic, from)
+	return s.fakeStore.Read(ctx, topic, from, keep)
 }
 
 // newSlowTopicHost returns a host that follows the topics "t" and "large", and the handler of the latter.
@@ -194,7 +194,7 @@
 		is.NoErr(h.Refresh(t.Context()))
 		s.put("b", "1")
 		s.firstOffset = 2 // the store has deleted older records
-		answer, err := s.Newest(t.Context(), "t")
+		answer, err := s.Newest(t.Context(), "t", nil)
 		is.NoErr(err)
 		h.cfg.Store = slowNewestStore{s, func() (Answer, error) {
 			pause(t.Context(), 5*time.Second)
@@ -218,4 +218,4 @@
 	newest func() (Answer, error)
 }
 
-func (s slowNewestStore) Newest(context.Context, string) (Answer, error) { return s.newest() }
+func (s slowNewestStore) Newest(context.Context, string, Keep) (Answer, error) { return s.newest() }
--- a/internal/coordination/follow/state.go
+++ b/internal/coordination/follow/state.go
@@ -99,8 +99,8 @@
 	slices.SortStableFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 }
 
-// InstallState makes a peer's state this host's copy, unless it has one already. It reports whether the state was installed. Topics that this
-// host has read later stay as they are. If it knows a higher epoch of the store than the peer, the state's records become inherited ones.
+// InstallState makes a peer's state this host's copy, unless it has one already. It reports whether the state was installed. Reads of its topics that are in
+// progress end. Topics that this host has read later stay as they are. If it knows a higher epoch of the store than the peer, the state's records become inherited ones.
 func (f *Follower) InstallState(s *State, received time.Time) bool {
 	f.prepareState(s)
 	f.mu.Lock()
@@ -125,6 +125,11 @@
 		f.installFeed(i, *states[n], false, received)
 	}
 	f.setAsOf(received.Add(-time.Duration(s.AgeMS) * time.Millisecond))
+	for i, cancel := range f.cancelRead {
+		if cancel != nil && f.nextOffsets[i] >= 0 {
+			cancel()
+		}
+	}
 	if known > s.Epoch {
 		f.beginEpoch(known, true)
 	}
@@ -154,7 +159,7 @@
 
 // read returns the feed as a read of its topic.
 func (s *FeedState) read() feedRead {
-	return feedRead{complete: !s.Changes, torn: s.Torn, copyEnd: s.CopyEnd, next: s.Next, records: s.Records, keysOmitted: s.KeysOmitted}
+	return feedRead{complete: !s.Changes, torn: s.Torn, copyEnd: s.CopyEnd, next: s.Next, records: s.Records, keysOmitted: s.KeysOmitted, ownKeysOmitted: s.KeysOmitted}
 }
 
 // hasFeed reports whether this host has read a feed in the current epoch. f.mu must be held.
--- a/internal/coordination/follow/validity_test.go
+++ b/internal/coordination/follow/validity_test.go
@@ -15,12 +15,12 @@
 	topics map[string]*fakeStore
 }
 
-func (s *storeByTopic) Newest(ctx context.Context, topic string) (Answer, error) {
-	return s.topics[topic].Newest(ctx, topic)
+func (s *storeByTopic) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
+	return s.topics[topic].Newest(ctx, topic, keep)
 }
 
-func (s *storeByTopic) Read(ctx context.Context, topic string, from int64) (Answer, error) {
-	return s.topics[topic].Read(ctx, topic, from)
+func (s *storeByTopic) Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error) {
+	return s.topics[topic].Read(ctx, topic, from, keep)
 }
 
 // names is a handler of a feed whose values the records of another feed may name.
--- a/internal/coordination/follow/watch.go
+++ b/internal/coordination/follow/watch.go
@@ -47,7 +47,8 @@
 	start := time.Now()
 	var begin time.Time // when the records began to arrive
 	declined := false
-	a, err := f.cfg.Store.Watch(watchCtx, f.cfg.Feeds[i].Topic, from, watchTime, func() bool {
+	in := intake{f: f, feed: i}
+	a, err := f.cfg.Store.Watch(watchCtx, f.cfg.Feeds[i].Topic, from, watchTime, in.keep, func() bool {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		declined = f.cancelRead[i] != nil || f.nextOffsets[i] != from || f.epoch != epoch
--- a/internal/coordination/follow/watch_test.go
+++ b/internal/coordination/follow/watch_test.go
@@ -18,12 +18,12 @@
 )
 
 // Watch waits for a record that the log does not have yet.
-func (s *fakeStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, arriving func() bool) (Answer, error) {
-	return s.watch(ctx, topic, from, wait, func(Record) bool { return true }, arriving)
+func (s *fakeStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, keep Keep, arriving func() bool) (Answer, error) {
+	return s.watch(ctx, topic, from, wait, func(Record) bool { return true }, keep, arriving)
 }
 
 // watch waits for a record for which of holds.
-func (s *fakeStore) watch(ctx context.Context, topic string, from int64, wait time.Duration, of func(Record) bool, arriving func() bool) (Answer, error) {
+func (s *fakeStore) watch(ctx context.Context, topic string, from int64, wait time.Duration, of func(Record) bool, keep Keep, arriving func() bool) (Answer, error) {
 	s.mu.Lock()
 	s.watchCalls++
 	if s.hasty {
@@ -40,15 +40,15 @@
 		case available && !arriving():
 			return Answer{}, errors.New("not wanted")
 		case available || !time.Now().Before(end):
-			return s.Read(ctx, topic, from)
+			return s.Read(ctx, topic, from, keep)
 		}
 	}
 }
 
 // Watch answers like Read.
-func (h *simHost) Watch(ctx context.Context, topic string, from int64, wait time.Duration, arriving func() bool) (Answer, error) {
+func (h *simHost) Watch(ctx context.Context, topic string, from int64, wait time.Duration, keep Keep, arriving func() bool) (Answer, error) {
 	of := func(r Record) bool { return strings.HasPrefix(r.Key, topic) }
-	a, err := h.s.watch(ctx, topic, from, wait, of, func() bool { return !h.cut.Load() && arriving() })
+	a, err := h.s.watch(ctx, topic, from, wait, of, keep, func() bool { return !h.cut.Load() && arriving() })
 	return h.answer(a, err, topic)
 }
 
@@ -86,13 +86,13 @@
 	cut  *atomic.Bool // all calls fail
 }
 
-func (s linkedStore) Read(ctx context.Context, topic string, from int64) (Answer, error) {
-	a, err := s.fakeStore.Read(ctx, topic, from)
+func (s linkedStore) Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error) {
+	a, err := s.fakeStore.Read(ctx, topic, from, keep)
 	return s.transfer(ctx, topic, a, err)
 }
 
-func (s linkedStore) Newest(ctx context.Context, topic string) (Answer, error) {
-	a, err := s.fakeStore.Newest(ctx, topic)
+func (s linkedStore) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
+	a, err := s.fakeStore.Newest(ctx, topic, keep)
 	return s.transfer(ctx, topic, a, err)
 }
 
@@ -112,9 +112,9 @@
 	return a, errors.Join(err, s.link.transfer(ctx, size))
 }
 
-func (s linkedStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, arriving func() bool) (Answer, error) {
+func (s linkedStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, keep Keep, arriving func() bool) (Answer, error) {
 	of := func(r Record) bool { return (r.Key == "large") == (topic == "large") }
-	a, err := s.watch(ctx, topic, from, wait, of, func() bool { return !s.cut.Load() && arriving() })
+	a, err := s.watch(ctx, topic, from, wait, of, keep, func() bool { return !s.cut.Load() && arriving() })
 	return s.transfer(ctx, topic, a, err)
 }
 
@@ -335,8 +335,8 @@
 // endlessStore is a store whose responses to watches begin when a record is there and never end.
 type endlessStore struct{ *fakeStore }
 
-func (s endlessStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, arriving func() bool) (Answer, error) {
-	return s.watch(ctx, topic, from, wait, func(Record) bool { return true }, func() bool {
+func (s endlessStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, keep Keep, arriving func() bool) (Answer, error) {
+	return s.watch(ctx, topic, from, wait, func(Record) bool { return true }, keep, func() bool {
 		if arriving() {
 			<-ctx.Done()
 		}
--- a/internal/coordination/follow/written_again_test.go
+++ b/internal/coordination/follow/written_again_test.go
@@ -84,18 +84,18 @@
 	second *fakeStore
 }
 
-func (s *splitStore) Newest(ctx context.Context, topic string) (Answer, error) {
+func (s *splitStore) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
 	if topic == "u" {
-		return s.second.Newest(ctx, topic)
+		return s.second.Newest(ctx, topic, keep)
 	}
-	return s.fakeStore.Newest(ctx, topic)
+	return s.fakeStore.Newest(ctx, topic, keep)
 }
 
-func (s *splitStore) Read(ctx context.Context, topic string, from int64) (Answer, error) {
+func (s *splitStore) Read(ctx context.Context, topic string, from int64, keep Keep) (Answer, error) {
 	if topic == "u" {
-		return s.second.Read(ctx, topic, from)
+		return s.second.Read(ctx, topic, from, keep)
 	}
-	return s.fakeStore.Read(ctx, topic, from)
+	return s.fakeStore.Read(ctx, topic, from, keep)
 }
 
 // TestCopyFromBeforeRemovedKey guards against an evacuation that is ignored for a minute: the store returns from a copy that was made before the zone was
--- a/internal/gateway/epoch_test.go
+++ b/internal/gateway/epoch_test.go
@@ -22,9 +22,9 @@
 	"github.com/arbutusspan/arbutusspan/internal/transport/peerlink"
 )
 
-func (s *memoryStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, _ func() bool) (follow.Answer, error) {
+func (s *memoryStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, keep follow.Keep, _ func() bool) (follow.Answer, error) {
 	sleep(ctx, wait) // no test watches a change
-	return s.Read(ctx, topic, from)
+	return s.Read(ctx, topic, from, keep)
 }
 
 // fall returns the store to a copy in which each topic has at most the given number of records.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -280,23 +280,23 @@
 }
 
 // Newest implements follow.Store.
-func (s countingStore) Newest(ctx context.Context, topic string) (follow.Answer, error) {
-	answer, err := s.Store.Newest(ctx, topic)
+func (s countingStore) Newest(ctx context.Context, topic string, keep follow.Keep) (follow.Answer, error) {
+	answer, err := s.Store.Newest(ctx, topic, keep)
 	s.count("newest", err)
 	return answer, err
 }
 
 // Read implements follow.Store.
-func (s countingStore) Read(ctx context.Context, topic string, from int64) (follow.Answer, error) {
-	answer, err := s.Store.Read(ctx, topic, from)
+func (s countingStore) Read(ctx context.Context, topic string, from int64, keep follow.Keep) (follow.Answer, error) {
+	answer, err := s.Store.Read(ctx, topic, from, keep)
 	s.count("read", err)
 	return answer, err
 }
 
 // Watch implements follow.Store. A watch that ends because its answer is not wanted counts as success, because the store has answered.
-func (s countingStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, arriving func() bool) (follow.Answer, error) {
+func (s countingStore) Watch(ctx context.Context, topic string, from int64, wait time.Duration, keep follow.Keep, arriving func() bool) (follow.Answer, error) {
 	wanted := true
-	answer, err := s.Store.Watch(ctx, topic, from, wait, func() bool {
+	answer, err := s.Store.Watch(ctx, topic, from, wait, keep, func() bool {
 		wanted = arriving()
 		return wanted
 	})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -45,7 +45,7 @@
 // errDown is the error of all calls while the store is down.
 var errDown = errors.New("the store is down")
 
-func (s *memoryStore) Newest(_ context.Context, topic string) (follow.Answer, error) {
+func (s *memoryStore) Newest(_ context.Context, topic string, keep follow.Keep) (follow.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down.Load() || s.unanswered == topic {
@@ -58,13 +58,13 @@
 	var list []follow.Record
 	for _, r := range newest {
 		if r.Value != nil {
-			list = append(list, r)
+			list = keep.Append(list, r)
 		}
 	}
 	return follow.Answer{Epoch: s.epoch, Records: list, Next: int64(len(s.logs[topic]))}, nil
 }
 
-func (s *memoryStore) Read(_ context.Context, topic string, from int64) (follow.Answer, error) {
+func (s *memoryStore) Read(_ context.Context, topic string, from int64, keep follow.Keep) (follow.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down.Load() || s.unanswered == topic {
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -30,6 +30,10 @@
 	largeHostCores    = 0.5
 	// ownZoneWaitFraction is the fraction of the wait for a peer during which the state is fetched only from hosts of this host's zone.
 	ownZoneWaitFraction = 0.5
+	// slowReadTime is how long a starting host reads the store before it looks for a peer's copy beside the read: the topics may be large and its link slow.
+	// slowReadPollInterval is the interval at which it then looks. It doubles, up to maxPeerWait, when a peer's state cannot be used.
+	slowReadTime         = 500 * time.Millisecond
+	slowReadPollInterval = 100 * time.Millisecond
 	// peerPollInterval is the interval at which a starting host checks for a peer that has a copy of the store's topics, and
 	// seedRequestEvery the number of such checks between two requests to the seeds.
 	peerPollInterval = 10 * time.Millisecond
@@ -44,7 +48,7 @@
 		peerWait = 0 // this host is a seed: the other starting hosts wait for it
 	}
 	for ctx.Err() == nil && !g.fetchCopyFromPeer(ctx, peerWait) {
-		if err := g.follower.Refresh(ctx); err == nil {
+		if err := g.readStore(ctx); err == nil {
 			break
 		}
 		peerWait = min(max(2*peerWait, restartPeerWait), maxPeerWait)
@@ -52,6 +56,32 @@
 	g.follower.Run(ctx)
 }
 
+// readStore reads the store until this host has a copy, or gets one from a peer meanwhile.
+func (g *Gateway) readStore(ctx context.Context) error {
+	searchCtx, cancel := context.WithCancel(ctx)
+	var search sync.WaitGroup
+	search.Go(func() { g.fetchCopyDuringRead(searchCtx) })
+	defer search.Wait()
+	defer cancel()
+	return g.follower.Refresh(ctx)
+}
+
+// fetchCopyDuringRead fetches a peer's copy if a read takes long, until the context ends. Installing the copy ends the read.
+func (g *Gateway) fetchCopyDuringRead(ctx context.Context) {
+	begin := time.Now()
+	wait := slowReadPollInterval
+	for sleep(ctx, slowReadTime); ctx.Err() == nil; sleep(ctx, wait) {
+		h, _, ok := g.peers.HostWithStoreCopy(time.Now())
+		if !ok {
+			continue
+		}
+		if g.fetchCopy(ctx, h, begin) {
+			return
+		}
+		wait = min(2*wait, maxPeerWait)
+	}
+}
+
 // initialPeerWait returns how long to look for a peer before the first read of the store.
 func (g *Gateway) initialPeerWait() time.Duration {
 	switch {
@@ -80,23 +110,33 @@
 		if !ok || (!ownZone && time.Since(begin) < time.Duration(ownZoneWaitFraction*float64(peerWait))) {
 			continue
 		}
-		state, err := fetchState(ctx, h, "", idleTransferTimeout)
-		if err != nil {
-			g.log.Warn("state_not_fetched", "from", h.Name, "error", err)
-			continue
-		}
-		if g.follower.InstallState(state, time.Now()) {
-			g.hasStoreCopy.Store(true)
-			g.log.Info("state_fetched", "from", h.Name, "zone", h.Zone, "age_ms", state.AgeMS, "took_ms", ms(time.Since(begin)))
-			g.updateStatus()
-			g.sendHeartbeat()
+		if g.fetchCopy(ctx, h, begin) {
+			return true
 		}
-		return true
 	}
 	g.log.Info("state_from_store", "seeds", len(seeds), "waited_ms", ms(time.Since(begin)))
 	return false
 }
 
+// fetchCopy fetches the state of a peer and makes it this host's copy, unless it has one already. It returns false if the state cannot be fetched. begin is
+// when this host began to look for one.
+func (g *Gateway) fetchCopy(ctx context.Context, h peers.Host, begin time.Time) bool {
+	state, err := fetchState(ctx, h, "", idleTransferTimeout)
+	if err != nil {
+		if ctx.Err() == nil {
+			g.log.Warn("state_not_fetched", "from", h.Name, "error", err)
+		}
+		return false
+	}
+	if g.follower.InstallState(state, time.Now()) {
+		g.hasStoreCopy.Store(true)
+		g.log.Info("state_fetched", "from", h.Name, "zone", h.Zone, "age_ms", state.AgeMS, "took_ms", ms(time.Since(begin)))
+		g.updateStatus()
+		g.sendHeartbeat()
+	}
+	return true
+}
+
 // seedPeerAddresses returns the peer addresses of the seeds except this host: their IPs with the peer port of this host, since all hosts use the same
 // ports.
 func (g *Gateway) seedPeerAddresses() []string {
--- a/internal/gateway/store_health_test.go
+++ b/internal/gateway/store_health_test.go
@@ -43,7 +43,7 @@
 // decliningStore is a store whose watches are answered and end with an error if the answer is not wanted.
 type decliningStore struct{ follow.Store }
 
-func (decliningStore) Watch(_ context.Context, _ string, _ int64, _ time.Duration, arriving func() bool) (follow.Answer, error) {
+func (decliningStore) Watch(_ context.Context, _ string, _ int64, _ time.Duration, _ follow.Keep, arriving func() bool) (follow.Answer, error) {
 	if !arriving() {
 		return follow.Answer{}, errors.New("not wanted")
 	}
@@ -55,13 +55,13 @@
 	is := is.New(t)
 	var h storeHealth
 	s := countingStore{decliningStore{}, metrics.New(), &h}
-	_, err := s.Watch(t.Context(), "topic", 0, time.Second, func() bool { return false })
+	_, err := s.Watch(t.Context(), "topic", 0, time.Second, nil, func() bool { return false })
 	is.True(err != nil)
 	var d Dump
 	h.describe(&d, time.Now())
 	is.Equal(d.StoreFailedMS, int64(-1))
 	is.True(d.StoreOKMS >= 0)
-	_, err = s.Watch(t.Context(), "topic", 0, time.Second, func() bool { return true })
+	_, err = s.Watch(t.Context(), "topic", 0, time.Second, nil, func() bool { return true })
 	is.Equal(err, errDown)
 	h.describe(&d, time.Now())
 	is.True(d.StoreFailedMS >= 0)
