follow: removed keys that a host never had are remembered up to a limit

What callers saw: nothing yet.

Cause: a removed key is remembered for a minute, so that a store which returns from a copy does not bring it back, also if the host had no record of the key. Another program can write and remove any number of keys, and each state lists them.

Evidence: TestForeignRemovalsAreBounded, with 10,000 such keys, fails without the change.

Why this works: of keys that the host had no record of, 4,096 are remembered for each feed. Keys of endpoints that it had are always remembered; the test also checks that one is not used again after the store's return.

--- a/internal/coordination/follow/epoch.go
+++ b/internal/coordination/follow/epoch.go
@@ -58,6 +58,10 @@
 // noOffset is the offset that handlers see in records that the store does not have in the current epoch.
 const noOffset = -1
 
+// maxUnknownDepartures is the number of removed keys beyond which a host no longer remembers those of which it had no record. Other programs may write and
+// remove any number of keys.
+const maxUnknownDepartures = 4096
+
 // departureLifetime is how long removed keys are remembered. Within this time, a store that returned from a copy with such a key has removed
 // the key again.
 const departureLifetime = time.Minute
@@ -205,13 +209,16 @@
 	if held, inherited := f.inherited[i][key]; inherited {
 		last, ok = held.Record, true
 	}
+	earlier, departed := f.departed[i][key]
 	if !ok {
 		last = Record{Key: key}
-		if d, departed := f.departed[i][key]; departed {
-			last = d.Last
+		if departed {
+			last = earlier.Last
 		}
 	}
-	f.departed[i][key] = Departure{Last: last, Epoch: f.epoch, Offset: offset, at: now}
+	if ok || departed || len(f.departed[i]) < maxUnknownDepartures {
+		f.departed[i][key] = Departure{Last: last, Epoch: f.epoch, Offset: offset, at: now}
+	}
 	delete(f.inherited[i], key)
 	delete(f.newest[i], key)
 	delete(f.skipped[i], key)
--- a/internal/coordination/follow/unused_test.go
+++ b/internal/coordination/follow/unused_test.go
@@ -144,3 +144,26 @@
 	is.NoErr(peer.Refresh(t.Context()))
 	is.Equal(peer.handler.values, map[string]string{"e": "desk:1", "new": "desk:1"})
 }
+
+// TestForeignRemovalsAreBounded guards against hosts that remember each key that another program has written and removed, and against an endpoint that is used
+// again since it was forgotten beside them that it had left.
+func TestForeignRemovalsAreBounded(t *testing.T) {
+	is := is.New(t)
+	entries, named := &fakeStore{}, &fakeStore{}
+	named.put("n", "desk")
+	entries.put("e", "desk:1")
+	entries.put("left", "desk:1")
+	h, _ := validating(entries, named)
+	is.NoErr(h.Refresh(t.Context()))
+	for n := range 10_000 {
+		entries.put(fmt.Sprint("x", n), "?")
+		entries.put(fmt.Sprint("x", n), "")
+	}
+	entries.put("left", "")
+	is.NoErr(h.Refresh(t.Context()))
+	is.True(len(h.departed[0]) <= maxUnknownDepartures+1)
+	entries.fall(1) // the store returns from a copy in which the endpoint has not left
+	entries.epoch, named.epoch = 1, 1
+	is.NoErr(h.Refresh(t.Context()))
+	is.Equal(h.handler.values, map[string]string{"e": "desk:1"})
+}
