gateway: unconfirmed entries are reported once, also if there are thousands

What operators saw: beside more than 1,024 entries of a service that no configuration names, each configuration counted them all again in entries_invalid_total and logged them.

Cause: the entries that were reported are remembered for 1,024 keys; beyond that the list began anew. A host keeps up to about 13,000 such entries and validates them with each configuration.

Evidence: TestUnconfirmedEntriesAreReportedOnce, with 3,000 entries, fails without the change.

Why this works: 16,384 keys are remembered by their hashes, 16 bytes each, whatever their length.

--- a/internal/gateway/foreign_entries_test.go
+++ b/internal/gateway/foreign_entries_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
 // putForeign writes entries of random bytes to the endpoint topic, as another program may.
@@ -76,3 +77,22 @@
 		is.True(strings.Contains(err.Error(), "bytes"))
 	}
 }
+
+// TestUnconfirmedEntriesAreReportedOnce guards against logs and counters that report thousands of entries of another program again with each configuration.
+func TestUnconfirmedEntriesAreReportedOnce(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.configure(t, 3, "/lots/")
+	const entries = 3000
+	for n := range entries {
+		name := fmt.Sprint("export-", n)
+		d.store.put(t, "endpoints", name, registry.Entry{Name: name, Started: 1, Service: "exports", Address: "127.0.0.1:2", Zone: "a", Slots: 1})
+	}
+	g := newUnstarted(t, d)
+	is.NoErr(g.follower.Refresh(t.Context()))
+	for version := range uint64(3) {
+		d.configure(t, 4+version, "/lots/")
+		is.NoErr(g.follower.Refresh(t.Context()))
+		is.Equal(g.metrics.Value("entries_invalid_total"), int64(entries))
+	}
+}
--- a/internal/gateway/invalid_entries.go
+++ b/internal/gateway/invalid_entries.go
@@ -14,8 +14,9 @@
 	// invalidEntryLinesPerS and invalidEntryLineBurst bound the log lines of invalid entries. The counter of the metrics has them all.
 	invalidEntryLinesPerS = 2
 	invalidEntryLineBurst = 50
-	// maxReportedEntries bounds the keys whose last reported entry is remembered. Beyond it, an entry that is read again may be reported again.
-	maxReportedEntries = 1024
+	// maxReportedEntries bounds the keys whose last reported entry is remembered. Beyond it, an entry that is read again may be reported again. A host keeps
+	// about as many unconfirmed entries, which are validated again with each configuration.
+	maxReportedEntries = 16384
 	// maxLoggedKey is the maximum number of bytes that are logged of an entry's key.
 	maxLoggedKey = 80
 )
@@ -24,23 +25,23 @@
 type invalidEntries struct {
 	mu       sync.Mutex
 	seed     maphash.Seed
-	reported map[string]uint64 // by key, hash of the entry that was reported last
+	reported map[uint64]uint64 // by the hash of the key, the hash of the entry that was reported last
 	lines    *rate.Limiter
 }
 
 func newInvalidEntries() *invalidEntries {
-	return &invalidEntries{seed: maphash.MakeSeed(), reported: map[string]uint64{}, lines: rate.NewLimiter(invalidEntryLinesPerS, invalidEntryLineBurst)}
+	return &invalidEntries{seed: maphash.MakeSeed(), reported: map[uint64]uint64{}, lines: rate.NewLimiter(invalidEntryLinesPerS, invalidEntryLineBurst)}
 }
 
 // report counts and logs an entry that does not count, unless it is the one of its key that was reported last.
 func (i *invalidEntries) report(g *Gateway, r follow.Record, reason error) {
-	hash := maphash.Bytes(i.seed, r.Value)
+	key, hash := maphash.String(i.seed, r.Key), maphash.Bytes(i.seed, r.Value)
 	i.mu.Lock()
-	last, known := i.reported[r.Key]
+	last, known := i.reported[key]
 	if !known && len(i.reported) >= maxReportedEntries {
 		clear(i.reported)
 	}
-	i.reported[r.Key] = hash
+	i.reported[key] = hash
 	i.mu.Unlock()
 	if known && last == hash {
 		return
