gateway: records of the hosts' topic that cannot be read are dropped

What callers saw: nothing yet.

Cause: the topic in which hosts keep the lists of their zones has no check of its records, so that whatever another program writes there is kept, read as a whole and served with each state.

Evidence: TestStateBesideForeignEntries, with 40 records of 250,000 bytes in that topic too, fails without the change: "the response is larger than 8388608 bytes".

Why this works: the topic gets Validate and Reduce as that of the endpoints has. A list that cannot be read changes nothing, as before, and is reported as entry_invalid.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -26,7 +26,8 @@
 			RefreshesPerRead: 1},
 		{Topic: g.adapter.ContractTopic, Handler: contractHandler{g}, Prepare: contractHandler{g}.prepare, RefreshesPerRead: 1, Watch: true,
 			KeepMissing: true},
-		{Topic: g.adapter.HostTopic, Handler: hostListHandler{g}, RefreshesPerRead: hostRefreshesPerRead, AllowGaps: true},
+		{Topic: g.adapter.HostTopic, Handler: hostListHandler{g}, Validate: hostListHandler{g}.validate, Reduce: hostListHandler{g}.reduce,
+			RefreshesPerRead: hostRefreshesPerRead, AllowGaps: true},
 	}
 	for i := range list {
 		list[i] = g.guarded(list[i])
--- a/internal/gateway/foreign_entries_test.go
+++ b/internal/gateway/foreign_entries_test.go
@@ -16,15 +16,15 @@
 	"github.com/arbutusspan/arbutusspan/internal/state/registry"
 )
 
-// putForeign writes entries of random bytes to the endpoint topic, as another program may.
-func (d *deployment) putForeign(count, bytes int) {
+// putForeign writes records of random bytes to a topic, as another program may.
+func (d *deployment) putForeign(topic string, count, bytes int) {
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
 	for n := range count {
 		value := make([]byte, bytes)
 		rand.Read(value)
-		log := d.store.logs["endpoints"]
-		d.store.logs["endpoints"] = append(log, follow.Record{Key: fmt.Sprint("export-", n), Value: value, Offset: int64(len(log))})
+		log := d.store.logs[topic]
+		d.store.logs[topic] = append(log, follow.Record{Key: fmt.Sprint("export-", n), Value: value, Offset: int64(len(log))})
 	}
 }
 
@@ -34,7 +34,8 @@
 	is := is.New(t)
 	d := deploy(t)
 	d.configure(t, 3, "/lots/")
-	d.putForeign(40, 250_000)
+	d.putForeign("endpoints", 40, 250_000)
+	d.putForeign("hosts", 40, 250_000)
 	reader, started := newUnstarted(t, d), newUnstarted(t, d)
 	is.NoErr(reader.follower.Refresh(t.Context()))
 	served := 0
--- a/internal/gateway/host_list.go
+++ b/internal/gateway/host_list.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
 
 	"github.com/arbutusspan/arbutusspan/internal/coordination/follow"
 	"github.com/arbutusspan/arbutusspan/internal/coordination/peers"
+	"github.com/arbutusspan/arbutusspan/internal/transport/errtext"
 )
 
 // hostListHandler implements follow.Handler for the host topic, which holds a list of hosts for each availability zone. It adds the hosts
@@ -22,10 +25,9 @@
 	if h.g.applyStoredQuarantine(r, now) {
 		return true
 	}
-	var hosts []peers.Host
-	if err := cbor.Unmarshal(r.Value, &hosts); err != nil {
-		h.g.log.Warn("hosts_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
-		return false
+	hosts, err := decodeHostList(r.Value)
+	if err != nil {
+		return false // validate has reported it
 	}
 	if r.Key == h.g.settings.Zone && r.Offset >= 0 {
 		h.g.storedHosts.set(hosts)
@@ -40,6 +42,34 @@
 	return true
 }
 
+// validate implements follow.Feed.Validate: programs other than hosts may write to the topic.
+func (h hostListHandler) validate(r follow.Record) follow.Validity {
+	var err error
+	if strings.HasPrefix(r.Key, quarantineKey) {
+		_, err = decodeVerdicts(r.Value)
+	} else {
+		_, err = decodeHostList(r.Value)
+	}
+	if err != nil {
+		h.g.invalidEntries.report(h.g, r, trace.BadParameter("record %.80q of the hosts' topic: %v", r.Key, errtext.Bound(err)))
+		return follow.Invalid
+	}
+	return follow.Valid
+}
+
+// reduce implements follow.Feed.Reduce.
+func (h hostListHandler) reduce(r follow.Record) (follow.Record, bool) {
+	return r, len(r.Value) <= maxPlainHostRecord || h.validate(r) == follow.Valid
+}
+
+// maxPlainHostRecord is the size in bytes from which a record of the host topic is decoded before it is kept. Hosts write less.
+const maxPlainHostRecord = 16 << 10
+
+func decodeHostList(value []byte) (hosts []peers.Host, err error) {
+	err = cbor.Unmarshal(value, &hosts)
+	return hosts, err
+}
+
 // RetainKeys does nothing: a host is not removed because the list of its zone is missing.
 func (h hostListHandler) RetainKeys(map[string]bool, bool, time.Time) {}
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -112,10 +112,9 @@
 	if !strings.HasPrefix(r.Key, quarantineKey) {
 		return false
 	}
-	var list []storedVerdict
-	if err := cbor.Unmarshal(r.Value, &list); err != nil {
-		g.log.Warn("quarantine_unreadable", "key", r.Key, "offset", r.Offset, "error", err)
-		return true
+	list, err := decodeVerdicts(r.Value)
+	if err != nil {
+		return true // the handler's validate has reported it
 	}
 	var verdicts []quarantine.Verdict
 	for _, v := range list {
@@ -128,6 +127,11 @@
 	return true
 }
 
+func decodeVerdicts(value []byte) (list []storedVerdict, err error) {
+	err = cbor.Unmarshal(value, &list)
+	return list, err
+}
+
 // mayTryQuarantined reports whether this host sends a quarantined request once more: one host of one zone.
 func (g *Gateway) mayTryQuarantined(pattern quarantine.Fingerprint) bool {
 	key := quarantineCoordination + pattern.String()
