--- a/internal/coordination/follow/intake.go
+++ b/internal/coordination/follow/intake.go
@@ -80,12 +80,13 @@
 	return rec, true
 }
 
-// has reports whether this host's copy of a feed has a record of a key that is or may be in use. f.mu must be held.
+// has reports whether this host's copy of a feed has a record of a key that is or may be used. f.mu must be held.
 func (f *Follower) has(i int, key string) bool {
 	_, newest := f.newest[i][key]
 	_, skipped := f.skipped[i][key]
 	_, inherited := f.inherited[i][key]
-	return newest || skipped || inherited
+	_, unconfirmed := f.unused[i].unconfirmed[key]
+	return newest || skipped || inherited || unconfirmed
 }
 
 // validityKnown reports whether this host knows the records on which the validity of those of other feeds depends. f.mu must be held.
--- a/internal/coordination/follow/refresh.go
+++ b/internal/coordination/follow/refresh.go
@@ -146,12 +146,13 @@
 	torn     bool  // with complete: records may reflect later ones than those before next
 	complete bool  // records holds the newest record of each key, not those since an offset
 	copyEnd  int64 // of a peer's state; 0 if the feed was read from the store
+	epoch    int64 // of the store; also with an error
+	next     int64
+	records  []Record
+	err      error
+
 	// keysOmitted is set with complete if records lacks some of the keys that are listed, and ownKeysOmitted if they may be keys of this host's copy.
 	keysOmitted, ownKeysOmitted bool
-	epoch                       int64 // of the store; also with an error
-	next                        int64
-	records                     []Record
-	err                         error
 }
 
 // beginRead returns a function that reads a feed from the end of this host's copy on.
--- a/internal/coordination/follow/state.go
+++ b/internal/coordination/follow/state.go
@@ -144,7 +144,9 @@
 		return
 	}
 	f.installInherited(i, fs, recentOutage, received)
-	f.applyRead(i, fs.read(), recentOutage, received)
+	r := fs.read()
+	r.complete = true
+	f.applyRead(i, r, recentOutage, received)
 }
 
 // installAhead applies what a peer has of a feed from earlier epochs. f.mu must be held.
@@ -159,7 +161,8 @@
 
 // read returns the feed as a read of its topic.
 func (s *FeedState) read() feedRead {
-	return feedRead{complete: !s.Changes, torn: s.Torn, copyEnd: s.CopyEnd, next: s.Next, records: s.Records, keysOmitted: s.KeysOmitted, ownKeysOmitted: s.KeysOmitted}
+	return feedRead{complete: !s.Changes, torn: s.Torn, copyEnd: s.CopyEnd, next: s.Next, records: s.Records,
+		keysOmitted: s.KeysOmitted, ownKeysOmitted: s.KeysOmitted}
 }
 
 // hasFeed reports whether this host has read a feed in the current epoch. f.mu must be held.
--- a/internal/gateway/host_list.go
+++ b/internal/gateway/host_list.go
@@ -42,6 +42,9 @@
 	return true
 }
 
+// maxPlainHostRecord is the size in bytes up to which a record of the host topic is not decoded before it is kept. Hosts write smaller ones.
+const maxPlainHostRecord = 16 << 10
+
 // validate implements follow.Feed.Validate: programs other than hosts may write to the topic.
 func (h hostListHandler) validate(r follow.Record) follow.Validity {
 	var err error
@@ -62,9 +65,6 @@
 	return r, len(r.Value) <= maxPlainHostRecord || h.validate(r) == follow.Valid
 }
 
-// maxPlainHostRecord is the size in bytes from which a record of the host topic is decoded before it is kept. Hosts write less.
-const maxPlainHostRecord = 16 << 10
-
 func decodeHostList(value []byte) (hosts []peers.Host, err error) {
 	err = cbor.Unmarshal(value, &hosts)
 	return hosts, err
