follow: a starting host that needs the configuration stops reading at once

Cause: with more records than a host keeps unchecked, a read was ended for lack of the configuration only at the first record that may be valid. The endpoints' keys came last, so that hosts read the whole topic twice.

Evidence: their logs; TestReadWaitsForConfiguration, whose first read went through all 2,001 records.

Why this works: the need for the configuration follows from the amount alone, so the read ends as soon as that is reached.

--- a/internal/coordination/follow/intake.go
+++ b/internal/coordination/follow/intake.go
@@ -30,6 +30,9 @@
 	if rec.Value == nil || feed.Validate == nil {
 		return rec, true
 	}
+	if in.err != nil {
+		return Record{}, false
+	}
 	if feed.Reduce != nil {
 		reduced, ok := feed.Reduce(rec)
 		if !ok {
@@ -47,14 +50,13 @@
 	}
 	in.f.mu.Lock()
 	defer in.f.mu.Unlock()
-	switch in.f.validity(in.feed, rec) {
-	case Valid:
+	if !in.f.validityKnown() {
+		in.err = errValidityUnknown
+		in.stop()
+		return Record{}, false
+	}
+	if in.f.validity(in.feed, rec) == Valid {
 		return rec, true
-	case Unconfirmed:
-		if !in.f.validityKnown() {
-			in.err = errValidityUnknown
-			in.stop()
-		}
 	}
 	return in.keepKeyLocked(rec)
 }
--- a/internal/coordination/follow/intake_test.go
+++ b/internal/coordination/follow/intake_test.go
@@ -65,6 +65,46 @@
 	}
 }
 
+// recordwiseStore passes on the newest records one by one until the read is ended.
+type recordwiseStore struct {
+	*fakeStore
+	reads []int // records of each read of the entries
+}
+
+func (s *recordwiseStore) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
+	all, _ := s.fakeStore.Newest(ctx, topic, nil)
+	a := Answer{Next: all.Next}
+	for n, r := range all.Records {
+		if ctx.Err() != nil {
+			s.reads = append(s.reads, n)
+			return Answer{}, ctx.Err()
+		}
+		a.Records = keep.Append(a.Records, r)
+	}
+	s.reads = append(s.reads, len(all.Records))
+	return a, nil
+}
+
+// TestReadWaitsForConfiguration guards against starting hosts that read all of a large topic before they notice that they need the configuration first.
+func TestReadWaitsForConfiguration(t *testing.T) {
+	is := is.New(t)
+	entries, named := &recordwiseStore{fakeStore: &fakeStore{}}, &fakeStore{}
+	for n := range 2000 {
+		entries.put(fmt.Sprint("x", n), "?")
+	}
+	entries.put("e", "desk:1")
+	named.put("n", "desk")
+	h := reducing(entries.fakeStore, named, 20_000)
+	cfg := h.cfg
+	cfg.Store = &storeByTopic{entries.fakeStore, map[string]Store{"entries": entries, "names": named}}
+	h.Follower = New(cfg)
+	is.NoErr(h.Refresh(t.Context()))
+	is.Equal(h.handler.values, map[string]string{"e": "desk:1"})
+	is.Equal(len(entries.reads), 2)
+	is.True(entries.reads[0] < 200)
+	is.Equal(entries.reads[1], 2001)
+}
+
 // stallingStore does not answer reads of whole topics until they are ended.
 type stallingStore struct{ *fakeStore }
 
--- a/internal/coordination/follow/validity_test.go
+++ b/internal/coordination/follow/validity_test.go
@@ -12,7 +12,7 @@
 // storeByTopic has a store for each topic.
 type storeByTopic struct {
 	*fakeStore
-	topics map[string]*fakeStore
+	topics map[string]Store
 }
 
 func (s *storeByTopic) Newest(ctx context.Context, topic string, keep Keep) (Answer, error) {
@@ -30,7 +30,7 @@
 // invalid if they begin with a question mark.
 func validating(entries, named *fakeStore) (*host, *names) {
 	n := &names{fakeHandler{values: map[string]string{}}}
-	h := newHost(&storeByTopic{entries, map[string]*fakeStore{"entries": entries, "names": named}}, time.Second)
+	h := newHost(&storeByTopic{entries, map[string]Store{"entries": entries, "names": named}}, time.Second)
 	validate := func(r Record) Validity {
 		name, _, _ := strings.Cut(string(r.Value), ":")
 		for _, known := range n.values {
