--- a/internal/coordination/follow/intake.go
+++ b/internal/coordination/follow/intake.go
@@ -26,19 +26,15 @@
 
 // keep implements Keep. Records in the log that count for nothing are dropped. In a read of a whole topic their keys are kept, see Follower.hold.
 func (in *intake) keep(rec Record) (Record, bool) {
-	feed := &in.f.cfg.Feeds[in.feed]
-	if rec.Value == nil || feed.Validate == nil {
+	if rec.Value == nil || in.f.cfg.Feeds[in.feed].Validate == nil {
 		return rec, true
 	}
 	if in.err != nil {
 		return Record{}, false
 	}
-	if feed.Reduce != nil {
-		reduced, ok := feed.Reduce(rec)
-		if !ok {
-			return in.keepKey(rec)
-		}
-		rec = reduced
+	rec, ok := in.f.reduce(in.feed, rec)
+	if !ok {
+		return in.keepKey(rec)
 	}
 	if !in.whole { // the Store bounds what it keeps of a log
 		return rec, true
@@ -82,6 +78,29 @@
 	return rec, true
 }
 
+// reduce returns a record without what no host uses of its value, or false if it is invalid whatever the other feeds hold. f.mu need not be held.
+func (f *Follower) reduce(i int, rec Record) (Record, bool) {
+	reduce := f.cfg.Feeds[i].Reduce
+	if reduce == nil || rec.Value == nil || rec.dropped() {
+		return rec, true
+	}
+	return reduce(rec)
+}
+
+// reduceState reduces the records of a peer's state, which may be of an earlier version that keeps all values. f.mu need not be held.
+func (f *Follower) reduceState(i int, fs *FeedState) {
+	if f.cfg.Feeds[i].Reduce == nil {
+		return
+	}
+	for n, rec := range fs.Records {
+		reduced, ok := f.reduce(i, rec)
+		if !ok {
+			reduced.Value = droppedValue
+		}
+		fs.Records[n] = reduced
+	}
+}
+
 // has reports whether this host's copy of a feed has a record of a key that is or may be used. f.mu must be held.
 func (f *Follower) has(i int, key string) bool {
 	_, newest := f.newest[i][key]
--- a/internal/coordination/follow/refresh.go
+++ b/internal/coordination/follow/refresh.go
@@ -218,7 +218,7 @@
 		fs := &s.Feeds[n]
 		for i := range f.cfg.Feeds {
 			if f.cfg.Feeds[i].Topic == fs.Topic {
-				fs.Records = f.reduce(i, fs.Records)
+				f.reduceState(i, fs)
 				f.prepare(i, fs.Records)
 			}
 		}
--- a/internal/coordination/follow/validity.go
+++ b/internal/coordination/follow/validity.go
@@ -1,9 +1,6 @@
 package follow
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Validity says whether a record counts.
 type Validity uint8
@@ -31,26 +28,6 @@
 
 func (f *Follower) invalid(i int, rec Record) bool { return f.validity(i, rec) == Invalid }
 
-// reduce returns the records of a feed without what no host uses of their values. The values of invalid ones are dropped. f.mu must not be held.
-func (f *Follower) reduce(i int, records []Record) []Record {
-	reduce := f.cfg.Feeds[i].Reduce
-	if reduce == nil {
-		return records
-	}
-	list := slices.Clone(records)
-	for n, rec := range list {
-		if rec.Value == nil || rec.dropped() {
-			continue
-		}
-		reduced, ok := reduce(rec)
-		if !ok {
-			reduced.Value = droppedValue
-		}
-		list[n] = reduced
-	}
-	return list
-}
-
 // validate returns the validity of each record that was read of a feed.
 func (f *Follower) validate(i int, r feedRead) []Validity {
 	list := make([]Validity, len(r.records))
